--- /dev/null
+++ b/AK/Error.h
@@ -0,0 +1,74 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Types.h>
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/try.hpp>
+#include <optional>
+#include <string_view>
+
+namespace AK {
+
+/// Kinds of error that a caller or operator can tell apart. The wire names are in to_string().
+enum class ErrorKind : u8 {
+    InvalidRequest,
+    BodyTooLarge,
+    Unauthenticated,
+    Forbidden,
+    UnknownRoute,
+    UnknownEntity,
+    Conflict,
+    OverLimit,
+    Overloaded,
+    DeadlineUnreachable,
+    NoBackendServer,
+    Leaving,
+    PlatformUnavailable,
+    PlatformAnswerLost,
+    PeerUnavailable,
+    BackendServerFailed,
+    GenerationLost,
+    InvalidSettings,
+    NotReady,
+    FencedOut,
+};
+
+std::string_view to_string(ErrorKind);
+
+/// A typed error. The message says what is wrong and what to do about it.
+struct [[nodiscard]] Error {
+    ErrorKind kind { ErrorKind::InvalidRequest };
+    std::string message;
+    /// When the caller should come back, measured from now. Every refusal for want of capacity sets it.
+    std::optional<Duration> retry_after {};
+
+    bool operator==(Error const&) const = default;
+};
+
+template<typename T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+
+inline auto success() { return boost::outcome_v2::success(); }
+
+[[noreturn]] void verification_failed(char const* expression, char const* file, int line);
+
+}
+
+/// Early return of an error: TRY(auto value, fallible()) or TRYV(fallible()).
+#define TRY(declaration, expression) BOOST_OUTCOME_TRY(declaration, expression)
+#define TRYV(expression) BOOST_OUTCOME_TRYV(expression)
+
+/// An invariant of our own code. Never used on input.
+#define VERIFY(expression) \
+    (static_cast<bool>(expression) ? void(0) : ::AK::verification_failed(#expression, __FILE__, __LINE__))
+
+using AK::Error;
+using AK::ErrorKind;
+using AK::Result;
+using AK::success;
--- /dev/null
+++ b/AK/Types.h
@@ -0,0 +1,85 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace AK {
+
+using u8 = std::uint8_t;
+using u16 = std::uint16_t;
+using u32 = std::uint32_t;
+using u64 = std::uint64_t;
+using i64 = std::int64_t;
+
+/// A value that cannot be mixed up with another one of the same representation.
+/// `Tag` is an empty type that names the meaning; it is never instantiated.
+template<typename Tag, typename Representation>
+class StrongType {
+public:
+    using ValueType = Representation;
+
+    constexpr StrongType() = default;
+    constexpr explicit StrongType(Representation value)
+        : representation(std::move(value))
+    {
+    }
+
+    [[nodiscard]] constexpr Representation const& value() const { return this->representation; }
+    constexpr auto operator<=>(StrongType const&) const = default;
+
+private:
+    Representation representation {};
+};
+
+template<typename Tag, typename Representation>
+std::ostream& operator<<(std::ostream& stream, StrongType<Tag, Representation> const& strong)
+{
+    return stream << strong.value();
+}
+
+/// Monotonic time since an arbitrary start: the loop's clock in daemons, virtual time in the bench.
+using Duration = std::chrono::nanoseconds;
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+constexpr double to_seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+constexpr i64 to_milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+inline Duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}
+
+namespace std {
+template<typename Tag, typename Representation>
+struct hash<AK::StrongType<Tag, Representation>> {
+    size_t operator()(AK::StrongType<Tag, Representation> const& strong) const
+    {
+        return hash<Representation> {}(strong.value());
+    }
+};
+}
+
+using namespace std::chrono_literals;
+using AK::Duration;
+using AK::i64;
+using AK::Instant;
+using AK::u16;
+using AK::u32;
+using AK::u64;
+using AK::u8;
--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -0,0 +1,51 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibConfiguration/ConfigurationFollower.h>
+
+namespace Configuration {
+
+bool ConfigurationFollower::offer(std::span<wire::LogEntry const> entries)
+{
+    auto before = this->current.revision();
+    for (auto const& entry : entries) {
+        if (entry.revision() != this->current.revision().value() + 1)
+            continue;
+        this->current.apply(entry);
+        this->recent.push_back(entry);
+        if (this->recent.size() > kept_entries)
+            this->recent.pop_front();
+    }
+    return this->current.revision() > before;
+}
+
+bool ConfigurationFollower::offer(wire::ConfigurationSnapshot const& snapshot)
+{
+    if (Revision(snapshot.revision()) <= this->current.revision())
+        return false;
+    this->current = Document::from_snapshot(snapshot);
+    this->recent.clear();
+    return true;
+}
+
+wire::ConfigurationEntries ConfigurationFollower::answer(Revision revision) const
+{
+    wire::ConfigurationEntries answer;
+    if (revision >= this->current.revision())
+        return answer;
+    auto is_covered = !this->recent.empty() && this->recent.front().revision() <= revision.value() + 1;
+    if (!is_covered) {
+        *answer.mutable_snapshot() = this->current.snapshot();
+        return answer;
+    }
+    for (auto const& entry : this->recent) {
+        if (entry.revision() > revision.value())
+            *answer.add_entries() = entry;
+    }
+    return answer;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -0,0 +1,69 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <AK/Error.h>
+#include <LibCore/EventCatalogue.h>
+#include <algorithm>
+#include <array>
+
+namespace Core {
+
+using enum EventNumber;
+using enum Severity;
+
+static constexpr auto catalogue = std::to_array<EventDescription>({
+    { ProcessStarted, "process_started", Information },
+    { ProcessReady, "process_ready", Information },
+    { ProcessLeaving, "process_leaving", Information },
+    { ProcessStopped, "process_stopped", Information },
+    { MemberJoined, "member_joined", Information },
+    { MemberLeaving, "member_leaving", Information },
+    { MemberLost, "member_lost", Warning },
+    { MemberReplaced, "member_replaced", Information },
+    { RevisionInForce, "revision_in_force", Information },
+    { ChangeAccepted, "change_accepted", Information },
+    { ChangeRefused, "change_refused", Warning },
+    { ConfigurationStale, "configuration_stale", Warning },
+    { PlatformUnavailable, "platform_unavailable", Warning },
+    { PlatformAvailable, "platform_available", Information },
+    { RequestReceived, "request_received", Information },
+    { RequestRefused, "request_refused", Warning },
+    { GenerationQueued, "generation_queued", Information },
+    { GenerationPlaced, "generation_placed", Information },
+    { GenerationRefused, "generation_refused", Warning },
+    { GenerationPaused, "generation_paused", Warning },
+    { GenerationResumed, "generation_resumed", Information },
+    { GenerationFinished, "generation_finished", Information },
+    { GenerationRebuilt, "generation_rebuilt", Information },
+    { PlacementRepeated, "placement_repeated", Warning },
+    { FirstTokenDelivered, "first_token_delivered", Information },
+    { StreamResumed, "stream_resumed", Warning },
+    { StreamEnded, "stream_ended", Information },
+    { StreamFailed, "stream_failed", Error },
+    { EngineSeen, "engine_seen", Information },
+    { EngineLeaving, "engine_leaving", Information },
+    { EngineSilent, "engine_silent", Warning },
+    { OwnershipTaken, "ownership_taken", Information },
+    { OwnershipGivenUp, "ownership_given_up", Information },
+    { ServiceCallDispatched, "service_call_dispatched", Information },
+    { ServiceCallEnded, "service_call_ended", Information },
+    { ClaimRefused, "claim_refused", Warning },
+    { LeaseTaken, "lease_taken", Information },
+    { LeaseLapsed, "lease_lapsed", Warning },
+    { OrderSent, "order_sent", Information },
+    { OrderWithheld, "order_withheld", Warning },
+});
+
+std::span<EventDescription const> event_catalogue() { return catalogue; }
+
+EventDescription const& describe(EventNumber number)
+{
+    auto found = std::ranges::find(catalogue, number, &EventDescription::number);
+    VERIFY(found != catalogue.end());
+    return *found;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -0,0 +1,75 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Types.h>
+#include <span>
+#include <string_view>
+
+namespace Core {
+
+/// The number of each event that a process writes to its log and its time line. docs/EVENTS.md explains each; a
+/// test holds the two together. Numbers are never used again for another meaning.
+enum class EventNumber : u32 {
+    ProcessStarted = 1001,
+    ProcessReady = 1002,
+    ProcessLeaving = 1003,
+    ProcessStopped = 1004,
+    MemberJoined = 1101,
+    MemberLeaving = 1102,
+    MemberLost = 1103,
+    MemberReplaced = 1104,
+    RevisionInForce = 1201,
+    ChangeAccepted = 1202,
+    ChangeRefused = 1203,
+    ConfigurationStale = 1204,
+    PlatformUnavailable = 1301,
+    PlatformAvailable = 1302,
+    RequestReceived = 2001,
+    RequestRefused = 2002,
+    GenerationQueued = 2101,
+    GenerationPlaced = 2102,
+    GenerationRefused = 2103,
+    GenerationPaused = 2104,
+    GenerationResumed = 2105,
+    GenerationFinished = 2106,
+    GenerationRebuilt = 2107,
+    PlacementRepeated = 2108,
+    FirstTokenDelivered = 2201,
+    StreamResumed = 2202,
+    StreamEnded = 2203,
+    StreamFailed = 2204,
+    EngineSeen = 2301,
+    EngineLeaving = 2302,
+    EngineSilent = 2303,
+    OwnershipTaken = 2304,
+    OwnershipGivenUp = 2305,
+    ServiceCallDispatched = 2401,
+    ServiceCallEnded = 2402,
+    ClaimRefused = 2403,
+    LeaseTaken = 2501,
+    LeaseLapsed = 2502,
+    OrderSent = 2503,
+    OrderWithheld = 2504,
+};
+
+enum class Severity : u8 {
+    Information,
+    Warning,
+    Error,
+};
+
+struct EventDescription {
+    EventNumber number;
+    std::string_view name;
+    Severity severity;
+};
+
+std::span<EventDescription const> event_catalogue();
+EventDescription const& describe(EventNumber);
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Metrics.h
@@ -0,0 +1,59 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Types.h>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <boost/histogram.hpp>
+
+namespace Core {
+
+/// Durations from 0.1 ms to 1,000 s on a logarithmic axis.
+class LatencyHistogram {
+public:
+    LatencyHistogram();
+    void record(Duration);
+    /// Upper edge of the bucket that holds the quantile, in seconds; 0 when empty.
+    [[nodiscard]] double quantile_seconds(double quantile) const;
+    [[nodiscard]] u64 count() const { return this->total_count; }
+    [[nodiscard]] double sum_seconds() const { return this->total_seconds; }
+
+    struct Bucket {
+        double upper_seconds;
+        u64 cumulative_count;
+    };
+    [[nodiscard]] std::vector<Bucket> buckets() const;
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    decltype(boost::histogram::make_histogram(std::declval<Axis>())) histogram;
+    u64 total_count { 0 };
+    double total_seconds { 0 };
+};
+
+/// The metrics of one process: names are created at first use. Thread safe.
+class Metrics {
+public:
+    void add(std::string const& counter, u64 amount = 1);
+    void set(std::string const& gauge, double value);
+    void observe(std::string const& histogram, Duration);
+    [[nodiscard]] u64 counter(std::string const& name) const;
+    /// All metrics in the Prometheus text format.
+    [[nodiscard]] std::string text() const;
+
+private:
+    mutable std::mutex mutex;
+    std::map<std::string, u64> counters;
+    std::map<std::string, double> gauges;
+    std::map<std::string, LatencyHistogram> histograms;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayLoop.cpp
@@ -0,0 +1,615 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/GatewayLoop.h>
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace Gateway {
+
+using Core::EventNumber;
+
+static constexpr Duration tick_period = 100ms;
+// A router answers at once or queues; after this long the question is asked again in case it was lost.
+static constexpr Duration ask_again_after = 1s;
+static constexpr u32 default_deadline_milliseconds = 10'000;
+static constexpr u64 default_maximum_output_tokens = 65'536;
+static constexpr size_t most_excluded_engines = 8;
+static constexpr double retry_earned_per_request = 0.1;
+static constexpr double largest_retry_allowance = 10;
+
+static Instant now() { return std::chrono::steady_clock::now(); }
+
+static std::string random_hexadecimal(u64 value)
+{
+    std::ostringstream out;
+    out << std::hex << std::setw(16) << std::setfill('0') << value;
+    return out.str();
+}
+
+GatewayLoop::GatewayLoop(Node::Node& node)
+    : node(node)
+    , random(std::random_device {}())
+{
+    this->id_prefix = "gen-" + random_hexadecimal(this->random()) + '-';
+    node.on_message([this](wire::Envelope const& envelope) { this->receive(envelope); });
+    node.on_members([this] { this->members_changed(); });
+    node.loop().every(tick_period, [this] { this->tick(); });
+}
+
+GenerationId GatewayLoop::new_generation_id() { return GenerationId(this->id_prefix + std::to_string(this->next_id++)); }
+
+Duration GatewayLoop::time_left(Instant deadline) const { return std::max<Duration>(deadline - now(), 0s); }
+
+Result<wire::Organisation const*> GatewayLoop::authenticate(std::string const& api_key) const
+{
+    auto const* organisation
+        = this->node.configuration().find_organisation_by_key_hash(Delivery::sha256_hexadecimal(api_key));
+    if (organisation)
+        return organisation;
+    return Error { ErrorKind::Unauthenticated, "this API key is not known; check it, or ask your operator for one",
+        {} };
+}
+
+bool GatewayLoop::spend_retry(OrganisationId const& id)
+{
+    auto& organisation = this->organisations[id];
+    if (organisation.retry_allowance < 1)
+        return false;
+    organisation.retry_allowance -= 1;
+    return true;
+}
+
+// Generations
+
+void GatewayLoop::post_begin(std::shared_ptr<EdgeCall> call)
+{
+    ++this->open_calls;
+    this->node.loop().post([this, call = std::move(call)] { this->begin(call); });
+}
+
+void GatewayLoop::begin(std::shared_ptr<EdgeCall> call)
+{
+    auto refuse_early = [&](Error error) {
+        --this->open_calls;
+        this->node.metrics().add("lilac_requests_refused_total");
+        this->node.events().record(EventNumber::RequestRefused, call->generation.value(), error.message);
+        call->decisions.put(Refused { std::move(error) });
+    };
+    if (!this->node.is_ready()) {
+        refuse_early({ ErrorKind::NotReady, "this host is not ready: " + this->node.readiness_reason(), 1s });
+        return;
+    }
+    auto organisation = this->authenticate(call->request.api_key);
+    if (!organisation) {
+        refuse_early(organisation.error());
+        return;
+    }
+    OrganisationId organisation_id(organisation.value()->id());
+    auto const* route = this->node.configuration().find_route(organisation_id, call->request.route);
+    if (!route) {
+        refuse_early({ ErrorKind::UnknownRoute,
+            "your organisation has no route '" + call->request.route.value() + "'; ask your operator for its routes",
+            {} });
+        return;
+    }
+    GenerationRow row;
+    row.call = call;
+    row.organisation = organisation_id;
+    row.route = call->request.route;
+    row.model = ModelId(route->model());
+    row.adapter = route->adapter();
+    auto route_maximum
+        = route->maximum_output_tokens() > 0 ? route->maximum_output_tokens() : default_maximum_output_tokens;
+    row.maximum_output_tokens = std::min(call->request.maximum_output_tokens.value_or(route_maximum), route_maximum);
+    auto route_deadline = route->default_deadline_milliseconds() > 0 ? route->default_deadline_milliseconds()
+                                                                     : default_deadline_milliseconds;
+    row.deadline = now() + call->request.deadline.value_or(std::chrono::milliseconds(route_deadline));
+    row.attempt = AttemptNumber(1);
+
+    auto& budget = this->organisations[organisation_id];
+    budget.retry_allowance
+        = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
+    this->node.metrics().add("lilac_requests_total");
+    this->node.events().record(EventNumber::RequestReceived, call->generation.value(),
+        "route " + row.route.value(), organisation_id);
+    auto& stored = this->generations[call->generation] = std::move(row);
+    this->ask_router(stored);
+}
+
+wire::PlaceRequest GatewayLoop::place_request(GenerationRow const& row) const
+{
+    wire::PlaceRequest request;
+    request.set_generation(row.call->generation.value());
+    request.set_attempt(row.attempt.value());
+    request.set_organisation(row.organisation.value());
+    request.set_route(row.route.value());
+    request.set_prompt_tokens(static_cast<u32>(estimate_tokens(row.call->request.prompt).value()));
+    request.set_maximum_output_tokens(static_cast<u32>(row.maximum_output_tokens));
+    request.set_prefix_hash(salted_prefix_hash(row.organisation, row.call->request.prompt));
+    request.set_deadline_milliseconds(static_cast<u32>(AK::to_milliseconds(this->time_left(row.deadline))));
+    for (auto const& engine : row.excluded)
+        request.add_excluded_engines(engine.value());
+    return request;
+}
+
+void GatewayLoop::ask_router(GenerationRow& row)
+{
+    row.state = RowState::AskedRouter;
+    row.asked_at = now();
+    auto const* owner = this->node.owner_of("pool/" + row.model.value());
+    if (!owner) {
+        this->refuse(row,
+            { ErrorKind::PeerUnavailable, "no router is reachable from this host; try again at another one", 2s });
+        return;
+    }
+    row.asked = owner->id;
+    wire::Envelope envelope;
+    *envelope.mutable_place_request() = this->place_request(row);
+    this->node.send(owner->address, std::move(envelope));
+}
+
+void GatewayLoop::refuse(GenerationRow const& row, Error error)
+{
+    auto call = row.call;
+    this->node.metrics().add("lilac_requests_refused_total");
+    this->node.events().record(
+        EventNumber::RequestRefused, call->generation.value(), error.message, row.organisation);
+    this->generations.erase(call->generation);
+    --this->open_calls;
+    call->decisions.put(Refused { std::move(error) });
+}
+
+void GatewayLoop::receive(wire::Envelope const& envelope)
+{
+    switch (envelope.body_case()) {
+    case wire::Envelope::kPlaceReply:
+        this->receive_place_reply(envelope.place_reply(), Address(envelope.sender_address()));
+        return;
+    case wire::Envelope::kClaimReply:
+        this->receive_claim_reply(envelope.claim_reply());
+        return;
+    default:
+        return;
+    }
+}
+
+static ErrorKind refusal_kind(std::string const& text)
+{
+    for (auto kind : { ErrorKind::OverLimit, ErrorKind::Overloaded, ErrorKind::DeadlineUnreachable,
+             ErrorKind::NoBackendServer, ErrorKind::Forbidden, ErrorKind::UnknownRoute, ErrorKind::NotReady }) {
+        if (to_string(kind) == text)
+            return kind;
+    }
+    return ErrorKind::Overloaded;
+}
+
+void GatewayLoop::receive_place_reply(wire::PlaceReply const& reply, Address const& sender)
+{
+    auto found = this->generations.find(GenerationId(reply.generation()));
+    auto is_awaited = found != this->generations.end() && found->second.state == RowState::AskedRouter
+        && found->second.attempt == AttemptNumber(reply.attempt());
+    if (!is_awaited) {
+        // A late answer: the place it holds on the engine is given back, unless it is the one that was taken.
+        auto is_the_taken_one = found != this->generations.end()
+            && found->second.attempt == AttemptNumber(reply.attempt())
+            && found->second.engine == EngineId(reply.engine());
+        if (reply.engine().empty() || is_the_taken_one)
+            return;
+        wire::Envelope envelope;
+        auto* finished = envelope.mutable_finished();
+        finished->set_generation(reply.generation());
+        finished->set_attempt(reply.attempt());
+        finished->set_reason(wire::FINISH_NOT_STARTED);
+        this->node.send(sender, std::move(envelope));
+        return;
+    }
+    auto& row = found->second;
+    if (reply.engine().empty()) {
+        std::optional<Duration> retry_after;
+        if (reply.retry_after_milliseconds() > 0)
+            retry_after = std::chrono::milliseconds(reply.retry_after_milliseconds());
+        this->refuse(row, { refusal_kind(reply.error_kind()), reply.error_message(), retry_after });
+        return;
+    }
+    row.state = RowState::OnEngine;
+    row.engine = EngineId(reply.engine());
+    Admitted admitted;
+    admitted.placement = { row.engine, Address(reply.engine_address()), row.attempt, reply.priority() };
+    admitted.start = { row.call->generation, row.attempt, row.model.value(), row.adapter, row.call->request.prompt,
+        row.maximum_output_tokens, reply.priority(),
+        salted_prefix_hash(row.organisation, row.call->request.prompt) };
+    admitted.organisation = row.organisation;
+    admitted.route = row.route;
+    if (auto const* key = this->node.configuration().newest_resume_key())
+        admitted.signing_key = Delivery::SigningKey { key->id(), key->secret_hexadecimal() };
+    row.call->decisions.put(std::move(admitted));
+}
+
+void GatewayLoop::post_try_again(std::shared_ptr<EdgeCall> call, EngineId failed_engine, StreamFailure failure)
+{
+    this->node.loop().post([this, call = std::move(call), failed_engine = std::move(failed_engine), failure] {
+        this->try_again(call, failed_engine, failure);
+    });
+}
+
+void GatewayLoop::try_again(
+    std::shared_ptr<EdgeCall> const& call, EngineId const& failed_engine, StreamFailure failure)
+{
+    auto found = this->generations.find(call->generation);
+    if (found == this->generations.end())
+        return;
+    auto& row = found->second;
+    if (failure == StreamFailure::Leaving)
+        this->node.backend_server_is_leaving(failed_engine);
+    wire::Envelope envelope;
+    auto* finished = envelope.mutable_finished();
+    finished->set_generation(call->generation.value());
+    finished->set_attempt(row.attempt.value());
+    finished->set_reason(wire::FINISH_NOT_STARTED);
+    this->tell_owner(row, std::move(envelope));
+
+    row.excluded.insert(failed_engine);
+    if (now() >= row.deadline || row.excluded.size() > most_excluded_engines || !this->spend_retry(row.organisation)) {
+        this->refuse(row,
+            { ErrorKind::NoBackendServer,
+                "the engines that were tried did not take the request; come back after the time given", 2s });
+        return;
+    }
+    row.attempt = AttemptNumber(row.attempt.value() + 1);
+    row.engine = {};
+    this->node.events().record(EventNumber::PlacementRepeated, call->generation.value(),
+        "attempt " + std::to_string(row.attempt.value()) + " after " + failed_engine.value(), row.organisation);
+    this->ask_router(row);
+}
+
+void GatewayLoop::tell_owner(GenerationRow const& row, wire::Envelope envelope)
+{
+    auto const* owner = this->node.owner_of("pool/" + row.model.value());
+    auto const* asked = this->node.members().find(row.asked);
+    // Both may hold a row for it while ownership moves.
+    if (asked && (!owner || asked->id != owner->id))
+        this->node.send(asked->address, envelope);
+    if (owner)
+        this->node.send(owner->address, std::move(envelope));
+}
+
+void GatewayLoop::post_first_token(GenerationId const& generation)
+{
+    this->node.loop().post([this, generation] {
+        auto found = this->generations.find(generation);
+        if (found == this->generations.end())
+            return;
+        wire::Envelope envelope;
+        envelope.mutable_started()->set_generation(generation.value());
+        envelope.mutable_started()->set_attempt(found->second.attempt.value());
+        this->tell_owner(found->second, std::move(envelope));
+        this->node.events().record(EventNumber::FirstTokenDelivered, generation.value(),
+            "from " + found->second.engine.value(), found->second.organisation);
+    });
+}
+
+void GatewayLoop::post_finished(
+    GenerationId const& generation, wire::FinishReason reason, u64 token_count, std::string const& text)
+{
+    this->node.loop().post([this, generation, reason, token_count, text] {
+        auto found = this->generations.find(generation);
+        if (found == this->generations.end())
+            return;
+        wire::Envelope envelope;
+        auto* finished = envelope.mutable_finished();
+        finished->set_generation(generation.value());
+        finished->set_attempt(found->second.attempt.value());
+        finished->set_reason(reason);
+        finished->set_output_tokens(static_cast<u32>(token_count));
+        this->tell_owner(found->second, std::move(envelope));
+        auto number = reason == wire::FINISH_FAILED ? EventNumber::StreamFailed : EventNumber::StreamEnded;
+        this->node.events().record(number, generation.value(), text, found->second.organisation);
+        this->generations.erase(found);
+        --this->open_calls;
+    });
+}
+
+void GatewayLoop::members_changed()
+{
+    for (auto const& [model, owner] : std::map(this->told_owners)) {
+        auto const* current = this->node.owner_of("pool/" + model.value());
+        if (current && current->id == owner)
+            continue;
+        this->told_owners.erase(model);
+    }
+    this->tell_owners_of_live_generations();
+}
+
+void GatewayLoop::tell_owners_of_live_generations()
+{
+    std::map<ModelId, wire::Envelope> news;
+    for (auto& [id, row] : this->generations) {
+        if (this->told_owners.contains(row.model))
+            continue;
+        if (row.state == RowState::AskedRouter)
+            continue;
+        auto* live = news[row.model].mutable_live_generations()->add_generations();
+        live->set_generation(id.value());
+        live->set_attempt(row.attempt.value());
+        live->set_organisation(row.organisation.value());
+        live->set_route(row.route.value());
+        live->set_prompt_tokens(static_cast<u32>(estimate_tokens(row.call->request.prompt).value()));
+        live->set_output_tokens(row.call->delivered);
+        live->set_engine(row.engine.value());
+        live->set_maximum_output_tokens(static_cast<u32>(row.maximum_output_tokens));
+    }
+    for (auto& [model, envelope] : news) {
+        if (auto const* owner = this->node.owner_of("pool/" + model.value())) {
+            this->told_owners[model] = owner->id;
+            this->node.send(owner->address, std::move(envelope));
+        }
+    }
+}
+
+void GatewayLoop::tick()
+{
+    std::vector<GenerationId> due;
+    for (auto const& [id, row] : this->generations) {
+        if (row.state == RowState::AskedRouter)
+            due.push_back(id);
+        else if (!this->told_owners.contains(row.model)) {
+            // The owner that placed it knows it.
+            if (auto const* owner = this->node.owner_of("pool/" + row.model.value()))
+                this->told_owners[row.model] = owner->id;
+        }
+    }
+    for (auto const& id : due) {
+        auto& row = this->generations[id];
+        auto const* owner = this->node.owner_of("pool/" + row.model.value());
+        auto owner_moved = !owner || owner->id != row.asked;
+        if (now() >= row.deadline)
+            this->refuse(row,
+                { ErrorKind::DeadlineUnreachable,
+                    "no engine was found before the deadline; come back after the time given", 2s });
+        else if (owner_moved || now() - row.asked_at > ask_again_after)
+            this->ask_router(row);
+    }
+    std::vector<std::string> waiting;
+    for (auto const& [id, row] : this->service_calls) {
+        if (row.waits_for_claim)
+            waiting.push_back(id);
+    }
+    for (auto const& id : waiting) {
+        auto& row = this->service_calls[id];
+        if (now() >= row.deadline)
+            this->refuse_service_call(row,
+                { ErrorKind::PlatformUnavailable,
+                    "the claim on this idempotency key could not be made before the deadline; come back later", 5s });
+        else if (now() - row.asked_at > ask_again_after)
+            this->ask_for_claim(row);
+    }
+    this->node.metrics().set("lilac_open_generations", static_cast<double>(this->generations.size()));
+}
+
+// Resuming
+
+void GatewayLoop::post_resume(std::shared_ptr<ResumeCall> call)
+{
+    ++this->open_calls;
+    this->node.loop().post([this, call = std::move(call)] { this->decide_resume(*call); });
+}
+
+void GatewayLoop::post_resume_ended(GenerationId const& generation)
+{
+    this->node.loop().post([this, generation] {
+        --this->open_calls;
+        this->node.events().record(EventNumber::StreamEnded, generation.value(), "resumed stream ended");
+    });
+}
+
+void GatewayLoop::decide_resume(ResumeCall& call)
+{
+    auto verified = [&]() -> Result<Delivery::ResumeToken> {
+        TRY(auto organisation, this->authenticate(call.api_key));
+        TRY(auto key_id, Delivery::signing_key_id(call.token));
+        auto const* key = this->node.configuration().find_resume_key(key_id);
+        if (!key)
+            return Error { ErrorKind::Forbidden, "the resume token's key is no longer in use; start again", {} };
+        TRY(auto token,
+            Delivery::verify(call.token, { key->id(), key->secret_hexadecimal() },
+                Core::SystemClock().wall_milliseconds()));
+        if (token.organisation.value() != organisation->id() || token.generation != call.generation)
+            return Error { ErrorKind::Forbidden, "the resume token belongs to another request; send your own", {} };
+        return token;
+    }();
+    if (verified) {
+        auto const& token = verified.value();
+        this->node.events().record(EventNumber::StreamResumed, token.generation.value(),
+            "from offset " + std::to_string(call.next_offset) + " at " + token.engine.value(), token.organisation);
+        call.decisions.put(token);
+        return;
+    }
+    --this->open_calls;
+    call.decisions.put(Refused { verified.error() });
+}
+
+// Plain services
+
+void GatewayLoop::post_service_call(std::shared_ptr<ServiceCall> call)
+{
+    ++this->open_calls;
+    this->node.loop().post([this, call = std::move(call)] { this->begin_service_call(call); });
+}
+
+static bool is_repeatable_path(wire::PlainService const& service, std::string const& path)
+{
+    return std::ranges::any_of(
+        service.repeatable_paths(), [&](auto const& prefix) { return path.starts_with(prefix); });
+}
+
+void GatewayLoop::begin_service_call(std::shared_ptr<ServiceCall> call)
+{
+    auto decided = [&]() -> Result<ServiceRow> {
+        if (!this->node.is_ready())
+            return Error { ErrorKind::NotReady, "this host is not ready: " + this->node.readiness_reason(), 1s };
+        TRY(auto organisation, this->authenticate(call->api_key));
+        auto const* service = this->node.configuration().find_service(call->service);
+        if (!service || std::ranges::find(service->organisations(), organisation->id()) == service->organisations().end())
+            return Error { ErrorKind::UnknownRoute,
+                "your organisation has no service '" + call->service.value() + "'; ask your operator", {} };
+        ServiceRow row;
+        row.call = call;
+        row.organisation = OrganisationId(organisation->id());
+        row.is_repeatable = is_repeatable_path(*service, call->path);
+        row.deadline = now() + call->deadline;
+        return row;
+    }();
+    if (!decided) {
+        --this->open_calls;
+        call->decisions.put(Refused { decided.error() });
+        return;
+    }
+    auto& budget = this->organisations[decided.value().organisation];
+    budget.retry_allowance
+        = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
+    auto& row = this->service_calls[call->id] = std::move(decided.value());
+    if (call->idempotency_key.empty()) {
+        this->dispatch_service_call(row);
+        return;
+    }
+    row.nonce = call->id;
+    this->ask_for_claim(row);
+}
+
+void GatewayLoop::ask_for_claim(ServiceRow& row)
+{
+    row.waits_for_claim = true;
+    row.asked_at = now();
+    auto const* owner = this->node.owner_of("claims");
+    if (!owner)
+        return;
+    wire::Envelope envelope;
+    auto* request = envelope.mutable_claim_request();
+    request->set_organisation(row.organisation.value());
+    request->set_idempotency_key(row.call->idempotency_key);
+    request->set_nonce(row.nonce);
+    this->node.send(owner->address, std::move(envelope));
+}
+
+void GatewayLoop::receive_claim_reply(wire::ClaimReply const& reply)
+{
+    auto found = this->service_calls.find(reply.nonce());
+    if (found == this->service_calls.end() || !found->second.waits_for_claim)
+        return;
+    auto& row = found->second;
+    row.waits_for_claim = false;
+    switch (reply.answer()) {
+    case wire::CLAIM_GRANTED:
+        row.is_claimed = true;
+        this->dispatch_service_call(row);
+        return;
+    case wire::CLAIM_TAKEN:
+        this->node.events().record(EventNumber::ClaimRefused, row.call->id, "key in use", row.organisation);
+        this->refuse_service_call(row,
+            { ErrorKind::Conflict,
+                "a call with this idempotency key was made before and may have run; look its result up, or use a "
+                "new key for a new call",
+                {} });
+        return;
+    default:
+        this->refuse_service_call(row,
+            { ErrorKind::PlatformUnavailable,
+                "the claim on this idempotency key could not be made; this call was not run, come back later", 5s });
+    }
+}
+
+Platform::BackendServerRecord const* GatewayLoop::choose_server(ServiceRow const& row)
+{
+    Platform::BackendServerRecord const* best = nullptr;
+    for (auto const& server : this->node.backend_servers()) {
+        if (server.service != row.call->service || row.failed_servers.contains(server.id)
+            || this->node.is_leaving(server.id))
+            continue;
+        if (!best || this->calls_at_server[server.id] < this->calls_at_server[best->id])
+            best = &server;
+    }
+    return best;
+}
+
+void GatewayLoop::dispatch_service_call(ServiceRow& row)
+{
+    auto const* server = this->choose_server(row);
+    if (!server) {
+        this->refuse_service_call(row,
+            { ErrorKind::NoBackendServer,
+                "no server of '" + row.call->service.value() + "' takes calls here; come back after the time given",
+                2s });
+        return;
+    }
+    row.server = server->id;
+    ++this->calls_at_server[server->id];
+    this->node.events().record(
+        EventNumber::ServiceCallDispatched, row.call->id, "to " + server->id.value(), row.organisation);
+    row.call->decisions.put(ServiceAdmitted { server->id, server->address, row.organisation, row.is_repeatable });
+}
+
+void GatewayLoop::release_claim(ServiceRow const& row)
+{
+    auto const* owner = this->node.owner_of("claims");
+    if (!row.is_claimed || !owner)
+        return;
+    wire::Envelope envelope;
+    auto* release = envelope.mutable_claim_release();
+    release->set_organisation(row.organisation.value());
+    release->set_idempotency_key(row.call->idempotency_key);
+    release->set_nonce(row.nonce);
+    this->node.send(owner->address, std::move(envelope));
+}
+
+void GatewayLoop::refuse_service_call(ServiceRow const& row, Error error)
+{
+    auto call = row.call;
+    this->release_claim(row);
+    this->service_calls.erase(call->id);
+    --this->open_calls;
+    call->decisions.put(Refused { std::move(error) });
+}
+
+void GatewayLoop::post_service_again(std::shared_ptr<ServiceCall> call, EngineId failed_server)
+{
+    this->node.loop().post([this, call = std::move(call), failed_server = std::move(failed_server)] {
+        auto found = this->service_calls.find(call->id);
+        if (found == this->service_calls.end())
+            return;
+        auto& row = found->second;
+        --this->calls_at_server[failed_server];
+        row.failed_servers.insert(failed_server);
+        if (now() >= row.deadline || !this->spend_retry(row.organisation)) {
+            this->refuse_service_call(row,
+                { ErrorKind::NoBackendServer, "the servers that were tried did not take the call; come back later",
+                    2s });
+            return;
+        }
+        this->dispatch_service_call(row);
+    });
+}
+
+void GatewayLoop::post_service_ended(
+    std::shared_ptr<ServiceCall> call, Delivery::Outcome outcome, std::string const& text)
+{
+    this->node.loop().post([this, call = std::move(call), outcome, text] {
+        auto found = this->service_calls.find(call->id);
+        if (found == this->service_calls.end())
+            return;
+        auto& row = found->second;
+        --this->calls_at_server[row.server];
+        this->node.events().record(EventNumber::ServiceCallEnded, call->id,
+            std::string(Delivery::to_string(outcome)) + ' ' + text, row.organisation);
+        if (outcome == Delivery::Outcome::NotRun)
+            this->release_claim(row);
+        this->service_calls.erase(found);
+        --this->open_calls;
+    });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GenerationEdge.cpp
@@ -0,0 +1,220 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/GenerationEdge.h>
+#include <thread>
+
+namespace Gateway {
+
+// The loop always answers; this only bounds the wait should the process be going down.
+static constexpr Duration longest_decision = 25h;
+static constexpr int refused_connections_until_lost = 3;
+static constexpr Duration pause_between_resumes = 100ms;
+
+GenerationEdge::GenerationEdge(GatewayLoop& gateway, GatewaySettings const& settings, CallerWriter& writer)
+    : gateway(gateway)
+    , settings(settings)
+    , writer(writer)
+{
+}
+
+void GenerationEdge::serve(std::shared_ptr<EdgeCall> const& edge_call)
+{
+    this->call = edge_call.get();
+    this->gateway.post_begin(edge_call);
+    while (true) {
+        auto decision = edge_call->decisions.take(longest_decision);
+        if (!decision || std::holds_alternative<Refused>(*decision)) {
+            auto error = decision ? std::get<Refused>(*decision).error
+                                  : Error { ErrorKind::NotReady, "this host is stopping; try again", 1s };
+            this->writer.fail(error, this->record.outcome(), {});
+            return;
+        }
+        auto const& placed = std::get<Admitted>(*decision);
+        auto end = this->relay_new(*edge_call, placed);
+        auto const& generation = edge_call->generation;
+        switch (end) {
+        case RelayEnd::Finished:
+            this->gateway.post_finished(generation, wire::FINISH_COMPLETED, this->relay.next_offset(), "completed");
+            this->writer.finish(this->relay.next_offset());
+            return;
+        case RelayEnd::CallerGone:
+            cancel_on_engine(placed.placement.address, generation, placed.placement.attempt, this->attachment,
+                this->settings.connect_patience);
+            this->gateway.post_finished(
+                generation, wire::FINISH_CANCELLED, this->relay.next_offset(), "the caller went away");
+            return;
+        default:
+            break;
+        }
+        if (!this->try_elsewhere(edge_call, placed, end)) {
+            this->gateway.post_finished(
+                generation, wire::FINISH_FAILED, this->relay.next_offset(), "lost at " + placed.placement.engine.value());
+            this->fail_lost();
+            return;
+        }
+    }
+}
+
+bool GenerationEdge::try_elsewhere(std::shared_ptr<EdgeCall> const& edge_call, Admitted const& placed, RelayEnd end)
+{
+    if (this->writer.is_stream() && !this->relay.begin_next_attempt())
+        return false;
+    if (!this->writer.is_stream()) {
+        // Nothing has gone to the caller yet, so the answer may come whole from another generation.
+        this->relay = Delivery::TokenRelay(AttemptNumber(placed.placement.attempt.value() + 1));
+        this->writer.start_over();
+        edge_call->delivered = 0;
+    }
+    auto failure = end == RelayEnd::EngineLeaving ? StreamFailure::Leaving
+        : end == RelayEnd::NotStarted             ? StreamFailure::NotStarted
+                                                  : StreamFailure::Broken;
+    if (failure == StreamFailure::Broken)
+        cancel_on_engine(placed.placement.address, edge_call->generation, placed.placement.attempt, {},
+            this->settings.connect_patience);
+    this->gateway.post_try_again(edge_call, placed.placement.engine, failure);
+    return true;
+}
+
+void GenerationEdge::fail_lost()
+{
+    this->writer.fail({ ErrorKind::GenerationLost,
+                          "the engine lost this generation and no other can continue it; send the request again", {} },
+        Delivery::Outcome::MayHaveRun, this->relay.next_offset());
+}
+
+GenerationEdge::RelayEnd GenerationEdge::relay_new(EdgeCall& edge_call, Admitted const& placed)
+{
+    this->admitted = &placed;
+    VERIFY(this->relay.current_attempt() == placed.placement.attempt);
+    this->record.about_to_send();
+    auto opened = EngineStream::start(placed.placement.address, placed.start, this->settings.stall_limit);
+    Source source { edge_call.generation, placed.placement.address };
+    if (auto* failure = std::get_if<StreamFailure>(&opened)) {
+        if (*failure == StreamFailure::Unknown)
+            return RelayEnd::Lost;
+        if (*failure != StreamFailure::Broken) {
+            this->record.confirmed_not_started();
+            return *failure == StreamFailure::Leaving ? RelayEnd::EngineLeaving : RelayEnd::NotStarted;
+        }
+        // The engine may have started it: look before another one is asked.
+        opened = this->reattach(source);
+        if (std::holds_alternative<StreamFailure>(opened))
+            return RelayEnd::Lost;
+    }
+    return this->relay_items(source, std::move(std::get<0>(opened)));
+}
+
+std::variant<std::unique_ptr<EngineStream>, StreamFailure> GenerationEdge::reattach(Source const& source)
+{
+    auto give_up_at = std::chrono::steady_clock::now() + this->settings.resume_patience;
+    int refused = 0;
+    while (std::chrono::steady_clock::now() < give_up_at) {
+        auto opened = EngineStream::resume(source.address, source.generation, this->relay.current_attempt(),
+            this->relay.next_offset(), this->settings.stall_limit);
+        auto* failure = std::get_if<StreamFailure>(&opened);
+        if (!failure || *failure == StreamFailure::Unknown)
+            return opened;
+        // A process that refuses connections is gone, and its generations with it.
+        if (*failure == StreamFailure::NotStarted && ++refused == refused_connections_until_lost)
+            return StreamFailure::Unknown;
+        std::this_thread::sleep_for(pause_between_resumes);
+    }
+    return StreamFailure::Unknown;
+}
+
+GenerationEdge::RelayEnd GenerationEdge::relay_items(Source const& source, std::unique_ptr<EngineStream> stream)
+{
+    while (true) {
+        this->attachment = stream->attachment();
+        auto item = stream->next();
+        if (auto const* token = std::get_if<EngineToken>(&item)) {
+            auto end = this->pass_on(source, *token);
+            if (end == RelayEnd::Finished)
+                continue;
+            if (end == RelayEnd::CallerGone)
+                return end;
+        } else if (auto const* finished = std::get_if<EngineFinished>(&item)) {
+            if (finished->token_count == this->relay.next_offset())
+                return RelayEnd::Finished;
+        }
+        // Broken, a gap, or an end that came before the last token: go on from the last one delivered.
+        auto reattached = this->reattach(source);
+        if (std::holds_alternative<StreamFailure>(reattached))
+            return RelayEnd::Lost;
+        this->gateway.own_node().events().record(Core::EventNumber::StreamResumed, source.generation.value(),
+            "from offset " + std::to_string(this->relay.next_offset()));
+        stream = std::move(std::get<0>(reattached));
+    }
+}
+
+/// Finished means here that the token is dealt with; Lost, that tokens are missing before it.
+GenerationEdge::RelayEnd GenerationEdge::pass_on(Source const& source, EngineToken const& token)
+{
+    auto is_first = !this->relay.has_delivered();
+    switch (this->relay.accept(token.attempt, token.execution, token.offset)) {
+    case Delivery::TokenVerdict::Duplicate:
+        return RelayEnd::Finished;
+    case Delivery::TokenVerdict::Foreign:
+    case Delivery::TokenVerdict::Gap:
+        return RelayEnd::Lost;
+    case Delivery::TokenVerdict::Deliver:
+        break;
+    }
+    if (is_first && this->admitted) {
+        this->offer_resume(*this->admitted, token.execution);
+        this->gateway.post_first_token(source.generation);
+    }
+    if (!this->writer.write_token(token.text, token.offset, token.attempt))
+        return RelayEnd::CallerGone;
+    if (this->call)
+        this->call->delivered = static_cast<u32>(this->relay.next_offset());
+    return RelayEnd::Finished;
+}
+
+void GenerationEdge::offer_resume(Admitted const& placed, std::string const& execution)
+{
+    if (!placed.signing_key)
+        return;
+    auto lifetime = AK::to_milliseconds(this->settings.resume_token_lifetime);
+    Delivery::ResumeToken token {
+        .generation = placed.start.generation,
+        .attempt = placed.placement.attempt,
+        .execution = execution,
+        .engine = placed.placement.engine,
+        .engine_address = placed.placement.address,
+        .organisation = placed.organisation,
+        .route = placed.route,
+        .expires_wall_milliseconds = Core::SystemClock().wall_milliseconds() + static_cast<u64>(lifetime),
+    };
+    this->writer.set_header("Lilactiller-Resume-Token", Delivery::sign(token, *placed.signing_key));
+}
+
+void GenerationEdge::serve_resumed(ResumeCall const& resume, Delivery::ResumeToken const& token)
+{
+    this->relay = Delivery::TokenRelay(token.attempt, resume.next_offset);
+    this->relay.pin_execution(token.execution);
+    this->writer.set_header("Lilactiller-Generation", token.generation.value());
+    Source source { token.generation, token.engine_address };
+    auto opened = this->reattach(source);
+    auto end = std::holds_alternative<StreamFailure>(opened)
+        ? RelayEnd::Lost
+        : this->relay_items(source, std::move(std::get<0>(opened)));
+    switch (end) {
+    case RelayEnd::Finished:
+        this->writer.finish(this->relay.next_offset());
+        break;
+    case RelayEnd::CallerGone:
+        cancel_on_engine(token.engine_address, token.generation, token.attempt, this->attachment,
+            this->settings.connect_patience);
+        break;
+    default:
+        this->fail_lost();
+    }
+    this->gateway.post_resume_ended(token.generation);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GenerationEdge.h
@@ -0,0 +1,63 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibDelivery/DispatchRecord.h>
+#include <LibDelivery/TokenRelay.h>
+#include <LibGateway/CallerWriter.h>
+#include <LibGateway/GatewayLoop.h>
+#include <LibGateway/GatewaySettings.h>
+
+namespace Gateway {
+
+/// One generation on its edge thread: waits for the loop's decisions, relays tokens from the engine to the caller, and
+/// resumes when the link to the engine breaks.
+class GenerationEdge {
+public:
+    GenerationEdge(GatewayLoop&, GatewaySettings const&, CallerWriter&);
+
+    /// Serves a new request to its final answer.
+    void serve(std::shared_ptr<EdgeCall> const&);
+    /// Serves a caller that resumes a generation which some gateway began.
+    void serve_resumed(ResumeCall const&, Delivery::ResumeToken const&);
+
+private:
+    enum class RelayEnd : u8 {
+        Finished,
+        CallerGone,
+        /// The engine did not start the attempt.
+        NotStarted,
+        EngineLeaving,
+        /// The engine has lost the generation, or stays out of reach.
+        Lost,
+    };
+
+    struct Source {
+        GenerationId generation;
+        Address address;
+    };
+
+    RelayEnd relay_new(EdgeCall&, Admitted const&);
+    RelayEnd relay_items(Source const&, std::unique_ptr<EngineStream>);
+    RelayEnd pass_on(Source const&, EngineToken const&);
+    std::variant<std::unique_ptr<EngineStream>, StreamFailure> reattach(Source const&);
+    void offer_resume(Admitted const&, std::string const& execution);
+    bool try_elsewhere(std::shared_ptr<EdgeCall> const&, Admitted const&, RelayEnd);
+    void fail_lost();
+
+    GatewayLoop& gateway;
+    GatewaySettings const& settings;
+    CallerWriter& writer;
+    Delivery::TokenRelay relay { AttemptNumber(1) };
+    // A generation may be tried again elsewhere; "not run" is said only if no attempt can have run.
+    Delivery::DispatchRecord record { Delivery::Repeatability::Repeatable };
+    u64 attachment { 0 };
+    EdgeCall* call { nullptr };
+    Admitted const* admitted { nullptr };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ServiceEdge.cpp
@@ -0,0 +1,90 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/CallerWriter.h>
+#include <LibGateway/ServiceEdge.h>
+#include <LibPlatform/HttpCall.h>
+
+namespace Gateway {
+
+static constexpr auto outcome_header = "Lilactiller-Outcome";
+static constexpr auto not_started_header = "Lilactiller-Not-Started";
+static constexpr Duration longest_decision = 25h;
+
+ServiceEdge::ServiceEdge(GatewayLoop& gateway, GatewaySettings const& settings)
+    : gateway(gateway)
+    , settings(settings)
+{
+}
+
+static void send_answer(Poco::Net::HTTPServerResponse& response, Platform::HttpAnswer const& answer)
+{
+    response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+    auto type = answer.headers.find("Content-Type");
+    response.setContentType(type == answer.headers.end() ? "application/octet-stream" : type->second);
+    response.set(outcome_header, std::string(Delivery::to_string(Delivery::Outcome::Completed)));
+    response.sendBuffer(answer.body.data(), answer.body.size());
+}
+
+static Platform::HttpQuestion to_question(ServiceCall const& call, OrganisationId const& organisation)
+{
+    Platform::HttpQuestion question { call.method, call.path, call.body, {} };
+    question.headers["Lilactiller-Organisation"] = organisation.value();
+    question.headers["Lilactiller-Call"] = call.id;
+    if (!call.content_type.empty())
+        question.headers["Content-Type"] = call.content_type;
+    if (!call.idempotency_key.empty())
+        question.headers["Idempotency-Key"] = call.idempotency_key;
+    return question;
+}
+
+void ServiceEdge::serve(std::shared_ptr<ServiceCall> const& call, Poco::Net::HTTPServerResponse& response)
+{
+    this->gateway.post_service_call(call);
+    std::optional<Delivery::DispatchRecord> record;
+    while (true) {
+        auto decision = call->decisions.take(longest_decision);
+        auto outcome = record ? record->outcome() : Delivery::Outcome::NotRun;
+        if (!decision || std::holds_alternative<Refused>(*decision)) {
+            auto error = decision ? std::get<Refused>(*decision).error
+                                  : Error { ErrorKind::NotReady, "this host is stopping; try again", 1s };
+            send_error(response, error, outcome);
+            return;
+        }
+        auto const& admitted = std::get<ServiceAdmitted>(*decision);
+        // A call that carries a key is run at most once, whatever its path.
+        auto is_repeatable = admitted.is_repeatable && call->idempotency_key.empty();
+        if (!record)
+            record.emplace(
+                is_repeatable ? Delivery::Repeatability::Repeatable : Delivery::Repeatability::AtMostOnce);
+        VERIFY(record->may_dispatch());
+        record->about_to_send();
+        auto answer
+            = Platform::call_http(admitted.address, to_question(*call, admitted.organisation), call->deadline);
+        auto was_turned_away = answer && answer.value().headers.contains(not_started_header);
+        if (answer && !was_turned_away) {
+            record->completed();
+            this->gateway.post_service_ended(
+                call, record->outcome(), "status " + std::to_string(answer.value().status));
+            send_answer(response, answer.value());
+            return;
+        }
+        if (was_turned_away || answer.error().progress == Platform::CallProgress::NothingSent)
+            record->confirmed_not_started();
+        if (!record->may_dispatch()) {
+            this->gateway.post_service_ended(call, record->outcome(), answer.error().detail);
+            send_error(response,
+                { ErrorKind::BackendServerFailed,
+                    "the server's answer did not come; the call may have run, look its result up before repeating it",
+                    {} },
+                record->outcome());
+            return;
+        }
+        this->gateway.post_service_again(call, admitted.backend_server);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ServiceEdge.h
@@ -0,0 +1,29 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibDelivery/DispatchRecord.h>
+#include <LibGateway/GatewayLoop.h>
+#include <LibGateway/GatewaySettings.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+namespace Gateway {
+
+/// One plain-service call on its edge thread.
+class ServiceEdge {
+public:
+    ServiceEdge(GatewayLoop&, GatewaySettings const&);
+
+    /// Serves the call to its final answer.
+    void serve(std::shared_ptr<ServiceCall> const&, Poco::Net::HTTPServerResponse&);
+
+private:
+    GatewayLoop& gateway;
+    GatewaySettings const& settings;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.h
@@ -0,0 +1,79 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Identifiers.h>
+#include <LibWire/Messages.h>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Membership {
+
+/// One process of the system in this failure domain, as last heard of.
+struct MemberRow {
+    MemberId id;
+    wire::Role role { wire::ROLE_UNSPECIFIED };
+    Address address;
+    Incarnation incarnation;
+    u64 heartbeat { 0 };
+    bool leaving { false };
+    Revision revision;
+    /// When the heartbeat last grew, on this host's clock.
+    Instant last_advance;
+};
+
+enum class MemberChange : u8 {
+    Joined,
+    Replaced,
+    Leaving,
+    Lost,
+};
+
+struct MemberEvent {
+    MemberId id;
+    MemberChange change;
+    Incarnation incarnation;
+};
+
+/// The members of one failure domain, kept by gossip: each beat a member raises its own heartbeat and sends what it
+/// knows of everyone to a few others (van Renesse et al., 1998). A member whose heartbeat has not grown for
+/// `silence_limit` counts as lost. Nothing is agreed: views may differ for a while, and nothing that must hold
+/// depends on them.
+class MemberTable {
+public:
+    MemberTable(MemberRow self, Duration silence_limit);
+
+    /// Raises this member's own heartbeat and drops members silent for too long.
+    std::vector<MemberEvent> beat(Instant now);
+    /// Takes in another member's view.
+    std::vector<MemberEvent> receive(wire::Gossip const&, Instant now);
+    /// This member's view, to be sent.
+    [[nodiscard]] wire::Gossip gossip(FailureDomainId const&) const;
+
+    void set_own_revision(Revision revision) { this->self.revision = revision; }
+    void set_own_leaving() { this->self.leaving = true; }
+    [[nodiscard]] MemberRow const& own() const { return this->self; }
+    /// Every other live member.
+    [[nodiscard]] std::vector<MemberRow> others() const;
+    [[nodiscard]] MemberRow const* find(MemberId const&) const;
+    /// The live, not leaving member of `role` that owns `key`, by rendezvous hashing; the own row takes part. Nothing
+    /// when there is none.
+    [[nodiscard]] MemberRow const* owner_of(std::string const& key, wire::Role role) const;
+
+private:
+    void receive_row(wire::MemberState const&, Instant now, std::vector<MemberEvent>& events);
+
+    MemberRow self;
+    Duration silence_limit;
+    std::map<MemberId, MemberRow> rows;
+    // Incarnations of members that were lost, so that an old view passed on does not bring them back.
+    std::map<MemberId, std::pair<Incarnation, u64>> lost;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibNode/Node.cpp
@@ -0,0 +1,429 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibNode/Node.h>
+#include <LibPlatform/PlatformJson.h>
+#include <algorithm>
+
+namespace Node {
+
+using Core::EventNumber;
+
+// Members other than the poller look at the table themselves this many times more seldom.
+static constexpr int follower_poll_factor = 10;
+static constexpr size_t gossip_fanout = 2;
+static constexpr u64 remote_digest_beats = 5;
+static constexpr Duration leaving_memory = 60s;
+static constexpr Duration stale_after = 30s;
+static constexpr Duration loop_is_stuck_after = 5s;
+static constexpr size_t background_threads = 4;
+static constexpr size_t largest_event_batch = 2000;
+
+static Instant now() { return std::chrono::steady_clock::now(); }
+
+static i64 now_milliseconds() { return AK::to_milliseconds(now().time_since_epoch()); }
+
+template<typename T>
+static Result<void> without_value(Result<T> const& result)
+{
+    return result ? Result<void>(success()) : Result<void>(result.error());
+}
+
+static Membership::MemberRow own_row(NodeSettings const& settings)
+{
+    Membership::MemberRow row;
+    row.id = settings.member;
+    row.role = settings.role;
+    row.address = settings.peer_listen;
+    // A later start has a later wall clock; if the clock went back, peers say so and the number is raised.
+    row.incarnation = Incarnation(Core::SystemClock().wall_milliseconds());
+    return row;
+}
+
+Node::Node(NodeSettings settings)
+    : node_settings(std::move(settings))
+    , event_log(this->node_settings.member)
+    , platform_client(this->node_settings.platform, this->node_settings.platform_patience)
+    , peer_transport(this->event_loop, this->event_log, this->metric_set, this->node_settings.peer_listen,
+          this->node_settings.curve)
+    , member_table(own_row(this->node_settings), this->node_settings.silence_limit)
+    , last_platform_contact(now())
+    , last_beat_milliseconds(now_milliseconds())
+    , background_caller(this->event_loop, background_threads)
+{
+    this->peer_transport.on_message([this](wire::Envelope const& envelope) { this->receive(envelope); });
+}
+
+void Node::start()
+{
+    this->event_log.record(EventNumber::ProcessStarted, this->node_settings.member.value(),
+        "in failure domain " + this->node_settings.failure_domain.value());
+    this->event_loop.every(this->node_settings.heartbeat_period, [this] { this->beat(); });
+    this->event_loop.every(this->node_settings.configuration_poll_period, [this] { this->poll_configuration(); });
+    this->event_loop.every(this->node_settings.backend_list_poll_period, [this] { this->poll_backend_servers(); });
+    this->event_loop.after(0s, [this] {
+        this->beat();
+        this->poll_configuration();
+        this->poll_backend_servers();
+    });
+}
+
+Membership::MemberRow const* Node::owner_of(std::string const& key) const
+{
+    return this->member_table.owner_of(key, wire::ROLE_ROUTER);
+}
+
+bool Node::is_poller() const
+{
+    auto const* owner = this->owner_of("configuration-poll");
+    return !owner || owner->id == this->node_settings.member;
+}
+
+// Membership
+
+std::vector<Address> Node::gossip_targets()
+{
+    std::vector<Address> known;
+    for (auto const& member : this->member_table.others())
+        known.push_back(member.address);
+    std::vector<Address> targets;
+    for (size_t i = 0; i < std::min(gossip_fanout, known.size()); ++i)
+        targets.push_back(known[(this->beat_count * gossip_fanout + i) % known.size()]);
+    // One seed a beat that is not known as a member: it may have started since, or come back.
+    std::vector<Address> unknown;
+    for (auto const& seed : this->node_settings.peers) {
+        if (seed != this->node_settings.peer_listen && std::ranges::find(known, seed) == known.end())
+            unknown.push_back(seed);
+    }
+    if (!unknown.empty())
+        targets.push_back(unknown[this->beat_count % unknown.size()]);
+    return targets;
+}
+
+void Node::send_gossip(Address const& peer)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_gossip() = this->member_table.gossip(this->node_settings.failure_domain);
+    for (auto const& [id, since] : this->leaving_servers)
+        envelope.mutable_gossip()->add_leaving_backend_servers(id.value());
+    this->send(peer, std::move(envelope));
+}
+
+void Node::send_remote_digest()
+{
+    auto const& remote = this->node_settings.remote_peers;
+    if (remote.empty() || !this->is_poller() || this->beat_count % remote_digest_beats != 0)
+        return;
+    wire::Envelope envelope;
+    auto whole = this->member_table.gossip(this->node_settings.failure_domain);
+    envelope.mutable_gossip()->set_failure_domain(this->node_settings.failure_domain.value());
+    *envelope.mutable_gossip()->add_members() = whole.members(0);
+    this->send(remote[this->beat_count / remote_digest_beats % remote.size()], std::move(envelope));
+}
+
+void Node::beat()
+{
+    this->last_beat_milliseconds = now_milliseconds();
+    ++this->beat_count;
+    this->report(this->member_table.beat(now()));
+    std::erase_if(this->leaving_servers, [](auto const& entry) { return now() - entry.second > leaving_memory; });
+    for (auto const& target : this->gossip_targets())
+        this->send_gossip(target);
+    this->send_remote_digest();
+    this->metric_set.set("lilac_members", static_cast<double>(this->member_table.others().size() + 1));
+    this->metric_set.set(
+        "lilac_configuration_revision", static_cast<double>(this->follower.revision().value()));
+    this->metric_set.set("lilac_platform_silence_seconds", AK::to_seconds(this->since_platform_contact()));
+}
+
+void Node::report(std::vector<Membership::MemberEvent> const& events)
+{
+    for (auto const& event : events) {
+        auto text = "incarnation " + std::to_string(event.incarnation.value());
+        switch (event.change) {
+        case Membership::MemberChange::Joined:
+            this->event_log.record(EventNumber::MemberJoined, event.id.value(), text);
+            break;
+        case Membership::MemberChange::Replaced:
+            this->event_log.record(EventNumber::MemberReplaced, event.id.value(), text);
+            break;
+        case Membership::MemberChange::Leaving:
+            this->event_log.record(EventNumber::MemberLeaving, event.id.value(), text);
+            break;
+        case Membership::MemberChange::Lost:
+            this->event_log.record(EventNumber::MemberLost, event.id.value(), text);
+            break;
+        }
+    }
+    if (events.empty())
+        return;
+    for (auto const& handler : this->member_handlers)
+        handler();
+}
+
+void Node::receive(wire::Envelope const& envelope)
+{
+    switch (envelope.body_case()) {
+    case wire::Envelope::kGossip:
+        this->receive_gossip(envelope);
+        return;
+    case wire::Envelope::kConfigurationFetch: {
+        wire::Envelope answer;
+        *answer.mutable_configuration_entries()
+            = this->follower.answer(Revision(envelope.configuration_fetch().after_revision()));
+        this->send(Address(envelope.sender_address()), std::move(answer));
+        return;
+    }
+    case wire::Envelope::kConfigurationEntries:
+        this->receive_entries(envelope.configuration_entries());
+        return;
+    case wire::Envelope::kEventsFetch:
+        this->receive_events_fetch(envelope);
+        return;
+    case wire::Envelope::kBackendServersFetch: {
+        wire::Envelope answer;
+        answer.mutable_backend_servers()->set_json(Platform::format_backend_servers(this->servers));
+        this->send(Address(envelope.sender_address()), std::move(answer));
+        return;
+    }
+    case wire::Envelope::kBackendServers: {
+        auto parsed = Platform::parse_backend_servers(envelope.backend_servers().json());
+        // A peer's list only stands in for one that the platform has not given yet.
+        if (parsed && this->servers.empty())
+            this->take_backend_servers(std::move(parsed.value()));
+        return;
+    }
+    default:
+        if (this->message_handler)
+            this->message_handler(envelope);
+    }
+}
+
+void Node::receive_gossip(wire::Envelope const& envelope)
+{
+    auto const& gossip = envelope.gossip();
+    Address sender(envelope.sender_address());
+    auto is_local = gossip.failure_domain() == this->node_settings.failure_domain.value();
+    if (is_local)
+        this->report(this->member_table.receive(gossip, now()));
+    u64 newest = 0;
+    for (auto const& member : gossip.members())
+        newest = std::max(newest, member.revision());
+    if (newest > this->follower.revision().value())
+        this->fetch_configuration_from(sender);
+    else if (!is_local && newest < this->follower.revision().value()) {
+        wire::Envelope answer;
+        *answer.mutable_configuration_entries() = this->follower.answer(Revision(newest));
+        this->send(sender, std::move(answer));
+    }
+    if (is_local && this->servers.empty()) {
+        wire::Envelope question;
+        question.mutable_backend_servers_fetch();
+        this->send(sender, std::move(question));
+    }
+    bool learnt = false;
+    for (auto const& id : gossip.leaving_backend_servers())
+        learnt |= this->leaving_servers.emplace(EngineId(id), now()).second;
+    if (learnt) {
+        for (auto const& handler : this->backend_handlers)
+            handler();
+    }
+}
+
+void Node::receive_events_fetch(wire::Envelope const& envelope)
+{
+    auto const& fetch = envelope.events_fetch();
+    wire::Envelope answer;
+    answer.set_correlation(envelope.correlation());
+    auto maximum = std::min<size_t>(fetch.maximum(), largest_event_batch);
+    auto* batch = answer.mutable_event_batch();
+    for (auto const& event : this->event_log.latest(maximum, fetch.subject())) {
+        auto* record = batch->add_events();
+        record->set_wall_milliseconds(event.stamp.wall_milliseconds);
+        record->set_counter(event.stamp.counter);
+        record->set_member(event.member.value());
+        record->set_number(static_cast<u32>(event.number));
+        record->set_text(event.text);
+        record->set_subject(event.subject);
+        record->set_organisation(event.organisation.value());
+    }
+    this->send(Address(envelope.sender_address()), std::move(answer));
+}
+
+// Configuration
+
+void Node::fetch_configuration_from(Address const& peer)
+{
+    wire::Envelope question;
+    question.mutable_configuration_fetch()->set_after_revision(this->follower.revision().value());
+    this->send(peer, std::move(question));
+}
+
+void Node::receive_entries(wire::ConfigurationEntries const& answer)
+{
+    bool moved = false;
+    if (answer.has_snapshot())
+        moved |= this->follower.offer(answer.snapshot());
+    std::vector<wire::LogEntry> entries(answer.entries().begin(), answer.entries().end());
+    moved |= this->follower.offer(entries);
+    if (moved)
+        this->revision_moved();
+}
+
+void Node::revision_moved()
+{
+    auto revision = this->follower.revision();
+    this->configuration_known = true;
+    this->member_table.set_own_revision(revision);
+    this->event_log.record(EventNumber::RevisionInForce, std::to_string(revision.value()), "in force here");
+    for (auto const& handler : this->revision_handlers)
+        handler();
+}
+
+void Node::spread_entries(std::vector<wire::LogEntry> const& entries)
+{
+    if (!this->follower.offer(entries))
+        return;
+    this->revision_moved();
+    wire::Envelope news;
+    for (auto const& entry : entries)
+        *news.mutable_configuration_entries()->add_entries() = entry;
+    for (auto const& member : this->member_table.others())
+        this->send(member.address, news);
+}
+
+void Node::poll_configuration()
+{
+    auto period = this->node_settings.configuration_poll_period * (this->is_poller() ? 1 : follower_poll_factor);
+    // The first poll, and the one after a change of poller, do not wait.
+    auto is_due = this->last_configuration_poll == Instant() || now() - this->last_configuration_poll >= period
+        || !this->configuration_known;
+    if (this->configuration_poll_runs || !is_due)
+        return;
+    this->configuration_poll_runs = true;
+    this->last_configuration_poll = now();
+    auto revision = this->follower.revision();
+    this->background_caller.submit(
+        [this, revision] {
+            return Configuration::ConfigurationLog(this->platform_client).read_after(revision);
+        },
+        [this](Result<std::vector<wire::LogEntry>> const& entries) { this->take_entries(entries); });
+}
+
+void Node::take_entries(Result<std::vector<wire::LogEntry>> const& entries)
+{
+    this->configuration_poll_runs = false;
+    this->platform_answered(without_value(entries));
+    if (!entries)
+        return;
+    this->configuration_known = true;
+    if (!entries.value().empty())
+        this->spread_entries(entries.value());
+}
+
+Duration Node::since_platform_contact() const { return now() - this->last_platform_contact; }
+
+void Node::platform_answered(Result<void> const& answer)
+{
+    if (answer) {
+        this->last_platform_contact = now();
+        if (!this->platform_is_available)
+            this->event_log.record(EventNumber::PlatformAvailable, "platform", "answers again");
+        this->platform_is_available = true;
+        this->staleness_reported = false;
+        return;
+    }
+    if (this->platform_is_available)
+        this->event_log.record(EventNumber::PlatformUnavailable, "platform",
+            "serving on revision " + std::to_string(this->follower.revision().value()) + ": "
+                + answer.error().message);
+    this->platform_is_available = false;
+    if (this->staleness_reported || this->since_platform_contact() < stale_after)
+        return;
+    this->staleness_reported = true;
+    this->event_log.record(EventNumber::ConfigurationStale, std::to_string(this->follower.revision().value()),
+        "the platform has not answered for " + std::to_string(stale_after / 1s) + " s; newer changes may exist");
+}
+
+// Backend servers
+
+void Node::poll_backend_servers()
+{
+    if (this->backend_poll_runs)
+        return;
+    this->backend_poll_runs = true;
+    this->background_caller.submit(
+        [this] { return this->platform_client.list_backend_servers(this->node_settings.failure_domain); },
+        [this](Result<std::vector<Platform::BackendServerRecord>> list) {
+            this->backend_poll_runs = false;
+            this->platform_answered(without_value(list));
+            if (list)
+                this->take_backend_servers(std::move(list.value()));
+        });
+}
+
+void Node::take_backend_servers(std::vector<Platform::BackendServerRecord> list)
+{
+    if (list == this->servers)
+        return;
+    this->servers = std::move(list);
+    for (auto const& handler : this->backend_handlers)
+        handler();
+}
+
+bool Node::is_leaving(EngineId const& id) const
+{
+    if (this->leaving_servers.contains(id) || this->configuration().is_draining(id))
+        return true;
+    auto found = std::ranges::find(this->servers, id, &Platform::BackendServerRecord::id);
+    return found != this->servers.end() && found->state == Platform::HostState::Leaving;
+}
+
+void Node::backend_server_is_leaving(EngineId const& id)
+{
+    auto [entry, is_new] = this->leaving_servers.insert_or_assign(id, now());
+    if (!is_new)
+        return;
+    this->event_log.record(EventNumber::EngineLeaving, id.value(), "takes no new work");
+    this->tell_everyone_of_leaving_servers();
+    for (auto const& handler : this->backend_handlers)
+        handler();
+}
+
+void Node::tell_everyone_of_leaving_servers()
+{
+    for (auto const& member : this->member_table.others())
+        this->send_gossip(member.address);
+}
+
+// Leaving and health
+
+void Node::begin_leaving()
+{
+    if (this->leaving.exchange(true))
+        return;
+    this->event_log.record(EventNumber::ProcessLeaving, this->node_settings.member.value(), "planned stop");
+    this->member_table.set_own_leaving();
+    (void)this->member_table.beat(now());
+    for (auto const& member : this->member_table.others())
+        this->send_gossip(member.address);
+}
+
+std::string Node::readiness_reason() const
+{
+    if (this->leaving)
+        return "leaving";
+    if (!this->configuration_known)
+        return "no configuration yet: neither the platform nor a peer has answered";
+    return "ready";
+}
+
+bool Node::is_live() const
+{
+    return now_milliseconds() - this->last_beat_milliseconds < AK::to_milliseconds(loop_is_stuck_after);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOperator/OperatorLoop.cpp
@@ -0,0 +1,465 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibDelivery/ResumeToken.h>
+#include <LibOperator/OperatorLoop.h>
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <tuple>
+
+namespace Operator {
+
+using Core::EventNumber;
+
+static constexpr Duration collection_patience = 1s;
+static constexpr size_t longest_change_id = 128;
+static constexpr size_t most_entries_at_once = 200;
+
+static grpc::StatusCode status_code(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::Unauthenticated:
+        return grpc::StatusCode::UNAUTHENTICATED;
+    case ErrorKind::Forbidden:
+        return grpc::StatusCode::PERMISSION_DENIED;
+    case ErrorKind::UnknownEntity:
+        return grpc::StatusCode::NOT_FOUND;
+    case ErrorKind::Conflict:
+        return grpc::StatusCode::ABORTED;
+    case ErrorKind::InvalidRequest:
+        return grpc::StatusCode::INVALID_ARGUMENT;
+    case ErrorKind::PlatformAnswerLost:
+        return grpc::StatusCode::UNKNOWN;
+    default:
+        return grpc::StatusCode::UNAVAILABLE;
+    }
+}
+
+static grpc::Status to_status(Error const& error)
+{
+    return { status_code(error.kind), std::string(to_string(error.kind)) + ": " + error.message };
+}
+
+/// What the completion queue gives back. Only the loop touches it.
+class OperatorLoop::Tag {
+public:
+    virtual ~Tag() = default;
+    virtual void proceed(bool is_ok) = 0;
+};
+
+template<typename Request, typename Reply>
+class OperatorLoop::UnaryCall final : public Tag {
+public:
+    using Responder = grpc::ServerAsyncResponseWriter<Reply>;
+    using RequestFunction = void (wire::OperatorService::AsyncService::*)(grpc::ServerContext*, Request*, Responder*,
+        grpc::CompletionQueue*, grpc::ServerCompletionQueue*, void*);
+    using Done = std::function<void(Result<Reply>)>;
+    using Handler = std::function<void(Request const&, OperatorIdentity const&, Done)>;
+
+    UnaryCall(OperatorLoop& owner, RequestFunction request_function, OperatorRole needed, Handler handler)
+        : owner(owner)
+        , request_function(request_function)
+        , needed(needed)
+        , handler(std::move(handler))
+        , responder(&this->context)
+    {
+        (owner.service.*request_function)(&this->context, &this->request, &this->responder,
+            owner.completion_queue.get(), owner.completion_queue.get(), this);
+    }
+
+    void proceed(bool is_ok) override
+    {
+        if (!is_ok || this->is_answered) {
+            delete this;
+            return;
+        }
+        // The next call of this kind is awaited before this one is served.
+        if (!this->owner.is_stopping)
+            new UnaryCall(this->owner, this->request_function, this->needed, this->handler);
+        auto identity = this->owner.authenticate(this->context);
+        if (!identity)
+            this->answer(identity.error());
+        else if (identity.value().role < this->needed)
+            this->answer(Error { ErrorKind::Forbidden,
+                "operator '" + identity.value().name + "' may only look; ask an editor", {} });
+        else
+            this->handler(this->request, identity.value(), [this](Result<Reply> reply) { this->answer(reply); });
+    }
+
+private:
+    void answer(Result<Reply> const& reply)
+    {
+        this->is_answered = true;
+        if (reply)
+            this->responder.Finish(reply.value(), grpc::Status::OK, this);
+        else
+            this->responder.FinishWithError(to_status(reply.error()), this);
+    }
+
+    OperatorLoop& owner;
+    RequestFunction request_function;
+    OperatorRole needed;
+    Handler handler;
+    grpc::ServerContext context;
+    Request request;
+    Responder responder;
+    bool is_answered { false };
+};
+
+class OperatorLoop::WatchCall final : public Tag {
+public:
+    explicit WatchCall(OperatorLoop& owner)
+        : owner(owner)
+        , writer(&this->context)
+    {
+        owner.service.RequestWatch(&this->context, &this->request, &this->writer, owner.completion_queue.get(),
+            owner.completion_queue.get(), this);
+    }
+
+    void proceed(bool is_ok) override
+    {
+        if (!is_ok || this->is_finished) {
+            this->owner.watchers.remove(this);
+            delete this;
+            return;
+        }
+        if (!this->is_begun) {
+            this->begin();
+            return;
+        }
+        this->is_writing = false;
+        this->feed();
+    }
+
+    /// Sends what the watcher lacks, an entry at a time.
+    void feed()
+    {
+        if (this->is_writing || this->is_reading || this->is_finished)
+            return;
+        if (this->owner.is_stopping) {
+            this->finish(grpc::Status::OK);
+            return;
+        }
+        if (this->pending.empty()) {
+            this->read_more();
+            return;
+        }
+        this->is_writing = true;
+        this->sent_revision = Revision(this->pending.front().revision());
+        this->writer.Write(this->pending.front(), this);
+        this->pending.erase(this->pending.begin());
+    }
+
+private:
+    void begin()
+    {
+        this->is_begun = true;
+        if (!this->owner.is_stopping)
+            new WatchCall(this->owner);
+        auto identity = this->owner.authenticate(this->context);
+        if (!identity) {
+            this->finish(to_status(identity.error()));
+            return;
+        }
+        this->sent_revision = Revision(this->request.after_revision());
+        this->owner.watchers.push_back(this);
+        this->feed();
+    }
+
+    void read_more()
+    {
+        if (this->sent_revision >= this->owner.node.configuration().revision())
+            return;
+        this->is_reading = true;
+        auto& platform = this->owner.node.platform();
+        this->owner.node.background().submit(
+            [&platform, after = this->sent_revision] {
+                return Configuration::ConfigurationLog(platform).read_after(after, most_entries_at_once);
+            },
+            [this](Result<std::vector<wire::LogEntry>> entries) {
+                this->is_reading = false;
+                // When the platform is out, the next revision to come into force tries again.
+                if (entries && !entries.value().empty()) {
+                    this->pending = std::move(entries.value());
+                    this->feed();
+                }
+            });
+    }
+
+    void finish(grpc::Status const& status)
+    {
+        this->is_finished = true;
+        this->writer.Finish(status, this);
+    }
+
+    OperatorLoop& owner;
+    grpc::ServerContext context;
+    wire::WatchRequest request;
+    grpc::ServerAsyncWriter<wire::LogEntry> writer;
+    std::vector<wire::LogEntry> pending;
+    Revision sent_revision;
+    bool is_begun { false };
+    bool is_writing { false };
+    bool is_reading { false };
+    bool is_finished { false };
+};
+
+OperatorLoop::OperatorLoop(Node::Node& node, OperatorSettings const& settings)
+    : node(node)
+    , settings(settings)
+{
+}
+
+Result<std::unique_ptr<OperatorLoop>> OperatorLoop::create(Node::Node& node, OperatorSettings const& settings)
+{
+    std::unique_ptr<OperatorLoop> loop(new OperatorLoop(node, settings));
+    TRYV(loop->listen());
+    node.on_message([raw = loop.get()](wire::Envelope const& envelope) { raw->receive(envelope); });
+    node.on_revision([raw = loop.get()] { raw->feed_watchers(); });
+    return loop;
+}
+
+static Result<std::string> read_file(std::string const& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return Error { ErrorKind::InvalidSettings, path + ": cannot be read; name a readable PEM file", {} };
+    return text.str();
+}
+
+static Result<std::shared_ptr<grpc::ServerCredentials>> make_credentials(OperatorSettings const& settings)
+{
+    if (settings.tls_certificate.empty())
+        return grpc::InsecureServerCredentials();
+    TRY(auto certificate, read_file(settings.tls_certificate));
+    TRY(auto private_key, read_file(settings.tls_private_key));
+    grpc::SslServerCredentialsOptions options;
+    options.pem_key_cert_pairs.push_back({ private_key, certificate });
+    return grpc::SslServerCredentials(options);
+}
+
+Result<void> OperatorLoop::listen()
+{
+    TRY(auto credentials, make_credentials(this->settings));
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(this->settings.listen.value(), credentials, &port);
+    builder.RegisterService(&this->service);
+    this->completion_queue = builder.AddCompletionQueue();
+    this->server = builder.BuildAndStart();
+    if (!this->server || port == 0)
+        return Error { ErrorKind::InvalidSettings,
+            "operator.listen: cannot listen on " + this->settings.listen.value() + "; name a free address", {} };
+    this->accept_calls();
+    this->reader = std::thread([this] { this->read_completion_queue(); });
+    return success();
+}
+
+void OperatorLoop::read_completion_queue()
+{
+    void* tag = nullptr;
+    bool is_ok = false;
+    while (this->completion_queue->Next(&tag, &is_ok))
+        this->node.loop().post([tag, is_ok] { static_cast<Tag*>(tag)->proceed(is_ok); });
+}
+
+OperatorLoop::~OperatorLoop()
+{
+    this->server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+    this->completion_queue->Shutdown();
+    this->reader.join();
+}
+
+void OperatorLoop::stop_accepting()
+{
+    this->is_stopping = true;
+    this->feed_watchers();
+}
+
+void OperatorLoop::feed_watchers()
+{
+    for (auto* watcher : std::list(this->watchers))
+        watcher->feed();
+}
+
+void OperatorLoop::accept_calls()
+{
+    using Service = wire::OperatorService::AsyncService;
+    new UnaryCall<wire::ApplyRequest, wire::ApplyReply>(*this, &Service::RequestApply, OperatorRole::Editor,
+        [this](auto const& request, auto const& identity, auto done) { this->apply(request, identity, done); });
+    new UnaryCall<wire::GetRequest, wire::ConfigurationSnapshot>(*this, &Service::RequestGet, OperatorRole::Viewer,
+        [this](auto const&, auto const&, auto done) {
+            auto snapshot = this->node.configuration().snapshot();
+            // Whoever can look at the configuration must not be able to sign resume tokens.
+            for (auto& key : *snapshot.mutable_resume_keys())
+                key.set_secret_hexadecimal("(hidden)");
+            done(std::move(snapshot));
+        });
+    new UnaryCall<wire::MembersRequest, wire::MembersReply>(*this, &Service::RequestMembers, OperatorRole::Viewer,
+        [this](auto const&, auto const&, auto done) { done(this->members()); });
+    new UnaryCall<wire::EventsRequest, wire::EventBatch>(*this, &Service::RequestEvents, OperatorRole::Viewer,
+        [this](auto const& request, auto const&, auto done) {
+            this->collect_events(request.maximum(), "", [done](auto events) { done(std::move(events)); });
+        });
+    new UnaryCall<wire::ExplainRequest, wire::ExplainReply>(*this, &Service::RequestExplain, OperatorRole::Viewer,
+        [this](auto const& request, auto const&, auto done) {
+            constexpr u64 most_events = 200;
+            this->collect_events(most_events, request.generation(), [done](auto events) {
+                wire::ExplainReply reply;
+                reply.mutable_events()->Swap(events.mutable_events());
+                done(std::move(reply));
+            });
+        });
+    new WatchCall(*this);
+}
+
+Result<OperatorIdentity> OperatorLoop::authenticate(grpc::ServerContext const& context) const
+{
+    auto const& metadata = context.client_metadata();
+    auto header = metadata.find("authorization");
+    constexpr std::string_view scheme = "Bearer ";
+    if (header != metadata.end() && header->second.starts_with(grpc::string_ref(scheme.data(), scheme.size()))) {
+        std::string key(header->second.data() + scheme.size(), header->second.size() - scheme.size());
+        auto found = this->settings.operators.find(Delivery::sha256_hexadecimal(key));
+        if (found != this->settings.operators.end())
+            return found->second;
+    }
+    return Error { ErrorKind::Unauthenticated, "send a known operator key as 'authorization: Bearer <key>'", {} };
+}
+
+void OperatorLoop::apply(wire::ApplyRequest const& request, OperatorIdentity const& identity, ApplyDone done)
+{
+    if (request.change_id().empty() || request.change_id().size() > longest_change_id) {
+        done(Error { ErrorKind::InvalidRequest, "change_id must be 1 to 128 bytes; choose one and keep it for repeats",
+            {} });
+        return;
+    }
+    std::optional<Revision> expected;
+    if (request.expected_revision() > 0)
+        expected = Revision(request.expected_revision());
+    struct Applied {
+        Result<Configuration::Accepted> outcome;
+        std::vector<wire::LogEntry> entries;
+    };
+    auto& platform = this->node.platform();
+    this->node.background().submit(
+        [&platform, request, expected, name = identity.name, document = this->node.configuration()]() mutable {
+            auto before = document.revision();
+            Configuration::ConfigurationLog log(platform);
+            auto outcome = log.append(document, request.change(), request.change_id(), name, expected);
+            Applied applied { std::move(outcome), {} };
+            if (applied.outcome) {
+                auto entries = log.read_after(before);
+                if (entries)
+                    applied.entries = std::move(entries.value());
+            }
+            return applied;
+        },
+        [this, done = std::move(done), change_id = request.change_id(), name = identity.name](Applied const& applied) {
+            if (!applied.outcome) {
+                this->node.events().record(
+                    EventNumber::ChangeRefused, change_id, "by " + name + ": " + applied.outcome.error().message);
+                done(applied.outcome.error());
+                return;
+            }
+            auto const& accepted = applied.outcome.value();
+            this->node.events().record(EventNumber::ChangeAccepted, change_id,
+                "by " + name + " as revision " + std::to_string(accepted.revision.value()));
+            this->node.spread_entries(applied.entries);
+            wire::ApplyReply reply;
+            reply.set_revision(accepted.revision.value());
+            reply.set_repeated(accepted.repeated);
+            done(std::move(reply));
+        });
+}
+
+static void write_member(Membership::MemberRow const& row, wire::MemberState& state)
+{
+    state.set_id(row.id.value());
+    state.set_role(row.role);
+    state.set_address(row.address.value());
+    state.set_incarnation(row.incarnation.value());
+    state.set_heartbeat(row.heartbeat);
+    state.set_leaving(row.leaving);
+    state.set_revision(row.revision.value());
+}
+
+wire::MembersReply OperatorLoop::members() const
+{
+    wire::MembersReply reply;
+    write_member(this->node.members().own(), *reply.add_members());
+    for (auto const& member : this->node.members().others())
+        write_member(member, *reply.add_members());
+    return reply;
+}
+
+static wire::EventRecord to_record(Core::Event const& event)
+{
+    wire::EventRecord record;
+    record.set_wall_milliseconds(event.stamp.wall_milliseconds);
+    record.set_counter(event.stamp.counter);
+    record.set_member(event.member.value());
+    record.set_number(static_cast<u32>(event.number));
+    record.set_text(event.text);
+    record.set_subject(event.subject);
+    record.set_organisation(event.organisation.value());
+    return record;
+}
+
+void OperatorLoop::collect_events(u64 maximum, std::string const& subject, EventsDone done)
+{
+    auto correlation = this->next_correlation++;
+    auto& collection = this->collections[correlation];
+    collection.done = std::move(done);
+    for (auto const& event : this->node.events().latest(maximum, subject))
+        *collection.events.add_events() = to_record(event);
+    auto members = this->node.members().others();
+    collection.missing = members.size();
+    for (auto const& member : members) {
+        wire::Envelope envelope;
+        envelope.set_correlation(correlation);
+        envelope.mutable_events_fetch()->set_maximum(maximum);
+        envelope.mutable_events_fetch()->set_subject(subject);
+        this->node.send(member.address, std::move(envelope));
+    }
+    if (members.empty()) {
+        this->finish_collection(correlation);
+        return;
+    }
+    this->node.loop().after(collection_patience, [this, correlation] { this->finish_collection(correlation); });
+}
+
+void OperatorLoop::finish_collection(u64 correlation)
+{
+    auto found = this->collections.find(correlation);
+    if (found == this->collections.end())
+        return;
+    auto collection = std::move(found->second);
+    this->collections.erase(found);
+    auto* events = collection.events.mutable_events();
+    std::sort(events->begin(), events->end(), [](auto const& left, auto const& right) {
+        return std::tuple(left.wall_milliseconds(), left.counter(), left.member())
+            < std::tuple(right.wall_milliseconds(), right.counter(), right.member());
+    });
+    collection.done(std::move(collection.events));
+}
+
+void OperatorLoop::receive(wire::Envelope const& envelope)
+{
+    if (!envelope.has_event_batch())
+        return;
+    auto found = this->collections.find(envelope.correlation());
+    if (found == this->collections.end())
+        return;
+    found->second.events.MergeFrom(envelope.event_batch());
+    if (--found->second.missing == 0)
+        this->finish_collection(envelope.correlation());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/ClaimBatch.h
@@ -0,0 +1,171 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Identifiers.h>
+#include <algorithm>
+#include <optional>
+#include <LibPlatform/TableStore.h>
+#include <charconv>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Platform {
+
+/// A claim to run one call that must not be repeated. Whoever commits the claim first runs the call; the nonce tells
+/// a claim of one's own, whose answer was lost, from another's.
+struct Claim {
+    OrganisationId organisation;
+    std::string idempotency_key;
+    std::string nonce;
+};
+
+enum class ClaimVerdict : u8 {
+    /// This nonce holds the claim: the call may be dispatched once.
+    Granted,
+    /// Another nonce holds it: the call has run or may run.
+    TakenByOther,
+    /// It could not be found out whether the claim was made. The call must not be dispatched.
+    Unknown,
+    /// The platform does not answer and the claim was not made.
+    PlatformUnavailable,
+};
+
+/// How long a claim keeps its key from being used again. After it, the same key names a new call.
+static constexpr u64 claim_lifetime_milliseconds = 24ull * 60 * 60 * 1000;
+
+inline std::string claim_key(Claim const& claim)
+{
+    // The length keeps ("a", "b/c") and ("a/b", "c") apart.
+    auto const& organisation = claim.organisation.value();
+    return "claim/" + std::to_string(organisation.size()) + '/' + organisation + '/' + claim.idempotency_key;
+}
+
+/// "expiry nonce"
+inline std::string claim_value(Claim const& claim, u64 wall_now)
+{
+    return std::to_string(wall_now + claim_lifetime_milliseconds) + ' ' + claim.nonce;
+}
+
+inline bool claim_is_held(Row const& row, u64 wall_now)
+{
+    u64 expiry = 0;
+    std::from_chars(row.value.data(), row.value.data() + row.value.size(), expiry);
+    return row.exists() && wall_now < expiry;
+}
+
+inline bool claim_is_held_by(Row const& row, std::string const& nonce)
+{
+    auto space = row.value.find(' ');
+    return row.exists() && space != std::string::npos && row.value.substr(space + 1) == nonce;
+}
+
+/// Makes many claims in few transactions, and says for each what came of it. Blocks. The answers are in the order of
+/// the claims. Claims with the same key in one batch are granted to at most one of them.
+template<TableStore Store>
+class ClaimBatch {
+public:
+    ClaimBatch(Store& store, u64 wall_now)
+        : store(store)
+        , wall_now(wall_now)
+    {
+    }
+
+    std::vector<ClaimVerdict> make(std::vector<Claim> const& claims)
+    {
+        this->claims = &claims;
+        this->verdicts.assign(claims.size(), std::nullopt);
+        this->settle_doubles();
+        // Each failed condition settles at least one claim, unless the platform misbehaves.
+        for (size_t round = 0; round <= claims.size() + 1 && this->has_open(); ++round) {
+            auto transaction = this->prepare();
+            if (!transaction)
+                break;
+            if (transaction->writes.empty())
+                continue;
+            this->commit(*transaction);
+        }
+        std::vector<ClaimVerdict> result;
+        for (auto const& verdict : this->verdicts)
+            result.push_back(verdict.value_or(ClaimVerdict::Unknown));
+        return result;
+    }
+
+private:
+    [[nodiscard]] bool has_open() const
+    {
+        return std::ranges::any_of(this->verdicts, [](auto const& verdict) { return !verdict; });
+    }
+
+    void settle_doubles()
+    {
+        std::set<std::string> seen;
+        for (size_t i = 0; i < this->claims->size(); ++i) {
+            if (!seen.insert(claim_key((*this->claims)[i])).second)
+                this->verdicts[i] = ClaimVerdict::TakenByOther;
+        }
+    }
+
+    void settle_open(ClaimVerdict verdict)
+    {
+        for (auto& open : this->verdicts) {
+            if (!open)
+                open = verdict;
+        }
+    }
+
+    /// Reads the rows of all open claims, settles those held, and builds one transaction for the rest. Nothing when
+    /// the platform does not answer; the open claims are settled then.
+    std::optional<Transaction> prepare()
+    {
+        Transaction transaction;
+        for (size_t i = 0; i < this->claims->size(); ++i) {
+            if (this->verdicts[i])
+                continue;
+            auto const& claim = (*this->claims)[i];
+            auto row = this->store.read(claim_key(claim));
+            if (!row) {
+                this->settle_open(
+                    this->has_lost_answer ? ClaimVerdict::Unknown : ClaimVerdict::PlatformUnavailable);
+                return std::nullopt;
+            }
+            if (claim_is_held_by(row.value(), claim.nonce)) {
+                this->verdicts[i] = ClaimVerdict::Granted;
+            } else if (claim_is_held(row.value(), this->wall_now)) {
+                this->verdicts[i] = ClaimVerdict::TakenByOther;
+            } else {
+                transaction.conditions.push_back({ claim_key(claim), row.value().version });
+                transaction.writes.push_back({ claim_key(claim), claim_value(claim, this->wall_now) });
+            }
+        }
+        return transaction;
+    }
+
+    void commit(Transaction const& transaction)
+    {
+        auto result = this->store.commit(transaction);
+        if (result) {
+            if (result.value() == CommitResult::Committed)
+                this->settle_open(ClaimVerdict::Granted);
+            return;
+        }
+        if (result.error().kind == ErrorKind::PlatformAnswerLost)
+            this->has_lost_answer = true;
+        else
+            this->settle_open(
+                this->has_lost_answer ? ClaimVerdict::Unknown : ClaimVerdict::PlatformUnavailable);
+    }
+
+    Store& store;
+    u64 wall_now;
+    std::vector<Claim> const* claims { nullptr };
+    std::vector<std::optional<ClaimVerdict>> verdicts;
+    bool has_lost_answer { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/ClaimDesk.cpp
@@ -0,0 +1,96 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCore/Clock.h>
+#include <LibRouter/ClaimDesk.h>
+
+namespace Router {
+
+static constexpr size_t largest_batch = 200;
+
+ClaimDesk::ClaimDesk(Node::Node& node, Duration period)
+    : node(node)
+{
+    node.loop().every(period, [this] { this->flush(); });
+}
+
+void ClaimDesk::receive(wire::ClaimRequest const& request, Address const& sender)
+{
+    // A question asked again while its answer is on the way is answered twice, with the same answer: the nonce says so.
+    this->waiting.push_back({ { OrganisationId(request.organisation()), request.idempotency_key(), request.nonce() },
+        sender });
+}
+
+void ClaimDesk::receive(wire::ClaimRelease const& release)
+{
+    this->releases.push_back({ OrganisationId(release.organisation()), release.idempotency_key(), release.nonce() });
+}
+
+/// Deletes claims whose calls truly did not run. Best effort: a claim that stays only makes its key unusable.
+static void release_claims(Platform::HttpPlatform& platform, std::vector<Platform::Claim> const& claims)
+{
+    Platform::Transaction transaction;
+    for (auto const& claim : claims) {
+        auto row = platform.read(Platform::claim_key(claim));
+        if (!row || !Platform::claim_is_held_by(row.value(), claim.nonce))
+            continue;
+        transaction.conditions.push_back({ row.value().key, row.value().version });
+        transaction.writes.push_back({ row.value().key, std::nullopt });
+    }
+    if (!transaction.writes.empty())
+        (void)platform.commit(transaction);
+}
+
+void ClaimDesk::flush()
+{
+    if (this->is_writing || (this->waiting.empty() && this->releases.empty()))
+        return;
+    this->is_writing = true;
+    auto count = std::min(this->waiting.size(), largest_batch);
+    std::vector<WaitingClaim> batch(this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(count));
+    this->waiting.erase(this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(count));
+    std::vector<Platform::Claim> claims;
+    for (auto const& waiting_claim : batch)
+        claims.push_back(waiting_claim.claim);
+    auto& platform = this->node.platform();
+    this->node.background().submit(
+        [&platform, claims, released = std::exchange(this->releases, {})] {
+            if (!released.empty())
+                release_claims(platform, released);
+            return Platform::ClaimBatch(platform, Core::SystemClock().wall_milliseconds()).make(claims);
+        },
+        [this, batch](std::vector<Platform::ClaimVerdict> const& verdicts) { this->answer(batch, verdicts); });
+}
+
+static wire::ClaimAnswer to_answer(Platform::ClaimVerdict verdict)
+{
+    switch (verdict) {
+    case Platform::ClaimVerdict::Granted:
+        return wire::CLAIM_GRANTED;
+    case Platform::ClaimVerdict::TakenByOther:
+        return wire::CLAIM_TAKEN;
+    case Platform::ClaimVerdict::Unknown:
+        return wire::CLAIM_UNKNOWN;
+    case Platform::ClaimVerdict::PlatformUnavailable:
+        return wire::CLAIM_PLATFORM_UNAVAILABLE;
+    }
+    return wire::CLAIM_UNKNOWN;
+}
+
+void ClaimDesk::answer(std::vector<WaitingClaim> const& batch, std::vector<Platform::ClaimVerdict> const& verdicts)
+{
+    this->is_writing = false;
+    this->node.metrics().add("lilac_claims_total", batch.size());
+    this->node.metrics().add("lilac_claim_batches_total");
+    for (size_t i = 0; i < batch.size(); ++i) {
+        wire::Envelope envelope;
+        envelope.mutable_claim_reply()->set_nonce(batch[i].claim.nonce);
+        envelope.mutable_claim_reply()->set_answer(to_answer(verdicts[i]));
+        this->node.send(batch[i].asker, std::move(envelope));
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/ClaimDesk.h
@@ -0,0 +1,40 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibNode/Node.h>
+#include <LibPlatform/ClaimBatch.h>
+#include <vector>
+
+namespace Router {
+
+/// Collects the claims of a failure domain and writes them together, one transaction at a time, so that the number of
+/// writes does not grow with the number of calls. Which router does it is not agreed on: two at once only share the
+/// work, since the table decides. Loop thread only.
+class ClaimDesk {
+public:
+    ClaimDesk(Node::Node&, Duration period);
+
+    void receive(wire::ClaimRequest const&, Address const& sender);
+    void receive(wire::ClaimRelease const&);
+
+private:
+    struct WaitingClaim {
+        Platform::Claim claim;
+        Address asker;
+    };
+
+    void flush();
+    void answer(std::vector<WaitingClaim> const&, std::vector<Platform::ClaimVerdict> const&);
+
+    Node::Node& node;
+    std::vector<WaitingClaim> waiting;
+    std::vector<Platform::Claim> releases;
+    bool is_writing { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/OrderKeeper.cpp
@@ -0,0 +1,86 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibRouter/OrderKeeper.h>
+
+namespace Router {
+
+using Core::EventNumber;
+
+static Instant now() { return std::chrono::steady_clock::now(); }
+
+OrderKeeper::OrderKeeper(Node::Node& node, RouterSettings const& settings)
+    : node(node)
+    , settings(settings)
+    , lease(std::make_shared<Platform::Lease>("lease/" + node.settings().failure_domain.value() + "/orders",
+          node.settings().member.value(), settings.lease_term, settings.lease_margin,
+          // Apart from those of earlier starts of this member by far more than one start can use.
+          Core::SystemClock().wall_milliseconds() << 16))
+{
+    node.loop().every(settings.lease_term / 3, [this] { this->keep(); });
+    node.loop().after(0s, [this] { this->keep(); });
+}
+
+void OrderKeeper::keep()
+{
+    if (this->is_keeping || this->node.is_leaving_itself())
+        return;
+    this->is_keeping = true;
+    auto& platform = this->node.platform();
+    this->node.background().submit(
+        [lease = this->lease, &platform] {
+            Platform::keep_lease(*lease, platform, now);
+            return lease->may_act(now());
+        },
+        [this](bool is_holder) {
+            this->is_keeping = false;
+            if (is_holder != this->was_holder)
+                this->node.events().record(is_holder ? EventNumber::LeaseTaken : EventNumber::LeaseLapsed,
+                    this->lease->row_key(), "epoch " + std::to_string(this->lease->epoch().value()));
+            this->was_holder = is_holder;
+        });
+}
+
+std::set<std::string> OrderKeeper::wanted_adapters(ModelId const& model) const
+{
+    std::set<std::string> wanted;
+    auto const* configured = this->node.configuration().find_model(model);
+    if (configured)
+        wanted.insert(configured->adapters().begin(), configured->adapters().end());
+    return wanted;
+}
+
+void OrderKeeper::engine_reported(
+    Platform::BackendServerRecord const& engine, std::vector<std::string> const& adapters)
+{
+    auto wanted = this->wanted_adapters(engine.model);
+    if (wanted == std::set(adapters.begin(), adapters.end()) || this->is_keeping)
+        return;
+    auto may_act_until = this->lease->may_act_until();
+    if (!may_act_until || now() >= *may_act_until || !this->orders_under_way.insert(engine.id).second)
+        return;
+    EngineOrder order { this->lease->epoch(), this->node.configuration().revision(),
+        { wanted.begin(), wanted.end() } };
+    auto text = "epoch " + std::to_string(order.epoch.value()) + " revision " + std::to_string(order.revision.value());
+    this->node.background().submit(
+        [until = *may_act_until, address = engine.address, order, patience = this->settings.engine_patience]()
+            -> Result<void> {
+            // The thread may have been held up since the loop looked.
+            if (now() >= until)
+                return Error { ErrorKind::FencedOut, "the lease lapsed before the order left; the next holder gives it",
+                    {} };
+            return send_order(address, order, patience);
+        },
+        [this, id = engine.id, text](Result<void> const& result) {
+            this->orders_under_way.erase(id);
+            if (result)
+                this->node.events().record(EventNumber::OrderSent, id.value(), text);
+            else
+                this->node.events().record(EventNumber::OrderWithheld, id.value(), result.error().message);
+        });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RouterLoop.h
@@ -0,0 +1,78 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibNode/Node.h>
+#include <LibRouter/ClaimDesk.h>
+#include <LibRouter/EngineControl.h>
+#include <LibRouter/OrderKeeper.h>
+#include <LibRouter/RouterSettings.h>
+#include <LibScheduling/PoolScheduler.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Router {
+
+/// The decisions of one router: a scheduler for each pool (the engines of this failure domain that serve one model).
+/// Which router owns a pool follows from membership; a router that is asked about a pool it does not own answers all
+/// the same. Loop thread only.
+class RouterLoop {
+public:
+    RouterLoop(Node::Node&, RouterSettings const&);
+
+    /// Requests waiting for an engine.
+    [[nodiscard]] size_t queued_count() const;
+
+private:
+    using Scheduler = Scheduling::PoolScheduler<Scheduling::ForecastAdmission>;
+
+    struct EngineState {
+        Platform::BackendServerRecord record;
+        bool is_being_asked { false };
+        u64 cache_sequence { 0 };
+    };
+
+    struct Pool {
+        ModelId model;
+        Scheduler scheduler;
+        std::map<EngineId, EngineState> engines;
+        /// Where each generation's gateway is, and when it was placed.
+        std::unordered_map<GenerationId, Address> askers;
+        bool is_own { false };
+        Instant last_asked;
+    };
+
+    void receive(wire::Envelope const&);
+    void receive(wire::PlaceRequest const&, Address const& sender);
+    void receive(wire::GenerationFinished const&);
+    void receive(wire::LiveGenerations const&);
+    Pool& pool_of(ModelId const&);
+    Pool* pool_holding(GenerationId const&);
+    void update_engines(Pool&);
+    void update_all_engines();
+    void update_ownership();
+    void poll_engines();
+    void poll_engine(Pool&, EngineState&);
+    void take_report(ModelId const&, EngineId const&, Result<EngineReport> const&);
+    void drop_unknown_generations(Pool&, EngineId const&, EngineReport const&);
+    void carry_out(Pool&, std::vector<Scheduling::Action> const&);
+    void carry_out(Pool&, Scheduling::PlaceAction const&);
+    void carry_out(Pool&, Scheduling::RefuseAction const&);
+    void tick();
+
+    Node::Node& node;
+    RouterSettings const& settings;
+    Scheduling::PolicyConstants constants;
+    ClaimDesk claim_desk;
+    OrderKeeper order_keeper;
+    std::map<ModelId, std::unique_ptr<Pool>> pools;
+    std::unordered_map<GenerationId, ModelId> pool_of_generation;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RouterSettings.h
@@ -0,0 +1,39 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibNode/NodeSettings.h>
+
+namespace Router {
+
+/// The settings under "router", beside those of the node.
+struct RouterSettings {
+    Node::NodeSettings node;
+    Duration tick_period { 50ms };
+    Duration load_poll_period { 500ms };
+    Duration engine_patience { 1s };
+    /// Claims wait so long to be written together.
+    Duration claim_period { 100ms };
+    /// A lease for orders to engines lasts so long, and is renewed at a third of it.
+    Duration lease_term { 15s };
+    Duration lease_margin { 3s };
+};
+
+inline RouterSettings read_router_settings(Core::SettingsReader& reader)
+{
+    RouterSettings settings;
+    settings.node = Node::read_node_settings(reader, wire::ROLE_ROUTER);
+    settings.tick_period = reader.duration_or("router.tick_period", settings.tick_period);
+    settings.load_poll_period = reader.duration_or("router.load_poll_period", settings.load_poll_period);
+    settings.engine_patience = reader.duration_or("router.engine_patience", settings.engine_patience);
+    settings.claim_period = reader.duration_or("router.claim_period", settings.claim_period);
+    settings.lease_term = reader.duration_or("router.lease_term", settings.lease_term);
+    settings.lease_margin = reader.duration_or("router.lease_margin", settings.lease_margin);
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibScheduling/LengthForecast.cpp
@@ -0,0 +1,162 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <AK/Error.h>
+#include <LibScheduling/LengthForecast.h>
+#include <algorithm>
+
+namespace Scheduling {
+
+// How many finished outputs a histogram remembers. A few hundred follow a shift of lengths within minutes at one
+// route's share of the load and still fix the tail; see docs/POLICY.md for what other sizes gave.
+static constexpr double histogram_memory = 400;
+// How many outputs of its own a route needs to outweigh its parent.
+static constexpr double prior_strength = 8;
+// The prior: in each bin, a quarter of a doubling, this share ends. It makes half of the outputs longer than 90 tokens
+// and one in ten longer than 900.
+static constexpr double prior_hazard = 0.045;
+static constexpr double largest_hazard = 0.999;
+static constexpr double renormalise_above = 1e9;
+
+LengthHistogram::LengthHistogram(double memory)
+    : growth(std::exp(1 / memory))
+{
+}
+
+void LengthHistogram::finish(size_t bin)
+{
+    this->finished[bin] += this->weight;
+    // Later outputs weigh more, instead of all earlier ones being scaled down at each step.
+    this->weight *= this->growth;
+    if (this->weight > renormalise_above)
+        this->renormalise();
+}
+
+void LengthHistogram::renormalise()
+{
+    for (auto& count : this->entered)
+        count /= this->weight;
+    for (auto& count : this->finished)
+        count /= this->weight;
+    this->weight = 1;
+}
+
+double LengthHistogram::hazard(size_t bin, double prior, double strength) const
+{
+    auto finished_count = this->finished[bin] / this->weight;
+    // An output that entered long ago weighs less than its recent end; never let that make a certainty.
+    auto entered_count = std::max(this->entered[bin] / this->weight, finished_count);
+    auto hazard = (finished_count + strength * prior) / (entered_count + strength);
+    return std::min(hazard, largest_hazard);
+}
+
+SurvivalCurve::SurvivalCurve(std::array<double, LengthBins::count> const& hazards)
+{
+    for (size_t bin = 0; bin < LengthBins::count; ++bin) {
+        auto log_step = std::log1p(-std::min(hazards[bin], largest_hazard));
+        auto width = LengthBins::lower(bin + 1) - LengthBins::lower(bin);
+        this->log_at_edge[bin + 1] = this->log_at_edge[bin] + log_step;
+        this->slope[bin] = log_step / width;
+    }
+    double residual = 0;
+    for (size_t bin = LengthBins::count; bin-- > 0;) {
+        auto rate = std::max(-this->slope[bin], 1e-12);
+        auto width = LengthBins::lower(bin + 1) - LengthBins::lower(bin);
+        auto passing = std::exp(-rate * width);
+        residual = (1 - passing) / rate + passing * residual;
+        this->residual_at_edge[bin] = residual;
+    }
+}
+
+double SurvivalCurve::log_survival(double tokens) const
+{
+    auto bin = LengthBins::index(tokens);
+    return this->log_at_edge[bin] + this->slope[bin] * (tokens - LengthBins::lower(bin));
+}
+
+double SurvivalCurve::expected_remaining(double produced) const
+{
+    auto bin = LengthBins::index(produced);
+    auto rate = std::max(-this->slope[bin], 1e-12);
+    auto left = std::max(LengthBins::lower(bin + 1) - produced, 0.0);
+    auto passing = std::exp(-rate * left);
+    auto beyond = bin + 1 < LengthBins::count ? this->residual_at_edge[bin + 1] : 0;
+    return (1 - passing) / rate + passing * beyond;
+}
+
+LengthHistogram& LengthForecasts::find_or_make(
+    std::unordered_map<std::string, std::unique_ptr<LengthHistogram>>& histograms, std::string const& key)
+{
+    auto& histogram = histograms[key];
+    if (!histogram)
+        histogram = std::make_unique<LengthHistogram>(histogram_memory);
+    return *histogram;
+}
+
+LengthForecasts::Index LengthForecasts::index_of(ForecastKey const& key)
+{
+    // Names hold no line breaks, so the joined key is unique.
+    auto organisation_key = key.organisation.value() + '\n' + key.model.value();
+    auto leaf_key = organisation_key + '\n' + key.route.value();
+    auto [entry, is_new] = this->index_of_key.try_emplace(leaf_key, static_cast<Index>(this->leaves.size()));
+    if (is_new) {
+        std::array<double, LengthBins::count> hazards {};
+        hazards.fill(prior_hazard);
+        this->leaves.push_back({ LengthHistogram(histogram_memory),
+            &find_or_make(this->of_organisation, organisation_key), &find_or_make(this->of_model, key.model.value()),
+            SurvivalCurve(hazards), true });
+        this->leaves.back().curve = SurvivalCurve(this->hazards_of(this->leaves.back()));
+    }
+    return entry->second;
+}
+
+void LengthForecasts::enter(Index index, size_t bin)
+{
+    auto& leaf = this->leaves[index];
+    leaf.own.enter(bin);
+    leaf.organisation->enter(bin);
+    leaf.model->enter(bin);
+    leaf.is_stale = true;
+}
+
+void LengthForecasts::advance(Index index, size_t from, size_t to)
+{
+    for (auto bin = from + 1; bin <= to; ++bin)
+        this->enter(index, bin);
+}
+
+void LengthForecasts::finish(Index index, double tokens)
+{
+    auto bin = LengthBins::index(tokens);
+    auto& leaf = this->leaves[index];
+    leaf.own.finish(bin);
+    leaf.organisation->finish(bin);
+    leaf.model->finish(bin);
+    leaf.is_stale = true;
+}
+
+std::array<double, LengthBins::count> LengthForecasts::hazards_of(Leaf const& leaf) const
+{
+    std::array<double, LengthBins::count> hazards {};
+    for (size_t bin = 0; bin < LengthBins::count; ++bin) {
+        auto of_model = leaf.model->hazard(bin, prior_hazard, prior_strength);
+        auto of_organisation = leaf.organisation->hazard(bin, of_model, prior_strength);
+        hazards[bin] = leaf.own.hazard(bin, of_organisation, prior_strength);
+    }
+    return hazards;
+}
+
+void LengthForecasts::refresh()
+{
+    for (auto& leaf : this->leaves) {
+        if (!leaf.is_stale)
+            continue;
+        leaf.curve = SurvivalCurve(this->hazards_of(leaf));
+        leaf.is_stale = false;
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibScheduling/Systems.h
@@ -0,0 +1,71 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibScheduling/Tables.h>
+
+/// The systems that run over the tables on each tick, in the order in which they are declared.
+namespace Scheduling {
+
+/// Constants of the policy, apart from the code so that the bench can vary them. docs/POLICY.md gives the runs that
+/// chose each value.
+struct PolicyConstants {
+    /// Standard deviations kept free between the expected demand and an engine's memory.
+    double safety_deviations { 1.3 };
+    /// Share of an engine's memory that is never planned with: partly filled blocks and steps that come in late.
+    double reserve_share { 0.02 };
+    /// A head of queue that does not fit lets others pass until it has waited this share of its deadline.
+    double bypass_share { 0.15 };
+    /// An engine from which nothing was heard for so long gets no new work.
+    Duration silence_limit { 15s };
+    /// Seconds to prefill one prompt token and the cost of one more generation in a batch, until measured.
+    double prefill_seconds_per_token { 3e-5 };
+    double batch_seconds_per_generation { 2e-4 };
+    /// Expected waits over this share of what the deadline leaves are refused.
+    double refusal_share { 1.0 };
+    /// Whether queues are fair between organisations, or first come, first served.
+    bool is_fair { true };
+    /// Whether a request whose forecast wait passes its deadline is refused on arrival.
+    bool refuses_by_forecast { true };
+};
+
+/// Extrapolates the steps of each engine, and with them the tokens of each generation on it.
+void advance_progress(Tables&, Instant now);
+
+/// Marks engines from which nothing was heard for too long, and those that came back.
+void expire_engines(Tables&, PolicyConstants const&, Instant now);
+
+/// Refuses what has waited past its deadline.
+void expire_queue(Tables&, Instant now);
+
+/// Recomputes the demand of one engine from its generations, if anything changed.
+void forecast_demand(Tables&, EngineRow&);
+
+/// Adds one generation's demand, at `produced` tokens, to `demand`.
+void add_demand(DemandForecast& demand, SurvivalCurve const&, GenerationRow const&, double produced);
+
+/// What the policy expects one generation to cost: tokens held times seconds held.
+double expected_cost(Tables const&, GenerationRow const&, double step_seconds);
+
+/// The mean cadence of the engines that take work, in seconds a step.
+double mean_step_seconds(Tables const&);
+
+/// How long a new request of `organisation` would wait, given the queues and their shares.
+Duration expected_wait(Tables const&, OrganisationIndex organisation, double own_cost);
+
+/// Takes a generation off its queue.
+void dequeue(Tables&, GenerationIndex);
+
+/// Refuses a queued generation, at once, and forgets it.
+void refuse(Tables&, GenerationIndex, Error error);
+
+/// When to come back: the time until the queues ahead have drained, within reason.
+Duration retry_after(Duration expected_wait);
+
+bool takes_new_work(EngineRow const&);
+
+}
--- /dev/null
+++ b/Libraries/LibScheduling/Tables.h
@@ -0,0 +1,165 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Error.h>
+#include <AK/Identifiers.h>
+#include <LibScheduling/LengthForecast.h>
+#include <array>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+/// The entities of one pool, that is of the engines of one failure domain that serve one model, as plain rows. The
+/// systems in this library read and change them on each tick; nothing else does.
+namespace Scheduling {
+
+using EngineIndex = u32;
+using GenerationIndex = u32;
+using OrganisationIndex = u32;
+
+/// Weights of the three measures, normalised to a sum of one.
+struct MeasureWeights {
+    double stall { 1.0 / 3 };
+    double token_gap { 1.0 / 3 };
+    double preemption { 1.0 / 3 };
+};
+
+enum class GenerationState : u8 {
+    Queued,
+    /// Sent to an engine; the first token is not out yet.
+    Dispatched,
+    Decoding,
+};
+
+struct GenerationRow {
+    GenerationId id;
+    AttemptNumber attempt;
+    OrganisationIndex organisation { 0 };
+    LengthForecasts::Index forecast { 0 };
+    GenerationState state { GenerationState::Queued };
+    EngineIndex engine { 0 };
+    double prompt { 0 };
+    double maximum_output { 0 };
+    u64 prefix_hash { 0 };
+    MeasureWeights weights;
+    Instant arrived;
+    Instant deadline;
+    Instant dispatched_at;
+    /// Position of the engine's step count when the first token came out.
+    double steps_at_first_token { 0 };
+    /// Tokens it had when this process learnt of it.
+    double produced_before { 0 };
+    double produced { 0 };
+    size_t bin { 0 };
+    /// Memory-seconds charged to the organisation at dispatch.
+    double charged { 0 };
+    std::vector<EngineId> excluded_engines;
+};
+
+/// Memory an engine is expected to need, in tokens, so many steps from now.
+static constexpr std::array<double, 10> forecast_horizons { 4, 16, 40, 88, 184, 376, 760, 1528, 3064, 6136 };
+
+struct DemandForecast {
+    std::array<double, forecast_horizons.size()> mean {};
+    std::array<double, forecast_horizons.size()> variance {};
+};
+
+struct LoadReport {
+    double used_tokens { 0 };
+    u32 running { 0 };
+    u32 waiting { 0 };
+    /// Steps since the engine started.
+    double steps { 0 };
+    /// How old the figures were when they arrived.
+    Duration age { 0 };
+};
+
+struct EngineRow {
+    EngineId id;
+    Address address;
+    double capacity { 0 };
+    /// Told by an operator or by the engine to take nothing new.
+    bool draining { false };
+    /// Nothing has been heard of it for too long.
+    bool silent { false };
+    std::optional<LoadReport> report;
+    Instant report_received;
+    std::vector<GenerationIndex> generations;
+    DemandForecast demand;
+    bool demand_is_stale { true };
+    /// Steps done, extrapolated at the current cadence.
+    double steps { 0 };
+    Instant steps_at;
+    double step_seconds { 0.025 };
+    /// Prompt tokens of dispatched generations whose first token is not out.
+    double prefill_backlog { 0 };
+    /// Memory in use that this process did not place, from the last report.
+    double foreign_tokens { 0 };
+    /// What this process believed to be in use at recent ticks, to hold a late report against.
+    std::deque<std::pair<Instant, double>> own_usage;
+    std::unordered_set<u64> cached_prefixes;
+};
+
+struct OrganisationRow {
+    OrganisationId id;
+    double weight { 1 };
+    u32 maximum_concurrency { 0 };
+    double maximum_rate { 0 };
+    /// Memory-seconds received per weight.
+    double virtual_time { 0 };
+    std::deque<GenerationIndex> queue;
+    /// Expected memory-seconds of what is queued.
+    double queued_cost { 0 };
+    u32 running { 0 };
+    double rate_allowance { 0 };
+    Instant rate_updated;
+};
+
+/// What the scheduler wants done. The caller carries it out.
+struct PlaceAction {
+    GenerationId generation;
+    AttemptNumber attempt;
+    EngineId engine;
+    Address address;
+    int priority { 0 };
+    std::string reason;
+};
+
+struct RefuseAction {
+    GenerationId generation;
+    AttemptNumber attempt;
+    Error error;
+};
+
+using Action = std::variant<PlaceAction, RefuseAction>;
+
+struct Tables {
+    std::vector<EngineRow> engines;
+    std::unordered_map<EngineId, EngineIndex> engine_of_id;
+    std::vector<GenerationRow> generations;
+    std::vector<GenerationIndex> free_generations;
+    std::unordered_map<GenerationId, GenerationIndex> generation_of_id;
+    std::vector<OrganisationRow> organisations;
+    std::unordered_map<OrganisationId, OrganisationIndex> organisation_of_id;
+    LengthForecasts forecasts;
+    size_t queued_count { 0 };
+    std::vector<Action> actions;
+};
+
+OrganisationIndex organisation_index(Tables&, OrganisationId const&);
+GenerationIndex add_generation(Tables&, GenerationRow);
+void remove_generation(Tables&, GenerationIndex);
+/// Nothing when there is no such generation.
+std::optional<GenerationIndex> find_generation(Tables const&, GenerationId const&);
+EngineRow* find_engine(Tables&, EngineId const&);
+
+}
--- /dev/null
+++ b/Libraries/LibWire/PeerTransport.h
@@ -0,0 +1,63 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Identifiers.h>
+#include <LibCore/EventLog.h>
+#include <LibCore/EventLoop.h>
+#include <LibCore/Metrics.h>
+#include <LibWire/Messages.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <zmq.hpp>
+
+namespace Wire {
+
+/// Z85 keys of ZeroMQ's CURVE. All daemons of one deployment share the pair; a process without the secret can
+/// neither connect nor be connected to.
+struct CurveKeys {
+    std::string public_key;
+    std::string secret_key;
+};
+
+/// One-way messages between the system's own processes, over ZeroMQ. Delivery is best effort and in order from one
+/// sender; an answer is a message of its own to the sender's address. Loop thread only.
+class PeerTransport {
+public:
+    using Handler = std::function<void(wire::Envelope const&)>;
+
+    PeerTransport(Core::EventLoop&, Core::EventLog&, Core::Metrics&, Address listen, std::optional<CurveKeys>);
+
+    void on_message(Handler handler) { this->handler = std::move(handler); }
+    /// Sends, or drops when the peer's queue is full: every exchange tolerates loss.
+    void send(Address const& peer, wire::Envelope envelope);
+    /// Forgets the connection to a peer that is gone, with what was queued for it.
+    void disconnect(Address const& peer);
+    [[nodiscard]] Address const& listen_address() const { return this->listen; }
+
+private:
+    void receive_all();
+    void receive(zmq::message_t const& frame);
+    void answer_authentication();
+    zmq::socket_t& socket_for(Address const& peer);
+    void secure(zmq::socket_t&, bool is_server);
+
+    Core::EventLog& event_log;
+    Core::Metrics& metrics;
+    Address listen;
+    std::optional<CurveKeys> curve;
+    zmq::context_t context;
+    zmq::socket_t authentication_socket;
+    zmq::socket_t inbound;
+    std::unordered_map<Address, zmq::socket_t> outbound;
+    Handler handler;
+};
+
+}
--- /dev/null
+++ b/StandIns/FakeEngine/FakeEngine.cpp
@@ -0,0 +1,444 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <StandIns/FakeEngine/FakeEngine.h>
+#include <algorithm>
+#include <array>
+#include <boost/random/lognormal_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <sstream>
+#include <xxhash.h>
+
+namespace StandIns {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+static constexpr Duration keep_alive_period = 300ms;
+static constexpr Duration longest_idle_wait = 50ms;
+static constexpr size_t kept_cache_events = 64;
+static constexpr i64 bytes_per_token = 4;
+static constexpr auto words = std::to_array<std::string_view>({ "the ", "lane ", "was ", "closed ", "because ",
+    "barrier ", "sensor ", "reported ", "a ", "vehicle ", "and ", "card ", "sale ", "refused ", "after ", "plaza " });
+
+static std::string to_text(Object const& object)
+{
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+static i64 output_length(std::string const& prompt, i64 maximum)
+{
+    constexpr std::string_view directive = "[tokens=";
+    auto found = prompt.find(directive);
+    if (found != std::string::npos)
+        return std::clamp<i64>(std::atoll(prompt.c_str() + found + directive.size()), 1, maximum);
+    boost::random::mt19937 random(static_cast<u32>(XXH32(prompt.data(), prompt.size(), 0)));
+    boost::random::lognormal_distribution<double> lengths(4.0, 0.9);
+    return std::clamp<i64>(static_cast<i64>(lengths(random)), 1, maximum);
+}
+
+FakeEngine::FakeEngine(Address const& listen, FakeEngineOptions options)
+    : options(std::move(options))
+    , engine(this->options.parameters)
+    , server(std::make_unique<HttpStandIn>(
+          listen, [this](auto& request, auto& response) { this->serve(request, response); }))
+    , stepper([this] { this->step_forever(); })
+{
+}
+
+FakeEngine::~FakeEngine()
+{
+    this->stopping = true;
+    this->changed.notify_all();
+    this->stepper.join();
+    this->server.reset();
+}
+
+void FakeEngine::step_forever()
+{
+    std::vector<EngineModel::StepEvent> events;
+    while (!this->stopping) {
+        Duration duration;
+        {
+            std::unique_lock lock(this->mutex);
+            this->stop_orphans();
+            if (this->engine.is_idle()) {
+                this->changed.wait_for(lock, longest_idle_wait);
+                continue;
+            }
+            events.clear();
+            duration = this->engine.step(events);
+        }
+        std::this_thread::sleep_for(duration * this->options.time_scale);
+        std::lock_guard lock(this->mutex);
+        this->take_events(events);
+        this->past_loads.emplace_back(std::chrono::steady_clock::now(), this->engine.load());
+        while (this->past_loads.size() > 1
+            && this->past_loads[1].first <= std::chrono::steady_clock::now() - this->options.report_age)
+            this->past_loads.pop_front();
+        this->changed.notify_all();
+    }
+}
+
+void FakeEngine::take_events(std::vector<EngineModel::StepEvent> const& events)
+{
+    for (auto const& event : events) {
+        if (event.kind == EngineModel::StepEventKind::PrefixCached
+            || event.kind == EngineModel::StepEventKind::PrefixEvicted) {
+            this->cache_events.emplace_back(event.key, event.kind == EngineModel::StepEventKind::PrefixCached);
+            if (this->cache_events.size() > kept_cache_events) {
+                this->cache_events.pop_front();
+                ++this->cache_events_dropped;
+            }
+            continue;
+        }
+        auto found = this->execution_of_key.find(event.key);
+        if (found == this->execution_of_key.end())
+            continue;
+        auto& execution = *found->second;
+        if (event.kind == EngineModel::StepEventKind::Token)
+            execution.tokens.push_back(this->word(execution.key, execution.tokens.size()));
+        else if (event.kind == EngineModel::StepEventKind::Finished)
+            execution.is_finished = true;
+    }
+}
+
+std::string FakeEngine::word(u64 key, size_t offset) const
+{
+    auto seed = XXH64(this->options.name.data(), this->options.name.size(), key);
+    return std::string(words[XXH64(&offset, sizeof(offset), seed) % words.size()]);
+}
+
+void FakeEngine::stop_orphans()
+{
+    auto now = std::chrono::steady_clock::now();
+    for (auto const& [generation, execution] : this->executions) {
+        if (execution->is_finished || execution->is_cancelled || execution->attached > 0
+            || now - execution->unattached_since < this->options.orphan_limit)
+            continue;
+        execution->is_cancelled = true;
+        this->engine.cancel(execution->key);
+    }
+}
+
+void FakeEngine::wait_while_frozen()
+{
+    std::unique_lock lock(this->mutex);
+    while (this->is_frozen && !this->stopping)
+        this->changed.wait_for(lock, longest_idle_wait);
+}
+
+void FakeEngine::serve(Request& request, Response& response)
+{
+    auto path = path_of(request);
+    constexpr std::string_view control_prefix = "/control/";
+    if (path == "/control/history") {
+        answer(response, 200, this->history());
+        return;
+    }
+    if (path.starts_with(control_prefix)) {
+        this->control(path.substr(control_prefix.size()), query_of(request));
+        answer(response, 200, "{}");
+        return;
+    }
+    this->wait_while_frozen();
+    constexpr std::string_view generation_prefix = "/v1/generations/";
+    if (request.getMethod() == "POST" && path == "/v1/generations") {
+        this->serve_start(request, response);
+    } else if (path.starts_with(generation_prefix)) {
+        auto rest = path.substr(generation_prefix.size());
+        auto generation = rest.substr(0, rest.find('/'));
+        if (request.getMethod() == "DELETE")
+            this->serve_cancel(request, response, generation);
+        else
+            this->serve_resume(request, response, generation);
+    } else if (path == "/v1/load") {
+        this->serve_load(request, response);
+    } else if (path == "/v1/orders") {
+        this->serve_order(request, response);
+    } else {
+        answer(response, 404, "{}");
+    }
+}
+
+void FakeEngine::control(std::string const& action, std::map<std::string, std::string> const& query)
+{
+    std::lock_guard lock(this->mutex);
+    if (action == "leave")
+        this->is_leaving = true;
+    else if (action == "stay")
+        this->is_leaving = false;
+    else if (action == "freeze")
+        this->is_frozen = true;
+    else if (action == "thaw")
+        this->is_frozen = false;
+    else if (action == "cut")
+        // Every open stream ends in the middle; what runs goes on.
+        ++this->cuts;
+    else if (action == "forget") {
+        // As after a restart: what ran is gone.
+        for (auto& [generation, execution] : this->executions) {
+            execution->is_cancelled = true;
+            this->engine.cancel(execution->key);
+        }
+        this->executions.clear();
+        ++this->cuts;
+    } else if (action == "scale") {
+        auto factor = query.find("factor");
+        if (factor != query.end())
+            this->options.time_scale = std::stod(factor->second);
+    }
+    this->changed.notify_all();
+}
+
+void FakeEngine::serve_start(Request& request, Response& response)
+{
+    Poco::JSON::Parser parser;
+    auto body = parser.parse(read_body(request)).extract<Object::Ptr>();
+    auto generation = body->getValue<std::string>("generation");
+    auto attempt = body->getValue<u32>("attempt");
+    auto prompt = body->getValue<std::string>("prompt");
+    std::shared_ptr<Execution> execution;
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->is_leaving) {
+            answer(response, 503, "{}", { { "Lilactiller-Not-Started", "leaving" } });
+            return;
+        }
+        auto& fenced = this->fenced_attempts[generation];
+        if (attempt <= fenced) {
+            answer(response, 409, "{}", { { "Lilactiller-Not-Started", "fenced" } });
+            return;
+        }
+        fenced = attempt;
+        if (auto older = this->executions.find(generation); older != this->executions.end()) {
+            older->second->is_cancelled = true;
+            this->engine.cancel(older->second->key);
+        }
+        execution = std::make_shared<Execution>();
+        execution->key = this->next_key++;
+        execution->generation = generation;
+        execution->attempt = attempt;
+        execution->name = this->options.name + '-' + std::to_string(execution->key);
+        execution->unattached_since = std::chrono::steady_clock::now();
+        this->executions[generation] = execution;
+        this->execution_of_key[execution->key] = execution;
+        this->begun.push_back(execution);
+        this->engine.start({ execution->key, static_cast<i64>(prompt.size()) / bytes_per_token + 1,
+            output_length(prompt, static_cast<i64>(body->getValue<Poco::UInt64>("maximum_output_tokens"))),
+            body->optValue<int>("priority", 0), body->optValue<Poco::UInt64>("prefix_hash", 0) });
+        this->changed.notify_all();
+    }
+    this->stream(request, response, execution, 0);
+}
+
+void FakeEngine::serve_resume(Request& request, Response& response, std::string const& generation)
+{
+    auto query = query_of(request);
+    std::shared_ptr<Execution> execution;
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->executions.find(generation);
+        if (found != this->executions.end() && !found->second->is_cancelled
+            && std::to_string(found->second->attempt) == query["attempt"])
+            execution = found->second;
+    }
+    if (!execution) {
+        answer(response, 404, "{}");
+        return;
+    }
+    this->stream(request, response, execution, std::stoull(query["next_offset"]));
+}
+
+void FakeEngine::serve_cancel(Request& request, Response& response, std::string const& generation)
+{
+    auto query = query_of(request);
+    auto attempt = static_cast<u32>(std::stoul(query["attempt"]));
+    std::lock_guard lock(this->mutex);
+    auto found = this->executions.find(generation);
+    // A stream attached later has taken the generation over: an earlier one no longer speaks for it.
+    auto is_taken_over = found != this->executions.end() && query.contains("attachment")
+        && std::stoull(query["attachment"]) < found->second->attachments;
+    if (!is_taken_over) {
+        this->fenced_attempts[generation] = std::max(this->fenced_attempts[generation], attempt);
+        if (found != this->executions.end() && found->second->attempt <= attempt) {
+            found->second->is_cancelled = true;
+            this->engine.cancel(found->second->key);
+            this->changed.notify_all();
+        }
+    }
+    answer(response, 200, "{}");
+}
+
+bool FakeEngine::write_new_tokens(
+    Response&, std::ostream& output, Execution& execution, u64& next_offset, bool& is_done)
+{
+    std::vector<std::string> fresh;
+    bool is_finished = false;
+    u64 total = 0;
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait_for(lock, keep_alive_period, [&] {
+            return execution.tokens.size() > next_offset || execution.is_finished || execution.is_cancelled
+                || this->stopping;
+        });
+        if (execution.is_cancelled || this->stopping)
+            return false;
+        auto from = std::min<size_t>(next_offset, execution.tokens.size());
+        fresh.assign(execution.tokens.begin() + static_cast<std::ptrdiff_t>(from), execution.tokens.end());
+        is_finished = execution.is_finished;
+        total = execution.tokens.size();
+    }
+    for (auto const& token : fresh) {
+        Object object;
+        object.set("attempt", execution.attempt);
+        object.set("execution", execution.name);
+        object.set("offset", static_cast<Poco::UInt64>(next_offset++));
+        object.set("token", token);
+        output << "data: " << to_text(object) << "\n\n";
+    }
+    if (fresh.empty())
+        output << ": keep-alive\n\n";
+    if (is_finished) {
+        output << "data: {\"total\":" << total << "}\n\n";
+        is_done = true;
+    }
+    output << std::flush;
+    return output.good();
+}
+
+void FakeEngine::stream(
+    Request& request, Response& response, std::shared_ptr<Execution> const& execution, u64 next_offset)
+{
+    u64 cuts_seen = 0;
+    {
+        std::lock_guard lock(this->mutex);
+        response.set("Lilactiller-Attachment", std::to_string(++execution->attachments));
+        ++execution->attached;
+        cuts_seen = this->cuts;
+    }
+    response.setContentType("text/event-stream");
+    response.setChunkedTransferEncoding(true);
+    auto& output = response.send();
+    output << std::flush;
+    bool is_done = false;
+    while (!is_done) {
+        this->wait_while_frozen();
+        {
+            std::lock_guard lock(this->mutex);
+            if (this->cuts != cuts_seen)
+                break;
+        }
+        if (!this->write_new_tokens(response, output, *execution, next_offset, is_done))
+            break;
+    }
+    {
+        std::lock_guard lock(this->mutex);
+        --execution->attached;
+        execution->unattached_since = std::chrono::steady_clock::now();
+    }
+    if (!is_done)
+        hang_up(request);
+}
+
+std::string FakeEngine::load_json(u64 after_cache_sequence)
+{
+    auto load = this->past_loads.empty() || this->options.report_age == 0s ? this->engine.load()
+                                                                           : this->past_loads.front().second;
+    Object object;
+    object.set("used_tokens", static_cast<Poco::Int64>(load.used_tokens));
+    object.set("capacity_tokens", static_cast<Poco::Int64>(this->options.parameters.capacity_tokens));
+    object.set("running", load.running);
+    object.set("waiting", load.waiting);
+    object.set("steps", static_cast<Poco::UInt64>(load.steps));
+    object.set("age_milliseconds", static_cast<Poco::Int64>(AK::to_milliseconds(this->options.report_age)));
+    object.set("leaving", this->is_leaving);
+    Array generations;
+    for (auto const& [id, execution] : this->executions) {
+        if (!execution->is_finished && !execution->is_cancelled)
+            generations.add(id);
+    }
+    object.set("generations", generations);
+    Array adapter_names;
+    for (auto const& adapter : this->adapters)
+        adapter_names.add(adapter);
+    object.set("adapters", adapter_names);
+    Array events;
+    for (size_t i = 0; i < this->cache_events.size(); ++i) {
+        if (this->cache_events_dropped + i < after_cache_sequence)
+            continue;
+        Object event;
+        event.set("prefix_hash", static_cast<Poco::UInt64>(this->cache_events[i].first));
+        event.set("present", this->cache_events[i].second);
+        events.add(event);
+    }
+    object.set("cache_events", events);
+    object.set("cache_sequence", static_cast<Poco::UInt64>(this->cache_events_dropped + this->cache_events.size()));
+    object.set("cache_has_gap", after_cache_sequence < this->cache_events_dropped);
+    return to_text(object);
+}
+
+void FakeEngine::serve_load(Request& request, Response& response)
+{
+    auto query = query_of(request);
+    auto after = query["after_cache_sequence"].empty() ? 0 : std::stoull(query["after_cache_sequence"]);
+    std::lock_guard lock(this->mutex);
+    answer(response, 200, this->load_json(after));
+}
+
+void FakeEngine::serve_order(Request& request, Response& response)
+{
+    Poco::JSON::Parser parser;
+    auto body = parser.parse(read_body(request)).extract<Object::Ptr>();
+    auto epoch = body->getValue<Poco::UInt64>("epoch");
+    auto revision = body->getValue<Poco::UInt64>("revision");
+    std::lock_guard lock(this->mutex);
+    auto is_older = std::pair<u64, u64>(epoch, revision) < std::pair(this->highest_epoch, this->highest_revision);
+    if (this->options.checks_epochs && is_older) {
+        answer(response, 409, "{}");
+        return;
+    }
+    this->highest_epoch = epoch;
+    this->highest_revision = revision;
+    this->adapters.clear();
+    auto names = body->getArray("adapters");
+    for (unsigned i = 0; i < names->size(); ++i)
+        this->adapters.push_back(names->getElement<std::string>(i));
+    this->orders_done.push_back(std::to_string(epoch) + ':' + std::to_string(revision));
+    answer(response, 200, "{}");
+}
+
+std::string FakeEngine::history()
+{
+    std::lock_guard lock(this->mutex);
+    std::string lines;
+    for (auto const& execution : this->begun) {
+        Object line;
+        line.set("execution", execution->name);
+        line.set("generation", execution->generation);
+        line.set("attempt", execution->attempt);
+        line.set("finished", execution->is_finished);
+        Array tokens;
+        for (auto const& token : execution->tokens)
+            tokens.add(token);
+        line.set("tokens", tokens);
+        lines += to_text(line) + '\n';
+    }
+    return lines;
+}
+
+std::vector<std::string> FakeEngine::orders()
+{
+    std::lock_guard lock(this->mutex);
+    return this->orders_done;
+}
+
+}
--- /dev/null
+++ b/StandIns/FakeEngine/main.cpp
@@ -0,0 +1,31 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <StandIns/Common/StandInMain.h>
+#include <StandIns/FakeEngine/FakeEngine.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(listen, "127.0.0.1:9100", "address");
+DEFINE_string(name, "engine", "name, part of the names of its executions");
+DEFINE_string(model, "", "model it serves");
+DEFINE_int64(capacity_tokens, 24000, "memory for prompts and outputs, in tokens");
+DEFINE_double(time_scale, 1, "steps take this many times what the model says");
+DEFINE_int32(report_age_milliseconds, 0, "how old load reports are when given out");
+DEFINE_bool(checks_epochs, true, "whether orders with an older epoch are refused");
+
+int main(int argc, char** argv)
+{
+    StandIns::prepare(argc, argv, "Stand-in for a model engine.");
+    StandIns::FakeEngineOptions options;
+    options.name = FLAGS_name;
+    options.model = FLAGS_model;
+    options.parameters.capacity_tokens = FLAGS_capacity_tokens;
+    options.time_scale = FLAGS_time_scale;
+    options.report_age = std::chrono::milliseconds(FLAGS_report_age_milliseconds);
+    options.checks_epochs = FLAGS_checks_epochs;
+    StandIns::FakeEngine engine(Address(FLAGS_listen), options);
+    StandIns::wait_for_stop();
+}
--- /dev/null
+++ b/StandIns/FakeService/FakeService.h
@@ -0,0 +1,50 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <StandIns/Common/HttpStandIn.h>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace StandIns {
+
+enum class ServiceFault : u8 {
+    None,
+    /// Turns the call away, saying that it was not started.
+    TurnAway,
+    /// Runs the call, then hangs up without an answer.
+    LoseAnswer,
+    /// Hangs up without running the call.
+    HangUpBefore,
+};
+
+/// A plain service that counts its executions. Any path but /control/ runs; the body that comes back names the path.
+/// For tests: /control/fault?mode=none|turn_away|lose_answer|hang_up_before&count=N (0 for ever), and
+/// /control/history, a line for each execution: call, idempotency key, path.
+class FakeService {
+public:
+    explicit FakeService(Address const& listen, std::string name = "service");
+
+    [[nodiscard]] Address address() const { return this->server->address(); }
+    void set_fault(ServiceFault, u64 count = 0);
+    std::string history();
+    u64 execution_count();
+
+private:
+    void serve(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+    ServiceFault take_fault();
+
+    std::string name;
+    std::mutex mutex;
+    ServiceFault fault { ServiceFault::None };
+    u64 remaining { 0 };
+    std::vector<std::string> executions;
+    std::unique_ptr<HttpStandIn> server;
+};
+
+}
--- /dev/null
+++ b/StandIns/FakeService/main.cpp
@@ -0,0 +1,19 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <StandIns/Common/StandInMain.h>
+#include <StandIns/FakeService/FakeService.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(listen, "127.0.0.1:9200", "address");
+DEFINE_string(name, "service", "name, for its history");
+
+int main(int argc, char** argv)
+{
+    StandIns::prepare(argc, argv, "Stand-in for a plain service.");
+    StandIns::FakeService service(Address(FLAGS_listen), FLAGS_name);
+    StandIns::wait_for_stop();
+}
--- /dev/null
+++ b/Utilities/CallerClient.cpp
@@ -0,0 +1,140 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "CallerClient.h"
+#include <LibPlatform/HttpCall.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <istream>
+#include <ostream>
+#include <sstream>
+#include <thread>
+
+using Poco::JSON::Object;
+
+static constexpr Duration patience = 30s;
+static constexpr u32 most_resumes = 20;
+static constexpr Duration pause_before_resume = 100ms;
+
+CallerClient::CallerClient(std::vector<Address> gateways, std::string api_key)
+    : gateways(std::move(gateways))
+    , api_key(std::move(api_key))
+{
+}
+
+static std::string to_text(Object const& object)
+{
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+bool CallerClient::read_event(Progress& progress, std::string const& data, OnToken const& on_token)
+{
+    Poco::JSON::Parser parser;
+    auto object = parser.parse(data).extract<Object::Ptr>();
+    auto own = object->getObject("lilactiller");
+    auto& result = progress.result;
+    if (own && own->has("outcome")) {
+        result.outcome = own->getValue<std::string>("outcome");
+        if (auto error = object->getObject("error"))
+            result.error = error->getValue<std::string>("type");
+        return true;
+    }
+    auto now = std::chrono::steady_clock::now();
+    if (result.tokens.empty())
+        result.stall = now - progress.asked_at;
+    else
+        result.gaps.push_back(now - progress.last_token_at);
+    progress.last_token_at = now;
+    result.offsets.push_back(own->getValue<Poco::UInt64>("offset"));
+    result.tokens.push_back(object->getArray("choices")->getObject(0)->getValue<std::string>("text"));
+    if (on_token)
+        on_token(result.tokens.back());
+    return false;
+}
+
+bool CallerClient::read_stream(Progress& progress, std::istream& stream, OnToken const& on_token)
+{
+    constexpr std::string_view prefix = "data: ";
+    for (std::string line; std::getline(stream, line);) {
+        if (line.starts_with(prefix) && this->read_event(progress, line.substr(prefix.size()), on_token))
+            return true;
+    }
+    return false;
+}
+
+bool CallerClient::connect_and_read(Progress& progress, Address const& gateway, std::string const& method,
+    std::string const& path, std::string const& body, Duration deadline, OnToken const& on_token)
+{
+    auto connected = Platform::connect_http(gateway, patience);
+    if (!connected)
+        return false;
+    auto& session = *connected.value();
+    auto& result = progress.result;
+    try {
+        auto request = Platform::make_http_request(gateway, { method, path, body, {} });
+        request.set("Authorization", "Bearer " + this->api_key);
+        request.set("Lilactiller-Resume-Token", progress.resume_token);
+        request.set("Lilactiller-Deadline-Milliseconds", std::to_string(AK::to_milliseconds(deadline)));
+        session.sendRequest(request) << body << std::flush;
+        Poco::Net::HTTPResponse response;
+        auto& stream = session.receiveResponse(response);
+        result.status = response.getStatus();
+        result.generation = response.get("Lilactiller-Generation", result.generation);
+        result.had_retry_after = response.has("Retry-After");
+        progress.resume_token = response.get("Lilactiller-Resume-Token", progress.resume_token);
+        if (response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK)
+            return this->read_stream(progress, stream, on_token);
+        std::string error;
+        std::getline(stream, error);
+        return this->read_event(progress, error, on_token);
+    } catch (Poco::Exception const&) {
+        return false;
+    }
+}
+
+GenerationResult CallerClient::generate(size_t first_gateway, std::string const& route, std::string const& prompt,
+    Duration deadline, OnToken const& on_token)
+{
+    Object body;
+    body.set("model", route);
+    body.set("prompt", prompt);
+    body.set("stream", true);
+    Progress progress;
+    progress.asked_at = std::chrono::steady_clock::now();
+    auto const& first = this->gateways[first_gateway % this->gateways.size()];
+    if (this->connect_and_read(progress, first, "POST", "/v1/completions", to_text(body), deadline, on_token))
+        return progress.result;
+    // The connection broke. Without a resume token nothing was delivered and nothing can be resumed.
+    while (!progress.resume_token.empty() && progress.result.resumes < most_resumes) {
+        std::this_thread::sleep_for(pause_before_resume);
+        auto const& next = this->gateways[(first_gateway + ++progress.result.resumes) % this->gateways.size()];
+        auto path = "/v1/generations/" + progress.result.generation
+            + "/stream?next_offset=" + std::to_string(progress.result.tokens.size());
+        if (this->connect_and_read(progress, next, "GET", path, "", deadline, on_token))
+            break;
+    }
+    return progress.result;
+}
+
+CallResult CallerClient::call_service(size_t gateway, std::string const& method, std::string const& path,
+    std::string const& idempotency_key, std::string const& body)
+{
+    Platform::HttpQuestion question { method, path, body, { { "Authorization", "Bearer " + this->api_key } } };
+    if (!idempotency_key.empty())
+        question.headers["Idempotency-Key"] = idempotency_key;
+    auto answer = Platform::call_http(this->gateways[gateway % this->gateways.size()], question, patience);
+    if (!answer)
+        return {};
+    auto header = [&](char const* name) {
+        auto found = answer.value().headers.find(name);
+        return found == answer.value().headers.end() ? std::string() : found->second;
+    };
+    return { header("Lilactiller-Call"), header("Lilactiller-Outcome"), answer.value().status, answer.value().body };
+}
--- /dev/null
+++ b/Utilities/CallerClient.h
@@ -0,0 +1,64 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Identifiers.h>
+#include <functional>
+#include <string>
+#include <vector>
+
+/// What one caller saw of one generation.
+struct GenerationResult {
+    std::string generation;
+    /// "completed", "not_run", "may_have_run", or empty when there was no final answer.
+    std::string outcome;
+    int status { 0 };
+    std::string error;
+    std::vector<u64> offsets;
+    std::vector<std::string> tokens;
+    Duration stall { 0 };
+    std::vector<Duration> gaps;
+    u32 resumes { 0 };
+    bool had_retry_after { false };
+};
+
+struct CallResult {
+    std::string call;
+    std::string outcome;
+    int status { 0 };
+    std::string body;
+};
+
+/// A caller of the gateways: streams generations, resumes them at another gateway when a connection breaks, and makes
+/// plain-service calls. Blocks; one object for each thread.
+class CallerClient {
+public:
+    CallerClient(std::vector<Address> gateways, std::string api_key);
+
+    using OnToken = std::function<void(std::string const&)>;
+    GenerationResult generate(size_t first_gateway, std::string const& route, std::string const& prompt,
+        Duration deadline, OnToken const& on_token = {});
+    CallResult call_service(size_t gateway, std::string const& method, std::string const& path,
+        std::string const& idempotency_key, std::string const& body);
+
+private:
+    struct Progress {
+        GenerationResult result;
+        std::string resume_token;
+        Instant asked_at;
+        Instant last_token_at;
+    };
+
+    /// Reads one connection to its end. Says whether a final answer came.
+    bool read_stream(Progress&, std::istream&, OnToken const&);
+    bool read_event(Progress&, std::string const& data, OnToken const&);
+    bool connect_and_read(Progress&, Address const&, std::string const& method, std::string const& path,
+        std::string const& body, Duration deadline, OnToken const&);
+
+    std::vector<Address> gateways;
+    std::string api_key;
+};
