LibScheduling: Spare the roomiest engine, pass within a queue, follow preemptions

Cause: on the toll shape (10 engines of 12,000 tokens, prompts of 300 beside prompts of 2,500) requests that need much room at once waited although the pool had room in all: memory was free in pieces. And one fixed margin between expected demand and memory was too wide at 0.9 of capacity and too narrow at 1.2.

--- a/Libraries/LibEngineModel/EngineModel.cpp
+++ b/Libraries/LibEngineModel/EngineModel.cpp
@@ -83,6 +83,7 @@
 
 void Engine::preempt(size_t position, std::vector<StepEvent>& events)
 {
+    ++this->preemptions;
     auto victim = this->running[position];
     this->running.erase(this->running.begin() + static_cast<std::ptrdiff_t>(position));
     this->used_blocks -= victim.blocks;
@@ -193,7 +194,7 @@
 EngineLoad Engine::load() const
 {
     return { this->used_blocks * this->parameters.block_tokens, static_cast<u32>(this->running.size()),
-        static_cast<u32>(this->waiting.size()), this->steps };
+        static_cast<u32>(this->waiting.size()), this->steps, this->preemptions };
 }
 
 std::optional<i64> Engine::produced(u64 key) const
--- a/Libraries/LibEngineModel/EngineModel.h
+++ b/Libraries/LibEngineModel/EngineModel.h
@@ -56,6 +56,7 @@
     u32 running { 0 };
     u32 waiting { 0 };
     u64 steps { 0 };
+    u64 preemptions { 0 };
 };
 
 /// A continuously batching engine: each step every running generation decodes one token, new prompts are taken in by
@@ -107,6 +108,7 @@
     EngineParameters parameters;
     u64 next_arrival { 0 };
     u64 steps { 0 };
+    u64 preemptions { 0 };
     i64 used_blocks { 0 };
     i64 cached_blocks { 0 };
     std::vector<Sequence> running;
--- /dev/null
+++ b/Libraries/LibPolicyBench/Measures.cpp
@@ -0,0 +1,39 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibPolicyBench/Measures.h>
+#include <algorithm>
+
+namespace PolicyBench {
+
+static constexpr unsigned bin_count = 2000;
+static constexpr double smallest_seconds = 1e-4;
+static constexpr double largest_seconds = 1e3;
+
+FineHistogram::FineHistogram()
+    : histogram(boost::histogram::make_histogram(Axis(bin_count, smallest_seconds, largest_seconds)))
+{
+}
+
+void FineHistogram::record(Duration duration)
+{
+    this->histogram(std::max(AK::to_seconds(duration), smallest_seconds));
+    ++this->total;
+}
+
+double FineHistogram::quantile(double quantile) const
+{
+    auto wanted = quantile * static_cast<double>(this->total);
+    double cumulative = 0;
+    for (auto&& cell : boost::histogram::indexed(this->histogram)) {
+        cumulative += *cell;
+        if (cumulative >= wanted && cumulative > 0)
+            return cell.bin().upper();
+    }
+    return 0;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPolicyBench/Measures.h
@@ -0,0 +1,57 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Types.h>
+#include <boost/histogram.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace PolicyBench {
+
+/// Durations from 0.1 ms to 1,000 s in steps of under one per cent, for ratios between policies.
+class FineHistogram {
+public:
+    FineHistogram();
+    void record(Duration);
+    [[nodiscard]] double quantile(double quantile) const;
+    [[nodiscard]] u64 count() const { return this->total; }
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    decltype(boost::histogram::make_histogram(std::declval<Axis>())) histogram;
+    u64 total { 0 };
+};
+
+/// What one run of one policy on one workload gave, over the time after warm-up.
+struct Measures {
+    FineHistogram stall;
+    FineHistogram gap;
+    std::map<std::string, FineHistogram> stall_of_organisation;
+    std::map<std::string, double> tokens_of_organisation;
+    std::map<std::string, u64> refusals_of_organisation;
+    std::map<std::string, u64> arrivals_of_organisation;
+    u64 arrivals { 0 };
+    u64 refusals { 0 };
+    u64 completions { 0 };
+    /// Completed, with the first token within the deadline.
+    u64 good { 0 };
+    /// Lost with a reclaimed engine after tokens were delivered.
+    u64 lost { 0 };
+    u64 preemptions { 0 };
+    double measured_seconds { 0 };
+
+    [[nodiscard]] double preemptions_per_thousand() const
+    {
+        return this->completions ? 1000.0 * static_cast<double>(this->preemptions) / static_cast<double>(this->completions)
+                                 : 0;
+    }
+    [[nodiscard]] double goodput() const { return static_cast<double>(this->good) / this->measured_seconds; }
+};
+
+}
--- a/Libraries/LibRouter/EngineControl.cpp
+++ b/Libraries/LibRouter/EngineControl.cpp
@@ -29,6 +29,7 @@
     report.running = object.getValue<Poco::UInt32>("running");
     report.waiting = object.getValue<Poco::UInt32>("waiting");
     report.steps = object.getValue<double>("steps");
+    report.preemptions = object.optValue<double>("preemptions", 0);
     report.age = std::chrono::milliseconds(object.optValue<Poco::Int64>("age_milliseconds", 0));
     report.is_leaving = object.optValue<bool>("leaving", false);
     report.cache_sequence = object.optValue<Poco::UInt64>("cache_sequence", 0);
--- a/Libraries/LibRouter/EngineControl.h
+++ b/Libraries/LibRouter/EngineControl.h
@@ -21,6 +21,7 @@
     u32 running { 0 };
     u32 waiting { 0 };
     double steps { 0 };
+    double preemptions { 0 };
     Duration age { 0 };
     bool is_leaving { false };
     /// Generations that run or wait there.
--- a/Libraries/LibRouter/RouterLoop.cpp
+++ b/Libraries/LibRouter/RouterLoop.cpp
@@ -144,7 +144,7 @@
     pool.scheduler.set_draining(id, this->node.is_leaving(id));
     pool.scheduler.put_engine(id, engine.record.address, report.capacity_tokens, now());
     pool.scheduler.load_report(
-        id, { report.used_tokens, report.running, report.waiting, report.steps, report.age }, now());
+        id, { report.used_tokens, report.running, report.waiting, report.steps, report.preemptions, report.age }, now());
     if (report.cache_has_gap)
         pool.scheduler.forget_prefixes(id);
     for (auto const& [hash, is_present] : report.cache_events)
--- a/Libraries/LibScheduling/Admission.h
+++ b/Libraries/LibScheduling/Admission.h
@@ -37,7 +37,7 @@
         auto room = engine.capacity * (1 - this->constants.reserve_share);
         double tightest = 0;
         for (size_t i = 0; i < forecast_horizons.size(); ++i) {
-            auto needed = demand.mean[i] + this->constants.safety_deviations * std::sqrt(demand.variance[i]);
+            auto needed = demand.mean[i] + tables.safety_deviations * std::sqrt(demand.variance[i]);
             tightest = std::max(tightest, needed / room);
         }
         return tightest;
--- a/Libraries/LibScheduling/PoolScheduler.h
+++ b/Libraries/LibScheduling/PoolScheduler.h
@@ -57,6 +57,7 @@
         : admission(std::move(admission))
         , constants(constants)
     {
+        this->tables.safety_deviations = constants.initial_safety;
     }
 
     void put_engine(EngineId const& id, Address const& address, double capacity, Instant now);
@@ -90,14 +91,29 @@
 private:
     [[nodiscard]] bool is_over_limits(SubmitRequest const&, OrganisationRow&, Instant now);
     void refuse_new(SubmitRequest const&, Error);
+    /// Whether a prompt takes much of an engine at once.
+    [[nodiscard]] bool is_large(double prompt) const;
     /// Whether a request for a generation already known needs nothing more than perhaps the same answer again.
     [[nodiscard]] bool answer_repeat(SubmitRequest const&, GenerationIndex known);
     void enqueue(GenerationIndex);
     void run_admission(Instant now);
     [[nodiscard]] std::optional<OrganisationIndex> next_organisation(std::vector<bool> const& passed_over) const;
+    struct Candidate {
+        EngineIndex engine;
+        double tightness;
+    };
+    [[nodiscard]] std::vector<Candidate> engines_with_room(GenerationRow const&);
+    /// Keeps the roomiest engine of a loaded pool for requests that need much room at once.
+    void spare_roomiest(std::vector<Candidate>&, GenerationRow const&) const;
     [[nodiscard]] std::optional<EngineIndex> choose_engine(GenerationRow const&, std::string& reason);
+    [[nodiscard]] bool may_take(EngineRow const&, GenerationRow const&) const;
+    /// Lets the engine that will soonest have room for a blocked head of queue drain for it.
+    void reserve_engine_for(GenerationRow const&);
     [[nodiscard]] double placement_cost(EngineRow const&, GenerationRow const&, double tightness) const;
     [[nodiscard]] int priority_of(GenerationRow const&) const;
+    [[nodiscard]] bool has_waited_long(GenerationRow const&, Instant now) const;
+    /// Places the first of an organisation's foremost requests that fits somewhere.
+    bool place_one_of(OrganisationIndex, Instant now);
     void place(GenerationIndex, EngineIndex, std::string reason, Instant now);
     void leave_engine(GenerationIndex);
     void settle_charge(GenerationRow const&, double actual_cost);
@@ -183,6 +199,14 @@
     this->tables.actions.push_back(RefuseAction { request.generation, request.attempt, std::move(error) });
 }
 
+template<AdmissionPolicy Admission>
+bool PoolScheduler<Admission>::is_large(double prompt) const
+{
+    return std::ranges::any_of(this->tables.engines, [&](EngineRow const& engine) {
+        return prompt >= engine.capacity * this->constants.large_share;
+    });
+}
+
 template<AdmissionPolicy Admission>
 void PoolScheduler<Admission>::raise_virtual_time(OrganisationRow& organisation)
 {
@@ -232,6 +256,8 @@
         return;
     }
     this->raise_virtual_time(organisation);
+    if (this->is_large(static_cast<double>(request.prompt.value())))
+        this->tables.last_large_request = now;
 
     GenerationRow row;
     row.id = request.generation;
@@ -327,6 +353,7 @@
         this->tables.forecasts.advance(generation.forecast, generation.bin, bin);
         if (reason == EndReason::Completed)
             this->tables.forecasts.finish(generation.forecast, tokens);
+        adjust_safety(this->tables, this->constants, 0, 1, now);
         auto held = AK::to_seconds(now - generation.dispatched_at);
         this->settle_charge(generation, (generation.prompt + tokens / 2) * held);
     } else {
@@ -350,6 +377,8 @@
         if (cadence > 0 && cadence < slowest_cadence)
             engine->step_seconds += (cadence - engine->step_seconds) / 2;
     }
+    if (engine->report && report.preemptions > engine->report->preemptions)
+        adjust_safety(this->tables, this->constants, report.preemptions - engine->report->preemptions, 0, now);
     auto measured_at = now - report.age;
     auto believed = 0.0;
     for (auto const& [at, tokens] : engine->own_usage) {
@@ -475,31 +504,73 @@
 }
 
 template<AdmissionPolicy Admission>
-std::optional<EngineIndex> PoolScheduler<Admission>::choose_engine(
-    GenerationRow const& generation, std::string& reason)
+bool PoolScheduler<Admission>::may_take(EngineRow const& engine, GenerationRow const& generation) const
+{
+    auto const& excluded = generation.excluded_engines;
+    return takes_new_work(engine) && !engine.is_reserved
+        && std::ranges::find(excluded, engine.id) == excluded.end();
+}
+
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::reserve_engine_for(GenerationRow const& generation)
 {
-    std::optional<EngineIndex> best;
-    auto best_cost = std::numeric_limits<double>::infinity();
-    auto best_tightness = 0.0;
+    EngineRow* best = nullptr;
+    auto least = std::numeric_limits<double>::infinity();
+    for (auto& engine : this->tables.engines) {
+        if (!this->may_take(engine, generation))
+            continue;
+        auto tightness = this->admission.tightness(this->tables, engine, generation);
+        if (tightness < least) {
+            best = &engine;
+            least = tightness;
+        }
+    }
+    if (best)
+        best->is_reserved = true;
+}
+
+template<AdmissionPolicy Admission>
+std::vector<typename PoolScheduler<Admission>::Candidate> PoolScheduler<Admission>::engines_with_room(
+    GenerationRow const& generation)
+{
+    std::vector<Candidate> candidates;
     for (EngineIndex i = 0; i < this->tables.engines.size(); ++i) {
         auto& engine = this->tables.engines[i];
-        if (!takes_new_work(engine)
-            || std::ranges::find(generation.excluded_engines, engine.id) != generation.excluded_engines.end())
+        if (!this->may_take(engine, generation))
             continue;
         auto tightness = this->admission.tightness(this->tables, engine, generation);
         // An empty engine takes what it is given: nothing will make more room there.
-        if (tightness > 1 && !engine.generations.empty())
-            continue;
-        auto cost = this->placement_cost(engine, generation, tightness);
-        if (cost < best_cost) {
-            best = i;
-            best_cost = cost;
-            best_tightness = tightness;
-        }
+        if (tightness <= 1 || engine.generations.empty())
+            candidates.push_back({ i, tightness });
     }
-    if (best)
-        reason = "memory " + std::to_string(static_cast<int>(best_tightness * 100)) + "% of the safe limit";
-    return best;
+    return candidates;
+}
+
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::spare_roomiest(std::vector<Candidate>& candidates, GenerationRow const& generation) const
+{
+    if (candidates.size() < 2)
+        return;
+    auto roomiest = std::ranges::min_element(candidates, {}, &Candidate::tightness);
+    auto const& engine = this->tables.engines[roomiest->engine];
+    auto is_small = generation.prompt < engine.capacity * this->constants.large_share;
+    if (is_small && this->tables.last_large_request && roomiest->tightness > this->constants.spare_above)
+        candidates.erase(roomiest);
+}
+
+template<AdmissionPolicy Admission>
+std::optional<EngineIndex> PoolScheduler<Admission>::choose_engine(
+    GenerationRow const& generation, std::string& reason)
+{
+    auto candidates = this->engines_with_room(generation);
+    this->spare_roomiest(candidates, generation);
+    if (candidates.empty())
+        return std::nullopt;
+    auto best = std::ranges::min_element(candidates, {}, [&](Candidate const& candidate) {
+        return this->placement_cost(this->tables.engines[candidate.engine], generation, candidate.tightness);
+    });
+    reason = "memory " + std::to_string(static_cast<int>(best->tightness * 100)) + "% of the safe limit";
+    return best->engine;
 }
 
 template<AdmissionPolicy Admission>
@@ -541,26 +612,52 @@
         this->priority_of(generation), std::move(reason) });
 }
 
+template<AdmissionPolicy Admission>
+bool PoolScheduler<Admission>::has_waited_long(GenerationRow const& generation, Instant now) const
+{
+    auto waited = AK::to_seconds(now - generation.arrived);
+    return waited >= AK::to_seconds(generation.deadline - generation.arrived) * this->constants.bypass_share;
+}
+
+template<AdmissionPolicy Admission>
+bool PoolScheduler<Admission>::place_one_of(OrganisationIndex organisation, Instant now)
+{
+    auto const& queue = this->tables.organisations[organisation].queue;
+    auto depth = std::min(queue.size(), this->constants.passing_depth);
+    for (size_t i = 0; i < depth; ++i) {
+        auto index = queue[i];
+        std::string reason;
+        auto engine = this->choose_engine(this->tables.generations[index], reason);
+        if (engine) {
+            this->place(index, *engine, std::move(reason), now);
+            return true;
+        }
+        // Others may pass a request that does not fit; after a while one engine is left to drain for it.
+        auto const& generation = this->tables.generations[index];
+        if (this->has_waited_long(generation, now)) {
+            if (!this->constants.reserves_engine)
+                return false;
+            this->reserve_engine_for(generation);
+        }
+    }
+    return false;
+}
+
 template<AdmissionPolicy Admission>
 void PoolScheduler<Admission>::run_admission(Instant now)
 {
     std::vector<bool> passed_over(this->tables.organisations.size(), false);
+    for (auto& engine : this->tables.engines)
+        engine.is_reserved = false;
     while (this->tables.queued_count > 0) {
         auto organisation = this->next_organisation(passed_over);
         if (!organisation)
             return;
-        auto index = this->tables.organisations[*organisation].queue.front();
-        std::string reason;
-        auto engine = this->choose_engine(this->tables.generations[index], reason);
-        if (engine) {
-            this->place(index, *engine, std::move(reason), now);
+        if (this->place_one_of(*organisation, now))
             continue;
-        }
-        // Others may pass a head that does not fit, for a while; then memory is left to drain for it.
-        auto const& generation = this->tables.generations[index];
-        auto waited = AK::to_seconds(now - generation.arrived);
-        auto allowed = AK::to_seconds(generation.deadline - generation.arrived) * this->constants.bypass_share;
-        if (waited > allowed)
+        this->tables.last_short_of_memory = now;
+        auto const& head = this->tables.generations[this->tables.organisations[*organisation].queue.front()];
+        if (this->has_waited_long(head, now) && !this->constants.reserves_engine)
             return;
         passed_over[*organisation] = true;
     }
@@ -587,6 +684,9 @@
         if (engine.own_usage.size() > kept_usage_samples)
             engine.own_usage.pop_front();
     }
+    auto& last_large = this->tables.last_large_request;
+    if (last_large && now - *last_large > this->constants.large_request_memory)
+        last_large.reset();
     expire_queue(this->tables, now);
     return this->admit(now);
 }
--- a/Libraries/LibScheduling/Systems.cpp
+++ b/Libraries/LibScheduling/Systems.cpp
@@ -53,6 +53,15 @@
         engine.silent = now - engine.report_received > constants.silence_limit;
 }
 
+void adjust_safety(Tables& tables, PolicyConstants const& constants, double preemptions, double finished, Instant now)
+{
+    auto change = preemptions;
+    if (tables.last_short_of_memory && now - *tables.last_short_of_memory < constants.shortage_memory)
+        change -= finished * constants.target_preemptions_per_generation;
+    tables.safety_deviations = std::clamp(tables.safety_deviations + constants.safety_gain * change,
+        constants.smallest_safety, constants.largest_safety);
+}
+
 void dequeue(Tables& tables, GenerationIndex index)
 {
     auto& generation = tables.generations[index];
--- a/Libraries/LibScheduling/Systems.h
+++ b/Libraries/LibScheduling/Systems.h
@@ -14,12 +14,20 @@
 /// Constants of the policy, apart from the code so that the bench can vary them. docs/POLICY.md gives the runs that
 /// chose each value.
 struct PolicyConstants {
-    /// Standard deviations kept free between the expected demand and an engine's memory.
-    double safety_deviations { 1.3 };
+    /// The margin between expected demand and memory, in standard deviations, starts here. It grows with each preemption
+    /// and shrinks with each generation that finishes while others wait for memory, so that preemptions come to about
+    /// the target where memory is short, and to fewer where it is not.
+    double initial_safety { 0.6 };
+    double smallest_safety { 0.5 };
+    double largest_safety { 2.5 };
+    double target_preemptions_per_generation { 0.003 };
+    double safety_gain { 0.05 };
+    /// Memory counts as short for so long after something had to wait for it.
+    Duration shortage_memory { 2s };
     /// Share of an engine's memory that is never planned with: partly filled blocks and steps that come in late.
-    double reserve_share { 0.02 };
+    double reserve_share { 0.04 };
     /// A head of queue that does not fit lets others pass until it has waited this share of its deadline.
-    double bypass_share { 0.15 };
+    double bypass_share { 0.6 };
     /// An engine from which nothing was heard for so long gets no new work.
     Duration silence_limit { 15s };
     /// Seconds to prefill one prompt token and the cost of one more generation in a batch, until measured.
@@ -27,6 +35,15 @@
     double batch_seconds_per_generation { 2e-4 };
     /// Expected waits over this share of what the deadline leaves are refused.
     double refusal_share { 1.0 };
+    /// So many of an organisation's foremost requests are tried; smaller ones may pass larger ones of its own.
+    size_t passing_depth { 4 };
+    /// Whether one engine is then left to drain for it, instead of all.
+    bool reserves_engine { true };
+    /// A request is large when its prompt takes this share of an engine. While large requests come, the roomiest engine
+    /// of a pool that is fuller than `spare_above` is kept for them.
+    double large_share { 0.2 };
+    double spare_above { 0.4 };
+    Duration large_request_memory { 30s };
     /// Whether queues are fair between organisations, or first come, first served.
     bool is_fair { true };
     /// Whether a request whose forecast wait passes its deadline is refused on arrival.
@@ -39,6 +56,9 @@
 /// Marks engines from which nothing was heard for too long, and those that came back.
 void expire_engines(Tables&, PolicyConstants const&, Instant now);
 
+/// Moves the safety margin with what was seen since the last report.
+void adjust_safety(Tables&, PolicyConstants const&, double preemptions, double finished, Instant now);
+
 /// Refuses what has waited past its deadline.
 void expire_queue(Tables&, Instant now);
 
--- a/Libraries/LibScheduling/Tables.h
+++ b/Libraries/LibScheduling/Tables.h
@@ -79,6 +79,8 @@
     u32 waiting { 0 };
     /// Steps since the engine started.
     double steps { 0 };
+    /// Preemptions since the engine started.
+    double preemptions { 0 };
     /// How old the figures were when they arrived.
     Duration age { 0 };
 };
@@ -91,6 +93,8 @@
     bool draining { false };
     /// Nothing has been heard of it for too long.
     bool silent { false };
+    /// Left to drain for a request that does not fit anywhere, during one run of admission.
+    bool is_reserved { false };
     std::optional<LoadReport> report;
     Instant report_received;
     std::vector<GenerationIndex> generations;
@@ -152,6 +156,12 @@
     std::unordered_map<OrganisationId, OrganisationIndex> organisation_of_id;
     LengthForecasts forecasts;
     size_t queued_count { 0 };
+    /// Standard deviations kept free between expected demand and memory; follows the preemptions that are seen.
+    double safety_deviations { 1 };
+    /// When something last had to wait for memory.
+    std::optional<Instant> last_short_of_memory;
+    /// When a request last came that needs much of an engine at once.
+    std::optional<Instant> last_large_request;
     std::vector<Action> actions;
 };
 
--- a/StandIns/FakeEngine/FakeEngine.cpp
+++ b/StandIns/FakeEngine/FakeEngine.cpp
@@ -359,6 +359,7 @@
     object.set("running", load.running);
     object.set("waiting", load.waiting);
     object.set("steps", static_cast<Poco::UInt64>(load.steps));
+    object.set("preemptions", static_cast<Poco::UInt64>(load.preemptions));
     object.set("age_milliseconds", static_cast<Poco::Int64>(AK::to_milliseconds(this->options.report_age)));
     object.set("leaving", this->is_leaving);
     Array generations;
