LibScheduling: Learn how far waits are off, and start from a prior with a mean

Cause: on a fresh pool the router refused a queue that it had room for in time. The prior let a fixed share of outputs end in each quarter of a doubling, so that the mean output was several thousand tokens and each queued request seemed to take minutes. Found by "a router that leaves hands its queue on", which failed with 7 of 10 refused. Also: a newcomer came after a flood of another organisation's requests, because the flood's cost was settled below its forecast; running work now counts as outstanding.

--- a/Libraries/LibGateway/EdgeCall.h
+++ b/Libraries/LibGateway/EdgeCall.h
@@ -43,6 +43,15 @@
     std::atomic<u32> delivered { 0 };
 };
 
+/// Where a generation comes from, as far as one edge thread is concerned.
+struct EngineSource {
+    GenerationId generation;
+    Address address;
+    AttemptNumber attempt;
+    /// Which of the streams attached to the generation this is.
+    u64 attachment { 0 };
+};
+
 /// The loop's word on a request to resume.
 using ResumeDecision = std::variant<Delivery::ResumeToken, Refused>;
 
--- a/Libraries/LibGateway/GatewayLoop.cpp
+++ b/Libraries/LibGateway/GatewayLoop.cpp
@@ -31,8 +31,9 @@
     return out.str();
 }
 
-GatewayLoop::GatewayLoop(Node::Node& node)
+GatewayLoop::GatewayLoop(Node::Node& node, GatewaySettings const& settings)
     : node(node)
+    , settings(settings)
     , random(std::random_device {}())
 {
     this->id_prefix = "gen-" + random_hexadecimal(this->random()) + '-';
@@ -314,6 +315,22 @@
     });
 }
 
+void GatewayLoop::post_caller_gone(EngineSource const& source, u64 token_count)
+{
+    auto cancel = [this, source, token_count] {
+        this->node.background().submit(
+            [source, patience = this->settings.connect_patience] {
+                cancel_on_engine(source.address, source.generation, source.attempt, source.attachment, patience);
+                return true;
+            },
+            [this, source, token_count](bool) {
+                this->post_finished(
+                    source.generation, wire::FINISH_CANCELLED, token_count, "the caller went away");
+            });
+    };
+    this->node.loop().post([this, cancel] { this->node.loop().after(this->settings.resume_grace, cancel); });
+}
+
 void GatewayLoop::members_changed()
 {
     for (auto const& [model, owner] : std::map(this->told_owners)) {
@@ -456,7 +473,7 @@
         auto const* service = this->node.configuration().find_service(call->service);
         if (!service || std::ranges::find(service->organisations(), organisation->id()) == service->organisations().end())
             return Error { ErrorKind::UnknownRoute,
-                "your organisation has no service '" + call->service.value() + "'; ask your operator", {} };
+                "your organisation has no such service; ask your operator for its services", {} };
         ServiceRow row;
         row.call = call;
         row.organisation = OrganisationId(organisation->id());
@@ -542,7 +559,7 @@
     if (!server) {
         this->refuse_service_call(row,
             { ErrorKind::NoBackendServer,
-                "no server of '" + row.call->service.value() + "' takes calls here; come back after the time given",
+                "no server of the service takes calls here; come back after the time given",
                 2s });
         return;
     }
--- a/Libraries/LibGateway/GatewayLoop.h
+++ b/Libraries/LibGateway/GatewayLoop.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <LibGateway/EdgeCall.h>
+#include <LibGateway/GatewaySettings.h>
 #include <LibNode/Node.h>
 #include <atomic>
 #include <map>
@@ -22,13 +23,16 @@
 /// functions named post_*, which may be called from any thread.
 class GatewayLoop {
 public:
-    explicit GatewayLoop(Node::Node&);
+    GatewayLoop(Node::Node&, GatewaySettings const&);
 
     void post_begin(std::shared_ptr<EdgeCall>);
     /// The engine did not start the attempt, or was lost before any token: ask for another engine.
     void post_try_again(std::shared_ptr<EdgeCall>, EngineId failed_engine, StreamFailure);
     void post_first_token(GenerationId const&);
     void post_finished(GenerationId const&, wire::FinishReason, u64 token_count, std::string const& text);
+    /// The caller's connection is gone. The generation is stopped after a while, unless the caller has resumed it, here
+    /// or at another gateway, by then.
+    void post_caller_gone(EngineSource const&, u64 token_count);
     void post_resume(std::shared_ptr<ResumeCall>);
     void post_resume_ended(GenerationId const&);
     void post_service_call(std::shared_ptr<ServiceCall>);
@@ -109,6 +113,7 @@
     [[nodiscard]] Duration time_left(Instant deadline) const;
 
     Node::Node& node;
+    GatewaySettings const& settings;
     std::unordered_map<GenerationId, GenerationRow> generations;
     std::unordered_map<std::string, ServiceRow> service_calls;
     std::unordered_map<OrganisationId, OrganisationRow> organisations;
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -27,6 +27,8 @@
     /// Requests open at once; more are refused at once.
     i64 largest_open_calls { 512 };
     Duration resume_token_lifetime { 5min };
+    /// A generation whose caller went away runs on for so long, should the caller resume it.
+    Duration resume_grace { 5s };
     /// After a planned stop begins, new requests are still served for so long, until the balancer has noticed.
     Duration balancer_lag { 3s };
 };
@@ -45,6 +47,7 @@
         = reader.whole_number_or("gateway.largest_open_calls", settings.largest_open_calls, 1, 10'000);
     settings.resume_token_lifetime
         = reader.duration_or("gateway.resume_token_lifetime", settings.resume_token_lifetime);
+    settings.resume_grace = reader.duration_or("gateway.resume_grace", settings.resume_grace);
     settings.balancer_lag = reader.duration_or("gateway.balancer_lag", settings.balancer_lag);
     return settings;
 }
--- a/Libraries/LibGateway/GenerationEdge.cpp
+++ b/Libraries/LibGateway/GenerationEdge.cpp
@@ -42,10 +42,9 @@
             this->writer.finish(this->relay.next_offset());
             return;
         case RelayEnd::CallerGone:
-            cancel_on_engine(placed.placement.address, generation, placed.placement.attempt, this->attachment,
-                this->settings.connect_patience);
-            this->gateway.post_finished(
-                generation, wire::FINISH_CANCELLED, this->relay.next_offset(), "the caller went away");
+            this->gateway.post_caller_gone(
+                { generation, placed.placement.address, placed.placement.attempt, this->attachment },
+                this->relay.next_offset());
             return;
         default:
             break;
@@ -142,11 +141,11 @@
                 return RelayEnd::Finished;
         }
         // Broken, a gap, or an end that came before the last token: go on from the last one delivered.
+        this->gateway.own_node().events().record(Core::EventNumber::StreamResumed, source.generation.value(),
+            "broken; goes on from offset " + std::to_string(this->relay.next_offset()));
         auto reattached = this->reattach(source);
         if (std::holds_alternative<StreamFailure>(reattached))
             return RelayEnd::Lost;
-        this->gateway.own_node().events().record(Core::EventNumber::StreamResumed, source.generation.value(),
-            "from offset " + std::to_string(this->relay.next_offset()));
         stream = std::move(std::get<0>(reattached));
     }
 }
@@ -208,8 +207,8 @@
         this->writer.finish(this->relay.next_offset());
         break;
     case RelayEnd::CallerGone:
-        cancel_on_engine(token.engine_address, token.generation, token.attempt, this->attachment,
-            this->settings.connect_patience);
+        this->gateway.post_caller_gone(
+            { token.generation, token.engine_address, token.attempt, this->attachment }, this->relay.next_offset());
         break;
     default:
         this->fail_lost();
--- a/Libraries/LibScheduling/LengthForecast.cpp
+++ b/Libraries/LibScheduling/LengthForecast.cpp
@@ -15,12 +15,31 @@
 static constexpr double histogram_memory = 400;
 // How many outputs of its own a route needs to outweigh its parent.
 static constexpr double prior_strength = 8;
-// The prior: in each bin, a quarter of a doubling, this share ends. It makes half of the outputs longer than 90 tokens
-// and one in ten longer than 900.
-static constexpr double prior_hazard = 0.045;
+// The prior, for a model of which nothing is known yet: log-normal, half of the outputs longer than 100 tokens and one
+// in ten longer than 470. A constant share ending in each bin was tried first; its mean of several thousand tokens had
+// requests refused on a fresh pool that had room for them.
+static constexpr double prior_median = 100;
+static constexpr double prior_sigma = 1.2;
 static constexpr double largest_hazard = 0.999;
 static constexpr double renormalise_above = 1e9;
 
+static double prior_survival(double tokens)
+{
+    if (tokens <= 0)
+        return 1;
+    return std::erfc(std::log(tokens / prior_median) / (prior_sigma * std::sqrt(2.0))) / 2;
+}
+
+static std::array<double, LengthBins::count> make_prior_hazards()
+{
+    std::array<double, LengthBins::count> hazards {};
+    for (size_t bin = 0; bin < LengthBins::count; ++bin)
+        hazards[bin] = 1 - prior_survival(LengthBins::lower(bin + 1)) / prior_survival(LengthBins::lower(bin));
+    return hazards;
+}
+
+static auto const prior_hazards = make_prior_hazards();
+
 LengthHistogram::LengthHistogram(double memory)
     : growth(std::exp(1 / memory))
 {
@@ -103,11 +122,9 @@
     auto leaf_key = organisation_key + '\n' + key.route.value();
     auto [entry, is_new] = this->index_of_key.try_emplace(leaf_key, static_cast<Index>(this->leaves.size()));
     if (is_new) {
-        std::array<double, LengthBins::count> hazards {};
-        hazards.fill(prior_hazard);
         this->leaves.push_back({ LengthHistogram(histogram_memory),
             &find_or_make(this->of_organisation, organisation_key), &find_or_make(this->of_model, key.model.value()),
-            SurvivalCurve(hazards), true });
+            SurvivalCurve(prior_hazards), true });
         this->leaves.back().curve = SurvivalCurve(this->hazards_of(this->leaves.back()));
     }
     return entry->second;
@@ -142,7 +159,7 @@
 {
     std::array<double, LengthBins::count> hazards {};
     for (size_t bin = 0; bin < LengthBins::count; ++bin) {
-        auto of_model = leaf.model->hazard(bin, prior_hazard, prior_strength);
+        auto of_model = leaf.model->hazard(bin, prior_hazards[bin], prior_strength);
         auto of_organisation = leaf.organisation->hazard(bin, of_model, prior_strength);
         hazards[bin] = leaf.own.hazard(bin, of_organisation, prior_strength);
     }
--- a/Libraries/LibScheduling/PoolScheduler.h
+++ b/Libraries/LibScheduling/PoolScheduler.h
@@ -273,7 +273,8 @@
     row.excluded_engines = request.excluded_engines;
     row.charged = expected_cost(this->tables, row, mean_step_seconds(this->tables));
 
-    auto wait = expected_wait(this->tables, organisation_number, row.charged);
+    row.reckoned_wait = reckoned_wait(this->tables, organisation_number, row.charged);
+    auto wait = corrected_wait(this->tables, row.reckoned_wait);
     auto longest_wait = AK::from_seconds(AK::to_seconds(request.deadline) * this->constants.refusal_share);
     if (this->constants.refuses_by_forecast && wait > longest_wait) {
         this->refuse_new(request,
@@ -331,7 +332,8 @@
 void PoolScheduler<Admission>::settle_charge(GenerationRow const& generation, double actual_cost)
 {
     auto& organisation = this->tables.organisations[generation.organisation];
-    organisation.virtual_time += (actual_cost - generation.charged) / organisation.weight;
+    organisation.virtual_time += actual_cost / organisation.weight;
+    organisation.outstanding = std::max(organisation.outstanding - generation.charged, 0.0);
 }
 
 template<AdmissionPolicy Admission>
@@ -475,7 +477,7 @@
     std::optional<OrganisationIndex> best;
     auto comes_before = [&](OrganisationRow const& left, OrganisationRow const& right) {
         if (this->constants.is_fair)
-            return left.virtual_time < right.virtual_time;
+            return service_level(left) < service_level(right);
         return this->tables.generations[left.queue.front()].arrived
             < this->tables.generations[right.queue.front()].arrived;
     };
@@ -582,10 +584,10 @@
     auto least = std::numeric_limits<double>::infinity();
     for (auto const& organisation : this->tables.organisations) {
         if (organisation.running > 0 || !organisation.queue.empty())
-            least = std::min(least, organisation.virtual_time);
+            least = std::min(least, service_level(organisation));
     }
     auto const& organisation = this->tables.organisations[generation.organisation];
-    auto is_above_share = organisation.virtual_time > least * 1.5;
+    auto is_above_share = service_level(organisation) > least * 1.5;
     return static_cast<int>(std::lround(weight * 10)) - (is_above_share ? 5 : 0);
 }
 
@@ -595,9 +597,10 @@
 {
     dequeue(this->tables, index);
     auto& generation = this->tables.generations[index];
+    learn_wait(this->tables, generation, now);
     auto& organisation = this->tables.organisations[generation.organisation];
     auto& engine = this->tables.engines[engine_index];
-    organisation.virtual_time += generation.charged / organisation.weight;
+    organisation.outstanding += generation.charged;
     ++organisation.running;
     generation.state = GenerationState::Dispatched;
     generation.engine = engine_index;
--- a/Libraries/LibScheduling/Systems.cpp
+++ b/Libraries/LibScheduling/Systems.cpp
@@ -62,6 +62,24 @@
         constants.smallest_safety, constants.largest_safety);
 }
 
+Duration corrected_wait(Tables const& tables, Duration reckoned)
+{
+    return AK::from_seconds(AK::to_seconds(reckoned) * tables.wait_correction);
+}
+
+void learn_wait(Tables& tables, GenerationRow const& generation, Instant now)
+{
+    constexpr Duration shortest_telling_wait = 100ms;
+    constexpr double learning_rate = 0.02;
+    constexpr double smallest_correction = 0.5;
+    constexpr double largest_correction = 10;
+    if (generation.reckoned_wait < shortest_telling_wait)
+        return;
+    auto ratio = AK::to_seconds(now - generation.arrived) / AK::to_seconds(generation.reckoned_wait);
+    auto moved = tables.wait_correction + learning_rate * (std::min(ratio, largest_correction) - tables.wait_correction);
+    tables.wait_correction = std::max(moved, smallest_correction);
+}
+
 void dequeue(Tables& tables, GenerationIndex index)
 {
     auto& generation = tables.generations[index];
@@ -95,8 +113,9 @@
     }
     for (auto index : expired) {
         auto organisation = tables.generations[index].organisation;
+        learn_wait(tables, tables.generations[index], now);
         dequeue(tables, index);
-        auto wait = expected_wait(tables, organisation, 0);
+        auto wait = corrected_wait(tables, reckoned_wait(tables, organisation, 0));
         refuse(tables, index,
             { ErrorKind::DeadlineUnreachable,
                 "no engine had room before the deadline; come back after the time given, or allow a later deadline",
@@ -152,7 +171,12 @@
     return count > 0 ? sum / count : EngineRow().step_seconds;
 }
 
-Duration expected_wait(Tables const& tables, OrganisationIndex organisation, double own_cost)
+double service_level(OrganisationRow const& organisation)
+{
+    return organisation.virtual_time + organisation.outstanding / organisation.weight;
+}
+
+Duration reckoned_wait(Tables const& tables, OrganisationIndex organisation, double own_cost)
 {
     double capacity = 0;
     for (auto const& engine : tables.engines) {
@@ -162,13 +186,13 @@
     if (capacity <= 0)
         return longest_retry;
     auto const& own = tables.organisations[organisation];
-    auto own_level = own.virtual_time + (own.queued_cost + own_cost) / own.weight;
+    auto own_level = service_level(own) + (own.queued_cost + own_cost) / own.weight;
     auto ahead = own.queued_cost;
     for (auto const& other : tables.organisations) {
         if (&other == &own || other.queue.empty())
             continue;
         // What the other may be served before its virtual time passes the level at which this request's turn comes.
-        auto before_own_turn = std::max(own_level - other.virtual_time, 0.0) * other.weight;
+        auto before_own_turn = std::max(own_level - service_level(other), 0.0) * other.weight;
         ahead += std::min(other.queued_cost, before_own_turn);
     }
     return AK::from_seconds(ahead / capacity);
--- a/Libraries/LibScheduling/Systems.h
+++ b/Libraries/LibScheduling/Systems.h
@@ -33,8 +33,8 @@
     /// Seconds to prefill one prompt token and the cost of one more generation in a batch, until measured.
     double prefill_seconds_per_token { 3e-5 };
     double batch_seconds_per_generation { 2e-4 };
-    /// Expected waits over this share of what the deadline leaves are refused.
-    double refusal_share { 1.0 };
+    /// Requests whose expected wait is over this share of their deadline are refused on arrival.
+    double refusal_share { 0.7 };
     /// So many of an organisation's foremost requests are tried; smaller ones may pass larger ones of its own.
     size_t passing_depth { 4 };
     /// Whether one engine is then left to drain for it, instead of all.
@@ -74,8 +74,14 @@
 /// The mean cadence of the engines that take work, in seconds a step.
 double mean_step_seconds(Tables const&);
 
-/// How long a new request of `organisation` would wait, given the queues and their shares.
-Duration expected_wait(Tables const&, OrganisationIndex organisation, double own_cost);
+/// What an organisation has had and is having, per weight: who has least comes first.
+double service_level(OrganisationRow const&);
+
+/// How long a new request of `organisation` would wait by the queues and their shares alone.
+Duration reckoned_wait(Tables const&, OrganisationIndex organisation, double own_cost);
+
+/// Learns from a request that has waited until `now`, placed or given up, how far the reckoning of waits is off.
+void learn_wait(Tables&, GenerationRow const&, Instant now);
 
 /// Takes a generation off its queue.
 void dequeue(Tables&, GenerationIndex);
@@ -86,6 +92,9 @@
 /// When to come back: the time until the queues ahead have drained, within reason.
 Duration retry_after(Duration expected_wait);
 
+/// The reckoned wait, corrected by what waits have been.
+Duration corrected_wait(Tables const&, Duration reckoned);
+
 bool takes_new_work(EngineRow const&);
 
 }
--- a/Libraries/LibScheduling/Tables.h
+++ b/Libraries/LibScheduling/Tables.h
@@ -53,6 +53,8 @@
     MeasureWeights weights;
     Instant arrived;
     Instant deadline;
+    /// The wait reckoned on arrival, without the correction.
+    Duration reckoned_wait { 0 };
     Instant dispatched_at;
     /// Position of the engine's step count when the first token came out.
     double steps_at_first_token { 0 };
@@ -118,8 +120,10 @@
     double weight { 1 };
     u32 maximum_concurrency { 0 };
     double maximum_rate { 0 };
-    /// Memory-seconds received per weight.
+    /// Memory-seconds per weight received by generations that have ended.
     double virtual_time { 0 };
+    /// Memory-seconds that its running generations are expected to take.
+    double outstanding { 0 };
     std::deque<GenerationIndex> queue;
     /// Expected memory-seconds of what is queued.
     double queued_cost { 0 };
@@ -158,6 +162,8 @@
     size_t queued_count { 0 };
     /// Standard deviations kept free between expected demand and memory; follows the preemptions that are seen.
     double safety_deviations { 1 };
+    /// What waits have been, as a multiple of what was reckoned from the queues alone.
+    double wait_correction { 1.5 };
     /// When something last had to wait for memory.
     std::optional<Instant> last_short_of_memory;
     /// When a request last came that needs much of an engine at once.
--- a/Services/GatewayServer/main.cpp
+++ b/Services/GatewayServer/main.cpp
@@ -34,7 +34,7 @@
     Node::StopSignal stop_signal;
     try {
         Node::Node node(settings.node);
-        Gateway::GatewayLoop gateway(node);
+        Gateway::GatewayLoop gateway(node, settings);
         Gateway::CallerFrontend frontend(gateway, settings);
         Node::StatusServer status(node);
         node.start();
--- a/StandIns/FakeEngine/FakeEngine.cpp
+++ b/StandIns/FakeEngine/FakeEngine.cpp
@@ -77,8 +77,8 @@
             events.clear();
             duration = this->engine.step(events);
         }
-        std::this_thread::sleep_for(duration * this->options.time_scale);
-        std::lock_guard lock(this->mutex);
+        std::unique_lock lock(this->mutex);
+        this->wait_for_step(lock, duration);
         this->take_events(events);
         this->past_loads.emplace_back(std::chrono::steady_clock::now(), this->engine.load());
         while (this->past_loads.size() > 1
@@ -88,6 +88,19 @@
     }
 }
 
+void FakeEngine::wait_for_step(std::unique_lock<std::mutex>& lock, Duration duration)
+{
+    auto began = std::chrono::steady_clock::now();
+    // The scale may be changed, and the stand-in stopped, in the middle of a long step.
+    while (!this->stopping && std::chrono::steady_clock::now() < began + this->scaled(duration))
+        this->changed.wait_until(lock, std::min(began + this->scaled(duration), std::chrono::steady_clock::now() + longest_idle_wait));
+}
+
+Duration FakeEngine::scaled(Duration duration) const
+{
+    return AK::from_seconds(AK::to_seconds(duration) * this->options.time_scale);
+}
+
 void FakeEngine::take_events(std::vector<EngineModel::StepEvent> const& events)
 {
     for (auto const& event : events) {
--- a/StandIns/FakeEngine/FakeEngine.h
+++ b/StandIns/FakeEngine/FakeEngine.h
@@ -75,6 +75,8 @@
     void stream(Request&, Response&, std::shared_ptr<Execution> const&, u64 next_offset);
     bool write_new_tokens(Response&, std::ostream&, Execution&, u64& next_offset, bool& is_done);
     void step_forever();
+    void wait_for_step(std::unique_lock<std::mutex>&, Duration);
+    [[nodiscard]] Duration scaled(Duration) const;
     void take_events(std::vector<EngineModel::StepEvent> const&);
     void stop_orphans();
     /// The token at `offset`, which differs between executions, so that mixed outputs show.
--- /dev/null
+++ b/Tests/LibConfiguration/TestConfigurationLog.cpp
@@ -0,0 +1,142 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibConfiguration/ConfigurationLog.h>
+#include <LibPlatform/FaultyTable.h>
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck/catch.h>
+
+using Configuration::ConfigurationLog;
+using Configuration::Document;
+using Platform::Fault;
+using Platform::FaultyTable;
+using Platform::MemoryTable;
+
+static wire::Change put_model(std::string const& id)
+{
+    wire::Change change;
+    change.mutable_put_model()->set_id(id);
+    return change;
+}
+
+struct OperatorAtWork {
+    explicit OperatorAtWork(MemoryTable& table)
+        : view(table)
+        , log(this->view)
+    {
+    }
+
+    Result<Configuration::Accepted> append(
+        std::string const& id, wire::Change const& change, std::optional<Revision> expected = {})
+    {
+        return this->log.append(this->document, change, id, "test", expected);
+    }
+
+    FaultyTable view;
+    ConfigurationLog<FaultyTable> log;
+    Document document;
+};
+
+SCENARIO("an accepted change has one revision, however often it is asked for")
+{
+    MemoryTable table;
+    OperatorAtWork vesela(table);
+    auto accepted = vesela.append("c1", put_model("writer"));
+    REQUIRE(accepted.has_value());
+    CHECK(accepted.value().revision == Revision(1));
+
+    WHEN("the same change id comes again, from another process")
+    {
+        OperatorAtWork other(table);
+        auto repeated = other.append("c1", put_model("writer"));
+        CHECK(repeated.value().revision == Revision(1));
+        CHECK(repeated.value().repeated);
+    }
+    WHEN("the answer to the next write is lost after it was done")
+    {
+        // Before the commit come the head, the change's row, and the log up to its end.
+        vesela.view.script({ Fault::None, Fault::None, Fault::None, Fault::None, Fault::LoseAnswer });
+        auto second = vesela.append("c2", put_model("reader"));
+        THEN("it is found out, and there is one entry")
+        {
+            REQUIRE(second.has_value());
+            CHECK(second.value().revision == Revision(2));
+            CHECK(vesela.log.head().value() == Revision(2));
+        }
+    }
+    WHEN("the request of the next write is lost")
+    {
+        vesela.view.script({ Fault::None, Fault::None, Fault::None, Fault::None, Fault::LoseRequest });
+        auto second = vesela.append("c2", put_model("reader"));
+        CHECK(second.value().revision == Revision(2));
+        CHECK(vesela.log.read_after(Revision(0)).value().size() == 2);
+    }
+    WHEN("the platform stays away after a lost answer")
+    {
+        vesela.view.script({ Fault::None, Fault::None, Fault::None, Fault::None, Fault::LoseAnswer });
+        vesela.view.set_standing_fault(Fault::Unavailable);
+        auto second = vesela.append("c2", put_model("reader"));
+        THEN("it is not said to be refused") { CHECK(second.error().kind == ErrorKind::PlatformAnswerLost); }
+    }
+    WHEN("the platform is out from the start")
+    {
+        vesela.view.set_standing_fault(Fault::Unavailable);
+        CHECK(vesela.append("c2", put_model("reader")).error().kind == ErrorKind::PlatformUnavailable);
+    }
+}
+
+SCENARIO("of two operators who race from the same revision, one gets a conflict")
+{
+    MemoryTable table;
+    OperatorAtWork vesela(table);
+    OperatorAtWork dimitar(table);
+    REQUIRE(vesela.append("c1", put_model("writer")).has_value());
+    REQUIRE(vesela.append("v", put_model("a"), Revision(1)).has_value());
+    auto refused = dimitar.append("d", put_model("b"), Revision(1));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().kind == ErrorKind::Conflict);
+    CHECK(refused.error().message.find("revision 2") != std::string::npos);
+}
+
+TEST_CASE("operators, lost answers and outages leave one gapless log", "[property]")
+{
+    rc::prop("configuration log", [] {
+        MemoryTable table;
+        std::vector<std::unique_ptr<OperatorAtWork>> operators;
+        for (int i = 0; i < 3; ++i)
+            operators.push_back(std::make_unique<OperatorAtWork>(table));
+        std::map<std::string, u64> accepted;
+        auto steps = *rc::gen::inRange(1, 40);
+        for (int i = 0; i < steps; ++i) {
+            auto& who = *operators[*rc::gen::inRange<size_t>(0, operators.size())];
+            auto id = "c" + std::to_string(*rc::gen::inRange(0, 12));
+            std::deque<Fault> faults;
+            for (int call = 0; call < 8; ++call)
+                faults.push_back(*rc::gen::weightedElement<Fault>({ { 6, Fault::None }, { 1, Fault::Unavailable },
+                    { 2, Fault::LoseAnswer }, { 1, Fault::LoseRequest } }));
+            who.view.script(faults);
+            auto result = who.append(id, put_model("m-" + id));
+            who.view.script({});
+            if (!result)
+                continue;
+            auto revision = result.value().revision.value();
+            // Once accepted, always the same revision.
+            auto known = accepted.emplace(id, revision);
+            RC_ASSERT(known.first->second == revision);
+        }
+        ConfigurationLog clean(table);
+        auto entries = clean.read_after(Revision(0)).value();
+        std::map<std::string, u64> logged;
+        for (size_t i = 0; i < entries.size(); ++i) {
+            RC_ASSERT(entries[i].revision() == i + 1);
+            RC_ASSERT(logged.emplace(entries[i].change_id(), i + 1).second);
+        }
+        RC_ASSERT(clean.head().value() == Revision(entries.size()));
+        for (auto const& [id, revision] : accepted)
+            RC_ASSERT(logged[id] == revision);
+    });
+}
--- /dev/null
+++ b/Tests/LibCore/TestSettings.cpp
@@ -0,0 +1,76 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCore/Settings.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+static Core::SettingsReader read(std::string const& text)
+{
+    auto reader = Core::SettingsReader::parse("host.yaml", text);
+    REQUIRE(reader.has_value());
+    return reader.value();
+}
+
+SCENARIO("settings are checked as a whole, and each complaint names file, line, key and remedy")
+{
+    GIVEN("good settings")
+    {
+        auto reader = read("node:\n  member: gateway-1\n  period: 250ms\n  peers: [127.0.0.1:1, '[::1]:2']\n");
+        CHECK(reader.text("node.member") == "gateway-1");
+        CHECK(reader.duration_or("node.period", 1s) == 250ms);
+        CHECK(reader.address_list("node.peers").size() == 2);
+        CHECK(reader.whole_number_or("node.limit", 5, 1, 10) == 5);
+        THEN("there is no complaint") { CHECK(reader.finish().has_value()); }
+    }
+    GIVEN("an unknown key, a unit that is missing and an address by name")
+    {
+        auto reader = read("node:\n  period: 250\n  adress: 127.0.0.1:80\n  listen: localhost:80\n");
+        reader.duration_or("node.period", 1s);
+        reader.address("node.listen");
+        auto result = reader.finish();
+        REQUIRE_FALSE(result.has_value());
+        auto const& message = result.error().message;
+        THEN("all three are named at once")
+        {
+            CHECK(result.error().kind == ErrorKind::InvalidSettings);
+            CHECK(message.find("host.yaml:2: node.period: expected a duration with its unit") != std::string::npos);
+            CHECK(message.find("host.yaml:3: node.adress: is not a setting") != std::string::npos);
+            CHECK(message.find("host.yaml:4: node.listen: expected an IP number") != std::string::npos);
+        }
+    }
+    GIVEN("a required key that is missing")
+    {
+        auto reader = read("node: {}\n");
+        reader.text("node.member");
+        CHECK(reader.finish().error().message.find("node.member: is missing; add it") != std::string::npos);
+    }
+    GIVEN("a number out of range")
+    {
+        auto reader = read("limit: 99\n");
+        CHECK(reader.whole_number_or("limit", 5, 1, 10) == 5);
+        CHECK(reader.finish().error().message.find("from 1 to 10") != std::string::npos);
+    }
+    GIVEN("text that is not YAML") { CHECK_FALSE(Core::SettingsReader::parse("x", "a: [").has_value()); }
+    GIVEN("a file that is not there") { CHECK_FALSE(Core::SettingsReader::load("/nonexistent").has_value()); }
+}
+
+TEST_CASE("no settings text ends the process", "[property]")
+{
+    rc::prop("any text is read or refused", [](std::string const& text) {
+        auto reader = Core::SettingsReader::parse("fuzz", text);
+        if (!reader)
+            return;
+        reader.value().text("node.member");
+        reader.value().duration_or("node.period", 1s);
+        reader.value().address_list("node.peers");
+        (void)reader.value().finish();
+    });
+    rc::prop("a duration reads back", [](u16 milliseconds) {
+        RC_ASSERT(Core::parse_duration(std::to_string(milliseconds) + "ms") == std::chrono::milliseconds(milliseconds));
+    });
+    rc::prop("any text is a duration or not", [](std::string const& text) { (void)Core::parse_duration(text); });
+}
--- /dev/null
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -0,0 +1,116 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibMembership/MemberTable.h>
+#include <catch2/catch.hpp>
+#include <set>
+
+using Membership::MemberChange;
+using Membership::MemberRow;
+using Membership::MemberTable;
+
+static FailureDomainId const domain("hall-a");
+static constexpr Duration silence = 5s;
+
+static MemberRow row(std::string const& id, u64 incarnation)
+{
+    MemberRow result;
+    result.id = MemberId(id);
+    result.role = wire::ROLE_ROUTER;
+    result.address = Address("127.0.0.1:1");
+    result.incarnation = Incarnation(incarnation);
+    return result;
+}
+
+static Instant at(int seconds) { return Instant() + std::chrono::seconds(seconds); }
+
+SCENARIO("members come and go by what is heard of them")
+{
+    MemberTable own(row("router-1", 10), silence);
+    MemberTable other(row("router-2", 20), silence);
+    (void)own.beat(at(0));
+    (void)other.beat(at(0));
+    auto events = own.receive(other.gossip(domain), at(0));
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].change == MemberChange::Joined);
+
+    WHEN("the same view comes again and nothing newer")
+    {
+        auto old_view = other.gossip(domain);
+        for (int second = 1; second <= 5; ++second) {
+            CHECK(own.beat(at(second)).empty());
+            CHECK(own.receive(old_view, at(second)).empty());
+        }
+        auto lost = own.beat(at(6));
+        THEN("the member is lost, and its old view does not bring it back")
+        {
+            REQUIRE(lost.size() == 1);
+            CHECK(lost[0].change == MemberChange::Lost);
+            CHECK(own.receive(old_view, at(7)).empty());
+            CHECK(own.others().empty());
+        }
+        THEN("a newer heartbeat does")
+        {
+            (void)other.beat(at(7));
+            CHECK(own.receive(other.gossip(domain), at(7)).size() == 1);
+        }
+    }
+    WHEN("the member starts again")
+    {
+        MemberTable restarted(row("router-2", 30), silence);
+        auto again = own.receive(restarted.gossip(domain), at(1));
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].change == MemberChange::Replaced);
+        THEN("the view of its earlier self is passed over") { CHECK(own.receive(other.gossip(domain), at(1)).empty()); }
+    }
+    WHEN("the member leaves")
+    {
+        other.set_own_leaving();
+        (void)other.beat(at(1));
+        auto leaving = own.receive(other.gossip(domain), at(1));
+        REQUIRE(leaving.size() == 1);
+        CHECK(leaving[0].change == MemberChange::Leaving);
+        THEN("it owns nothing any more")
+        {
+            for (int i = 0; i < 50; ++i)
+                CHECK(own.owner_of("pool-" + std::to_string(i), wire::ROLE_ROUTER)->id == MemberId("router-1"));
+        }
+    }
+}
+
+SCENARIO("a member whose host's clock went back outranks its earlier self")
+{
+    MemberTable before(row("router-1", 500), silence);
+    MemberTable after(row("router-1", 100), silence);
+    (void)after.receive(before.gossip(domain), at(0));
+    CHECK(after.own().incarnation > Incarnation(500));
+}
+
+SCENARIO("pools move only when their owner goes")
+{
+    MemberTable table(row("router-0", 1), silence);
+    for (int i = 1; i < 6; ++i)
+        (void)table.receive(MemberTable(row("router-" + std::to_string(i), 1), silence).gossip(domain), at(0));
+    std::map<std::string, MemberId> before;
+    std::set<MemberId> owners;
+    for (int i = 0; i < 300; ++i) {
+        auto key = "pool-" + std::to_string(i);
+        before[key] = table.owner_of(key, wire::ROLE_ROUTER)->id;
+        owners.insert(before[key]);
+    }
+    CHECK(owners.size() == 6);
+    MemberTable leaver(row("router-3", 1), silence);
+    leaver.set_own_leaving();
+    (void)leaver.beat(at(0));
+    (void)table.receive(leaver.gossip(domain), at(0));
+    for (auto const& [key, owner] : before) {
+        auto now = table.owner_of(key, wire::ROLE_ROUTER)->id;
+        CHECK(now != MemberId("router-3"));
+        if (owner != MemberId("router-3"))
+            CHECK(now == owner);
+    }
+    CHECK_FALSE(table.owner_of("pool-1", wire::ROLE_GATEWAY));
+}
--- /dev/null
+++ b/Tests/Promises/TestConfigurationSpread.cpp
@@ -0,0 +1,102 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Support/TestFleet.h>
+#include <catch2/catch.hpp>
+#include <set>
+
+using StandIns::PlatformFault;
+
+static std::set<u64> revisions(TestFleet& fleet)
+{
+    std::set<u64> seen;
+    for (auto& gateway : fleet.gateways)
+        seen.insert(gateway->daemon.on_loop([&] { return gateway->daemon.node->configuration().revision().value(); }));
+    for (auto& router : fleet.routers)
+        seen.insert(router->on_loop([&] { return router->node->configuration().revision().value(); }));
+    return seen;
+}
+
+/// The revisions each process had in force, from its own events.
+static History::Record revisions_seen(TestFleet& fleet)
+{
+    History::Record record;
+    auto add = [&](Node::Node& node) {
+        for (auto const& event : node.events().latest(10'000)) {
+            if (event.number == Core::EventNumber::RevisionInForce)
+                record.revisions.push_back({ event.member.value(), 1, std::stoull(event.subject) });
+        }
+    };
+    for (auto& gateway : fleet.gateways)
+        add(*gateway->daemon.node);
+    for (auto& router : fleet.routers)
+        add(*router->node);
+    return record;
+}
+
+SCENARIO("an accepted change comes into force everywhere and never reverts")
+{
+    TestFleet fleet;
+    for (int i = 0; i < 10; ++i)
+        fleet.apply(R"({"putModel":{"id":"model-)" + std::to_string(i) + "\"}}");
+    wait_until("revision 18 everywhere", [&] { return revisions(fleet) == std::set<u64> { 18 }; });
+    CHECK(History::check_forward_only(revisions_seen(fleet)).empty());
+
+    WHEN("the platform is out")
+    {
+        fleet.platform->set_fault(0, PlatformFault::Cut);
+        THEN("callers are served on the last revision")
+        {
+            CHECK(fleet.caller().generate(0, "summary", "x [tokens=5]", 10s).outcome == "completed");
+        }
+        THEN("a gateway that starts takes the configuration and the backend servers from its peers")
+        {
+            fleet.gateways[1].reset();
+            fleet.start_gateway(1);
+            wait_until("the new gateway to be ready", [&] { return fleet.gateways[1]->daemon.node->is_ready(); });
+            wait_until("revision 18 everywhere", [&] { return revisions(fleet) == std::set<u64> { 18 }; });
+            wait_until("it to serve", [&] {
+                return fleet.caller().generate(1, "summary", "x [tokens=5]", 10s).outcome == "completed";
+            });
+        }
+        THEN("a change is in force once the platform is back")
+        {
+            fleet.apply(R"({"putModel":{"id":"late"}})");
+            fleet.platform->set_fault(0, PlatformFault::None);
+            wait_until("revision 19 everywhere", [&] { return revisions(fleet) == std::set<u64> { 19 }; });
+            CHECK(History::check_forward_only(revisions_seen(fleet)).empty());
+        }
+    }
+}
+
+SCENARIO("a host with neither platform nor peers is not ready and says so")
+{
+    TestFleet fleet({ .gateways = 1, .routers = 1 });
+    fleet.platform->set_fault(0, PlatformFault::Cut);
+    fleet.gateways[0].reset();
+    fleet.kill_router(0);
+    fleet.start_gateway(0);
+    auto& node = *fleet.gateways[0]->daemon.node;
+    wait_until("the platform to be asked", [&] {
+        return std::ranges::any_of(node.events().latest(100),
+            [](auto const& event) { return event.number == Core::EventNumber::PlatformUnavailable; });
+    });
+    CHECK_FALSE(node.is_ready());
+    CHECK(node.readiness_reason().find("neither the platform nor a peer") != std::string::npos);
+    auto refused = fleet.caller().generate(0, "summary", "x [tokens=5]", 5s);
+    CHECK(refused.outcome == "not_run");
+    CHECK(refused.status == 503);
+    CHECK(refused.had_retry_after);
+}
+
+SCENARIO("a key that is taken away opens nothing any more")
+{
+    TestFleet fleet;
+    CHECK(fleet.caller("hanak-key").generate(0, "summary", "x [tokens=2]", 10s).outcome == "completed");
+    fleet.apply(R"({"deleteOrganisation":"hanak"})");
+    wait_until("revision 9 everywhere", [&] { return revisions(fleet) == std::set<u64> { 9 }; });
+    CHECK(fleet.caller("hanak-key").generate(0, "summary", "x [tokens=2]", 10s).status == 401);
+}
--- /dev/null
+++ b/Tests/Promises/TestLeaving.cpp
@@ -0,0 +1,81 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Support/TestFleet.h>
+#include <catch2/catch.hpp>
+
+static size_t begun_at(StandIns::FakeEngine& engine)
+{
+    auto history = engine.history();
+    return static_cast<size_t>(std::ranges::count(history, '\n'));
+}
+
+static bool all_know_it_leaves(TestFleet& fleet, std::string const& id)
+{
+    for (auto& gateway : fleet.gateways) {
+        if (!gateway->daemon.on_loop([&] { return gateway->daemon.node->is_leaving(EngineId(id)); }))
+            return false;
+    }
+    for (auto& router : fleet.routers) {
+        if (!router->on_loop([&] { return router->node->is_leaving(EngineId(id)); }))
+            return false;
+    }
+    return true;
+}
+
+SCENARIO("a backend server that is leaving gets no new work, and what it runs runs to its end")
+{
+    TestFleet fleet;
+    auto results = fleet.generate(8, 150, [&] {
+        wait_until("both engines to be at work",
+            [&] { return begun_at(*fleet.engines[0]) > 0 && begun_at(*fleet.engines[1]) > 0; });
+        WHEN("it says so itself")
+        {
+            fleet.engines[0]->control("leave", {});
+        }
+        WHEN("an operator drains it")
+        {
+            fleet.apply(R"({"drain":{"id":"engine-0","draining":true}})");
+        }
+        wait_until("everyone to know", [&] { return all_know_it_leaves(fleet, "engine-0"); });
+        auto before = begun_at(*fleet.engines[0]);
+        auto more = fleet.generate(6, 10);
+        CHECK(std::ranges::all_of(more, [](auto const& result) { return result.outcome == "completed"; }));
+        CHECK(begun_at(*fleet.engines[0]) == before);
+    });
+    CHECK(std::ranges::all_of(results, [](auto const& result) { return result.outcome == "completed"; }));
+    CHECK(History::check_all(fleet.record(results)).empty());
+}
+
+SCENARIO("an engine turns a request away because it is leaving, before anyone has heard of it")
+{
+    TestFleet fleet;
+    // Both routers hear of loads only by their polls; the request races them.
+    fleet.engines[0]->control("leave", {});
+    auto results = fleet.generate(6, 10);
+    CHECK(std::ranges::all_of(results, [](auto const& result) { return result.outcome == "completed"; }));
+    CHECK(begun_at(*fleet.engines[0]) == 0);
+}
+
+SCENARIO("a router that leaves hands its queue on")
+{
+    TestFleet fleet({ .engines = 1, .engine_capacity = 1000 });
+    auto leaver = fleet.owner();
+    auto results = fleet.generate(10, 30, [&] {
+        wait_until("work to begin", [&] { return begun_at(*fleet.engines[0]) > 0; });
+        auto& router = *fleet.routers[leaver];
+        router.on_loop([&] {
+            router.node->begin_leaving();
+            return true;
+        });
+        wait_until("another owner", [&] { return fleet.owner() == 1 - leaver; });
+        fleet.kill_router(leaver);
+    });
+    for (auto const& result : results)
+        CHECK(result.error == "");
+    CHECK(std::ranges::all_of(results, [](auto const& result) { return result.outcome == "completed"; }));
+    CHECK(History::check_all(fleet.record(results)).empty());
+}
--- /dev/null
+++ b/Tests/Support/TestFleet.h
@@ -0,0 +1,114 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibGateway/CallerFrontend.h>
+#include <LibHistory/History.h>
+#include <LibOperator/OperatorLoop.h>
+#include <LibRouter/RouterLoop.h>
+#include <StandIns/FakeEngine/FakeEngine.h>
+#include <StandIns/FakePlatform/FakePlatform.h>
+#include <StandIns/FakeService/FakeService.h>
+#include <Utilities/CallerClient.h>
+#include <functional>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+/// One daemon's node with its loop on a thread of its own.
+template<typename Settings, typename Part>
+struct TestDaemon {
+    TestDaemon(Settings daemon_settings, std::function<std::unique_ptr<Part>(Node::Node&, Settings const&)> make)
+        : settings(std::move(daemon_settings))
+        , node(std::make_unique<Node::Node>(this->settings.node))
+        , part(make(*this->node, this->settings))
+    {
+        this->node->start();
+        this->thread = std::thread([this] { this->node->loop().run(); });
+    }
+
+    ~TestDaemon()
+    {
+        this->node->loop().stop();
+        this->thread.join();
+    }
+
+    /// Runs `ask` on the loop and returns its result.
+    template<typename Ask>
+    auto on_loop(Ask ask)
+    {
+        std::promise<decltype(ask())> promise;
+        this->node->loop().post([&] { promise.set_value(ask()); });
+        return promise.get_future().get();
+    }
+
+    Settings settings;
+    std::unique_ptr<Node::Node> node;
+    std::unique_ptr<Part> part;
+    std::thread thread;
+};
+
+using TestRouter = TestDaemon<Router::RouterSettings, Router::RouterLoop>;
+using TestGatewayNode = TestDaemon<Gateway::GatewaySettings, Gateway::GatewayLoop>;
+using TestOperator = TestDaemon<Operator::OperatorSettings, Operator::OperatorLoop>;
+
+struct TestGateway {
+    explicit TestGateway(Gateway::GatewaySettings const& settings);
+
+    TestGatewayNode daemon;
+    Gateway::CallerFrontend frontend;
+};
+
+/// A failure domain in one process, on real sockets, with the stand-ins. Faults are brought about by calls; what is to
+/// be waited for is waited for by its condition.
+class TestFleet {
+public:
+    struct Size {
+        size_t gateways { 2 };
+        size_t routers { 2 };
+        size_t engines { 2 };
+        size_t services { 2 };
+        i64 engine_capacity { 24'000 };
+    };
+
+    TestFleet();
+    explicit TestFleet(Size);
+    ~TestFleet();
+
+    void start_gateway(size_t number);
+    void start_router(size_t number);
+    void start_operator();
+    /// As a host that vanishes: the process is gone without a word.
+    void kill_router(size_t number) { this->routers[number].reset(); }
+    /// The router that owns the pool, by the view of the first gateway; the number of routers when there is none.
+    size_t owner();
+
+    void apply(std::string const& change_json);
+    void publish_hosts();
+    CallerClient caller(std::string const& key = "toll-key") const;
+    /// Runs that many generations at once and returns what their callers saw.
+    std::vector<GenerationResult> generate(size_t count, int tokens, std::function<void()> const& meanwhile = {});
+    /// The whole history so far of the engines and services, and of these callers.
+    History::Record record(std::vector<GenerationResult> const&) const;
+
+    std::unique_ptr<StandIns::FakePlatform> platform;
+    std::vector<std::unique_ptr<StandIns::FakeEngine>> engines;
+    std::vector<std::unique_ptr<StandIns::FakeService>> services;
+    std::vector<std::unique_ptr<TestRouter>> routers;
+    std::vector<std::unique_ptr<TestGateway>> gateways;
+    std::unique_ptr<TestOperator> operator_server;
+
+private:
+    Node::NodeSettings node_settings(std::string const& member, int port, wire::Role) const;
+
+    Size size;
+};
+
+/// Waits until `condition` holds; fails the test after a minute.
+void wait_until(std::string const& what, std::function<bool()> const& condition);
+std::string describe(std::vector<History::Violation> const&);
