--- a/AK/Error.h
+++ b/AK/Error.h
@@ -51,8 +51,7 @@
     bool operator==(Error const&) const = default;
 };
 
-template<typename T>
-using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+template<typename T> using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
 
 inline auto success() { return boost::outcome_v2::success(); }
 
@@ -65,7 +64,7 @@
 #define TRYV(expression) BOOST_OUTCOME_TRYV(expression)
 
 /// An invariant of our own code. Never used on input.
-#define VERIFY(expression) \
+#define VERIFY(expression)                                                                                             \
     (static_cast<bool>(expression) ? void(0) : ::AK::verification_failed(#expression, __FILE__, __LINE__))
 
 using AK::Error;
--- a/Libraries/LibConfiguration/ConfigurationLog.h
+++ b/Libraries/LibConfiguration/ConfigurationLog.h
@@ -31,8 +31,7 @@
 }
 
 /// Parses a message of the schema from JSON. Errors: InvalidRequest.
-template<typename Message>
-Result<Message> from_json(std::string const& json)
+template<typename Message> Result<Message> from_json(std::string const& json)
 {
     Message message;
     auto status = google::protobuf::util::JsonStringToMessage(json, &message);
@@ -47,8 +46,7 @@
 /// The one ordered log of changes in the platform's table. A change is accepted by the single transaction that moves
 /// the head from one revision to the next, so that two operators never both get the same revision, and a lost answer
 /// is settled by looking for the change's own id. Calls block.
-template<Platform::TableStore Store>
-class ConfigurationLog {
+template<Platform::TableStore Store> class ConfigurationLog {
 public:
     explicit ConfigurationLog(Store& store)
         : store(store)
@@ -97,6 +95,35 @@
         return entries;
     }
 
+    /// The newest snapshot, or nothing when there is none yet.
+    Result<std::optional<wire::ConfigurationSnapshot>> read_snapshot() requires Platform::ObjectStore<Store>
+    {
+        TRY(auto row, this->store.read(snapshot_key));
+        if (!row.exists())
+            return std::optional<wire::ConfigurationSnapshot>();
+        TRY(auto body, this->store.get_object(row.value));
+        TRY(auto snapshot, from_json<wire::ConfigurationSnapshot>(body));
+        return std::optional(std::move(snapshot));
+    }
+
+    /// Writes `document` as a snapshot if its revision is one of those that get one. A process that starts then reads
+    /// the snapshot and the entries after it instead of the whole log. Losing the answer does no harm: snapshots only
+    /// shorten the way.
+    Result<void> write_snapshot_if_due(Document const& document) requires Platform::ObjectStore<Store>
+    {
+        auto revision = document.revision().value();
+        if (revision == 0 || revision % revisions_per_snapshot != 0)
+            return success();
+        TRY(auto row, this->store.read(snapshot_key));
+        auto name = "configuration-snapshot-" + std::to_string(revision);
+        if (row.exists() && row.value >= name && row.value.size() >= name.size())
+            return success();
+        TRYV(this->store.put_object(name, to_json(document.snapshot())));
+        TRY(auto committed, this->store.commit({ { { snapshot_key, row.version } }, { { snapshot_key, name } } }));
+        (void)committed;
+        return success();
+    }
+
     /// Brings `document` up to the head.
     Result<void> catch_up(Document& document)
     {
@@ -111,6 +138,8 @@
 
 private:
     static constexpr int largest_round_count = 8;
+    static constexpr u64 revisions_per_snapshot = 256;
+    static constexpr auto snapshot_key = "configuration/snapshot";
     static constexpr auto head_key = "configuration/head";
     static constexpr auto entry_prefix = "configuration/log/";
 
--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -13,9 +13,14 @@
 
 /// A source of time, passed in so that tests and the bench choose it.
 template<typename T>
-concept Clock = requires(T const& clock) {
-    { clock.now() } -> std::convertible_to<Instant>;
-    { clock.wall_milliseconds() } -> std::convertible_to<u64>;
+concept Clock = requires(T const& clock)
+{
+    {
+        clock.now()
+        } -> std::convertible_to<Instant>;
+    {
+        clock.wall_milliseconds()
+        } -> std::convertible_to<u64>;
 };
 
 /// The host's clocks.
--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -34,8 +34,6 @@
     { GenerationQueued, "generation_queued", Information },
     { GenerationPlaced, "generation_placed", Information },
     { GenerationRefused, "generation_refused", Warning },
-    { GenerationPaused, "generation_paused", Warning },
-    { GenerationResumed, "generation_resumed", Information },
     { GenerationFinished, "generation_finished", Information },
     { GenerationRebuilt, "generation_rebuilt", Information },
     { PlacementRepeated, "placement_repeated", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -34,8 +34,6 @@
     GenerationQueued = 2101,
     GenerationPlaced = 2102,
     GenerationRefused = 2103,
-    GenerationPaused = 2104,
-    GenerationResumed = 2105,
     GenerationFinished = 2106,
     GenerationRebuilt = 2107,
     PlacementRepeated = 2108,
--- a/Libraries/LibCore/EventLoop.cpp
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -57,7 +57,7 @@
 void EventLoop::stop()
 {
     this->stopping = true;
-    this->post([] { });
+    this->post([] {});
 }
 
 void EventLoop::run()
--- a/Libraries/LibCore/Settings.cpp
+++ b/Libraries/LibCore/Settings.cpp
@@ -24,8 +24,7 @@
         return Error { ErrorKind::InvalidSettings, path + ": cannot be read; name a readable file with --settings" };
     } catch (YAML::Exception const& exception) {
         return Error { ErrorKind::InvalidSettings,
-            path + ':' + std::to_string(exception.mark.line + 1) + ": not YAML: " + exception.msg
-                + "; mend the line" };
+            path + ':' + std::to_string(exception.mark.line + 1) + ": not YAML: " + exception.msg + "; mend the line" };
     }
 }
 
@@ -35,8 +34,7 @@
         return SettingsReader(name, YAML::Load(text));
     } catch (YAML::Exception const& exception) {
         return Error { ErrorKind::InvalidSettings,
-            name + ':' + std::to_string(exception.mark.line + 1) + ": not YAML: " + exception.msg
-                + "; mend the line" };
+            name + ':' + std::to_string(exception.mark.line + 1) + ": not YAML: " + exception.msg + "; mend the line" };
     }
 }
 
@@ -137,8 +135,8 @@
         return fallback;
     auto value = parse_whole_number(this->checked_scalar(node, key));
     if (!value || *value < smallest || *value > largest) {
-        this->complain(node, key,
-            "expected a whole number from " + std::to_string(smallest) + " to " + std::to_string(largest));
+        this->complain(
+            node, key, "expected a whole number from " + std::to_string(smallest) + " to " + std::to_string(largest));
         return fallback;
     }
     return *value;
--- a/Libraries/LibEngineModel/EngineModel.cpp
+++ b/Libraries/LibEngineModel/EngineModel.cpp
@@ -32,8 +32,7 @@
 
 i64 Engine::free_blocks() const
 {
-    return this->parameters.capacity_tokens / this->parameters.block_tokens - this->used_blocks
-        - this->cached_blocks;
+    return this->parameters.capacity_tokens / this->parameters.block_tokens - this->used_blocks - this->cached_blocks;
 }
 
 bool Engine::make_room(i64 blocks, std::vector<StepEvent>& events)
@@ -61,8 +60,8 @@
         auto needed = this->blocks_for(next.request.prompt_tokens + next.produced + 1);
         if (!this->make_room(needed, events))
             return;
-        auto is_cached = std::ranges::any_of(this->cached_prefixes,
-            [&](auto const& entry) { return entry.first == next.request.prefix_hash; });
+        auto is_cached = std::ranges::any_of(
+            this->cached_prefixes, [&](auto const& entry) { return entry.first == next.request.prefix_hash; });
         next.computed = is_cached && next.request.prefix_hash != 0 ? next.request.prompt_tokens - 1 : 0;
         next.blocks = needed;
         this->used_blocks += needed;
@@ -175,8 +174,8 @@
 {
     this->grow_running(events);
     // Nothing new in a step that had to preempt: it would only be the next victim.
-    auto has_preempted = std::ranges::any_of(
-        events, [](StepEvent const& event) { return event.kind == StepEventKind::Preempted; });
+    auto has_preempted
+        = std::ranges::any_of(events, [](StepEvent const& event) { return event.kind == StepEventKind::Preempted; });
     if (!has_preempted)
         this->admit_waiting(events);
     auto held = this->used_blocks * this->parameters.block_tokens;
@@ -184,8 +183,7 @@
     i64 decoded = 0;
     this->emit_tokens(events, decoded);
     ++this->steps;
-    auto seconds = this->parameters.step_seconds
-        + static_cast<double>(decoded) * this->parameters.seconds_per_decode
+    auto seconds = this->parameters.step_seconds + static_cast<double>(decoded) * this->parameters.seconds_per_decode
         + static_cast<double>(prefilled) * this->parameters.seconds_per_prefill_token
         + static_cast<double>(held) * this->parameters.seconds_per_held_token;
     return AK::from_seconds(seconds);
@@ -200,8 +198,8 @@
 std::optional<i64> Engine::produced(u64 key) const
 {
     for (auto const* list : { &this->running, &this->waiting }) {
-        auto found = std::ranges::find_if(
-            *list, [key](Sequence const& sequence) { return sequence.request.key == key; });
+        auto found
+            = std::ranges::find_if(*list, [key](Sequence const& sequence) { return sequence.request.key == key; });
         if (found != list->end())
             return found->produced;
     }
--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -113,8 +113,8 @@
         call->request = std::move(parsed);
         call->request.api_key = std::move(api_key);
         call->request.deadline = deadline;
-        CallerWriter writer(response, { call->generation, call->request.route, this->shape, now_seconds() },
-            call->request.stream);
+        CallerWriter writer(
+            response, { call->generation, call->request.route, this->shape, now_seconds() }, call->request.stream);
         writer.set_header("Lilactiller-Generation", call->generation.value());
         GenerationEdge(this->frontend.gateway, this->frontend.settings, writer).serve(call);
         return success();
@@ -156,8 +156,7 @@
         if (auto const* refused = std::get_if<Refused>(&*decision))
             return refused->error;
         auto const& token = std::get<Delivery::ResumeToken>(*decision);
-        CallerWriter writer(
-            response, { token.generation, token.route, ApiShape::Completion, now_seconds() }, true);
+        CallerWriter writer(response, { token.generation, token.route, ApiShape::Completion, now_seconds() }, true);
         GenerationEdge(this->frontend.gateway, this->frontend.settings, writer).serve_resumed(*call, token);
         return success();
     }
@@ -215,8 +214,8 @@
 
     void handleRequest(HTTPServerRequest&, HTTPServerResponse& response) override
     {
-        response.setStatusAndReason(this->node.is_ready() ? HTTPServerResponse::HTTP_OK
-                                                          : HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
+        response.setStatusAndReason(
+            this->node.is_ready() ? HTTPServerResponse::HTTP_OK : HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
         auto reason = this->node.readiness_reason() + '\n';
         response.sendBuffer(reason.data(), reason.size());
     }
@@ -263,8 +262,8 @@
         socket.listen(listen_backlog);
         return socket;
     }
-    Poco::Net::Context::Ptr context(new Poco::Net::Context(Poco::Net::Context::TLS_SERVER_USE,
-        settings.tls_private_key, settings.tls_certificate, "", Poco::Net::Context::VERIFY_NONE));
+    Poco::Net::Context::Ptr context(new Poco::Net::Context(Poco::Net::Context::TLS_SERVER_USE, settings.tls_private_key,
+        settings.tls_certificate, "", Poco::Net::Context::VERIFY_NONE));
     context->requireMinimumProtocol(Poco::Net::Context::PROTO_TLSV1_2);
     return Poco::Net::SecureServerSocket(address, listen_backlog, context);
 }
--- a/Libraries/LibGateway/CallerProtocol.cpp
+++ b/Libraries/LibGateway/CallerProtocol.cpp
@@ -42,8 +42,8 @@
         auto message = messages->getObject(i);
         if (!message || !message->get("content").isString())
             return invalid("each message needs a 'content' that is a text");
-        prompt += message->optValue<std::string>("role", "user") + ": "
-            + message->getValue<std::string>("content") + '\n';
+        prompt
+            += message->optValue<std::string>("role", "user") + ": " + message->getValue<std::string>("content") + '\n';
     }
     return prompt;
 }
@@ -181,8 +181,8 @@
     return object;
 }
 
-static void set_choice(Object& object, StreamIdentity const& identity, std::string const& text, bool is_chunk,
-    bool is_end)
+static void set_choice(
+    Object& object, StreamIdentity const& identity, std::string const& text, bool is_chunk, bool is_end)
 {
     Object choice;
     choice.set("index", 0);
@@ -202,8 +202,7 @@
     object.set("choices", choices);
 }
 
-std::string format_token(
-    StreamIdentity const& identity, std::string const& text, u64 offset, AttemptNumber attempt)
+std::string format_token(StreamIdentity const& identity, std::string const& text, u64 offset, AttemptNumber attempt)
 {
     auto object = envelope(identity, true);
     set_choice(object, identity, text, true, false);
--- a/Libraries/LibGateway/CallerWriter.cpp
+++ b/Libraries/LibGateway/CallerWriter.cpp
@@ -13,16 +13,15 @@
 
 static constexpr auto outcome_header = "Lilactiller-Outcome";
 
-static void set_error_headers(
-    Poco::Net::HTTPServerResponse& response, Error const& error, Delivery::Outcome outcome)
+static void set_error_headers(Poco::Net::HTTPServerResponse& response, Error const& error, Delivery::Outcome outcome)
 {
     response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(http_status(error.kind)));
     response.setContentType("application/json");
     response.set(outcome_header, std::string(Delivery::to_string(outcome)));
     if (error.retry_after)
         // Whole seconds, rounded up: never sooner than said.
-        response.set("Retry-After",
-            std::to_string(std::chrono::ceil<std::chrono::seconds>(*error.retry_after).count()));
+        response.set(
+            "Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(*error.retry_after).count()));
 }
 
 void send_error(Poco::Net::HTTPServerResponse& response, Error const& error, Delivery::Outcome outcome)
--- a/Libraries/LibGateway/EdgeCall.h
+++ b/Libraries/LibGateway/EdgeCall.h
@@ -7,9 +7,9 @@
 #pragma once
 
 #include <LibCore/Mailbox.h>
+#include <LibDelivery/ResumeToken.h>
 #include <LibGateway/CallerProtocol.h>
 #include <LibGateway/EngineStream.h>
-#include <LibDelivery/ResumeToken.h>
 #include <atomic>
 #include <memory>
 #include <variant>
--- a/Libraries/LibGateway/EngineStream.cpp
+++ b/Libraries/LibGateway/EngineStream.cpp
@@ -68,8 +68,8 @@
     return open(address, "POST", "/v1/generations", text.str(), patience);
 }
 
-std::variant<std::unique_ptr<EngineStream>, StreamFailure> EngineStream::resume(Address const& address,
-    GenerationId const& generation, AttemptNumber attempt, u64 next_offset, Duration patience)
+std::variant<std::unique_ptr<EngineStream>, StreamFailure> EngineStream::resume(
+    Address const& address, GenerationId const& generation, AttemptNumber attempt, u64 next_offset, Duration patience)
 {
     auto path = "/v1/generations/" + generation.value() + "/stream?next_offset=" + std::to_string(next_offset)
         + "&attempt=" + std::to_string(attempt.value());
--- a/Libraries/LibGateway/GatewayLoop.cpp
+++ b/Libraries/LibGateway/GatewayLoop.cpp
@@ -42,7 +42,10 @@
     node.loop().every(tick_period, [this] { this->tick(); });
 }
 
-GenerationId GatewayLoop::new_generation_id() { return GenerationId(this->id_prefix + std::to_string(this->next_id++)); }
+GenerationId GatewayLoop::new_generation_id()
+{
+    return GenerationId(this->id_prefix + std::to_string(this->next_id++));
+}
 
 Duration GatewayLoop::time_left(Instant deadline) const { return std::max<Duration>(deadline - now(), 0s); }
 
@@ -113,11 +116,10 @@
     row.attempt = AttemptNumber(1);
 
     auto& budget = this->organisations[organisation_id];
-    budget.retry_allowance
-        = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
+    budget.retry_allowance = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
     this->node.metrics().add("lilac_requests_total");
-    this->node.events().record(EventNumber::RequestReceived, call->generation.value(),
-        "route " + row.route.value(), organisation_id);
+    this->node.events().record(
+        EventNumber::RequestReceived, call->generation.value(), "route " + row.route.value(), organisation_id);
     auto& stored = this->generations[call->generation] = std::move(row);
     this->ask_router(stored);
 }
@@ -144,8 +146,8 @@
     row.asked_at = now();
     auto const* owner = this->node.owner_of("pool/" + row.model.value());
     if (!owner) {
-        this->refuse(row,
-            { ErrorKind::PeerUnavailable, "no router is reachable from this host; try again at another one", 2s });
+        this->refuse(
+            row, { ErrorKind::PeerUnavailable, "no router is reachable from this host; try again at another one", 2s });
         return;
     }
     row.asked = owner->id;
@@ -158,8 +160,7 @@
 {
     auto call = row.call;
     this->node.metrics().add("lilac_requests_refused_total");
-    this->node.events().record(
-        EventNumber::RequestRefused, call->generation.value(), error.message, row.organisation);
+    this->node.events().record(EventNumber::RequestRefused, call->generation.value(), error.message, row.organisation);
     this->generations.erase(call->generation);
     --this->open_calls;
     call->decisions.put(Refused { std::move(error) });
@@ -222,8 +223,7 @@
     Admitted admitted;
     admitted.placement = { row.engine, Address(reply.engine_address()), row.attempt, reply.priority() };
     admitted.start = { row.call->generation, row.attempt, row.model.value(), row.adapter, row.call->request.prompt,
-        row.maximum_output_tokens, reply.priority(),
-        salted_prefix_hash(row.organisation, row.call->request.prompt) };
+        row.maximum_output_tokens, reply.priority(), salted_prefix_hash(row.organisation, row.call->request.prompt) };
     admitted.organisation = row.organisation;
     admitted.route = row.route;
     if (auto const* key = this->node.configuration().newest_resume_key())
@@ -238,8 +238,7 @@
     });
 }
 
-void GatewayLoop::try_again(
-    std::shared_ptr<EdgeCall> const& call, EngineId const& failed_engine, StreamFailure failure)
+void GatewayLoop::try_again(std::shared_ptr<EdgeCall> const& call, EngineId const& failed_engine, StreamFailure failure)
 {
     auto found = this->generations.find(call->generation);
     if (found == this->generations.end())
@@ -324,8 +323,7 @@
                 return true;
             },
             [this, source, token_count](bool) {
-                this->post_finished(
-                    source.generation, wire::FINISH_CANCELLED, token_count, "the caller went away");
+                this->post_finished(source.generation, wire::FINISH_CANCELLED, token_count, "the caller went away");
             });
     };
     this->node.loop().post([this, cancel] { this->node.loop().after(this->settings.resume_grace, cancel); });
@@ -433,8 +431,8 @@
         if (!key)
             return Error { ErrorKind::Forbidden, "the resume token's key is no longer in use; start again", {} };
         TRY(auto token,
-            Delivery::verify(call.token, { key->id(), key->secret_hexadecimal() },
-                Core::SystemClock().wall_milliseconds()));
+            Delivery::verify(
+                call.token, { key->id(), key->secret_hexadecimal() }, Core::SystemClock().wall_milliseconds()));
         if (token.organisation.value() != organisation->id() || token.generation != call.generation)
             return Error { ErrorKind::Forbidden, "the resume token belongs to another request; send your own", {} };
         return token;
@@ -471,7 +469,8 @@
             return Error { ErrorKind::NotReady, "this host is not ready: " + this->node.readiness_reason(), 1s };
         TRY(auto organisation, this->authenticate(call->api_key));
         auto const* service = this->node.configuration().find_service(call->service);
-        if (!service || std::ranges::find(service->organisations(), organisation->id()) == service->organisations().end())
+        if (!service
+            || std::ranges::find(service->organisations(), organisation->id()) == service->organisations().end())
             return Error { ErrorKind::UnknownRoute,
                 "your organisation has no such service; ask your operator for its services", {} };
         ServiceRow row;
@@ -487,8 +486,7 @@
         return;
     }
     auto& budget = this->organisations[decided.value().organisation];
-    budget.retry_allowance
-        = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
+    budget.retry_allowance = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
     auto& row = this->service_calls[call->id] = std::move(decided.value());
     if (call->idempotency_key.empty()) {
         this->dispatch_service_call(row);
@@ -558,8 +556,7 @@
     auto const* server = this->choose_server(row);
     if (!server) {
         this->refuse_service_call(row,
-            { ErrorKind::NoBackendServer,
-                "no server of the service takes calls here; come back after the time given",
+            { ErrorKind::NoBackendServer, "no server of the service takes calls here; come back after the time given",
                 2s });
         return;
     }
--- a/Libraries/LibGateway/GenerationEdge.cpp
+++ b/Libraries/LibGateway/GenerationEdge.cpp
@@ -24,6 +24,7 @@
 void GenerationEdge::serve(std::shared_ptr<EdgeCall> const& edge_call)
 {
     this->call = edge_call.get();
+    this->last_token_at = std::chrono::steady_clock::now();
     this->gateway.post_begin(edge_call);
     while (true) {
         auto decision = edge_call->decisions.take(longest_decision);
@@ -50,8 +51,8 @@
             break;
         }
         if (!this->try_elsewhere(edge_call, placed, end)) {
-            this->gateway.post_finished(
-                generation, wire::FINISH_FAILED, this->relay.next_offset(), "lost at " + placed.placement.engine.value());
+            this->gateway.post_finished(generation, wire::FINISH_FAILED, this->relay.next_offset(),
+                "lost at " + placed.placement.engine.value());
             this->fail_lost();
             return;
         }
@@ -169,11 +170,20 @@
     }
     if (!this->writer.write_token(token.text, token.offset, token.attempt))
         return RelayEnd::CallerGone;
+    this->measure_token(is_first);
     if (this->call)
         this->call->delivered = static_cast<u32>(this->relay.next_offset());
     return RelayEnd::Finished;
 }
 
+void GenerationEdge::measure_token(bool is_first)
+{
+    auto now = std::chrono::steady_clock::now();
+    auto& metrics = this->gateway.own_node().metrics();
+    metrics.observe(is_first ? "lilac_stall_seconds" : "lilac_gap_seconds", now - this->last_token_at);
+    this->last_token_at = now;
+}
+
 void GenerationEdge::offer_resume(Admitted const& placed, std::string const& execution)
 {
     if (!placed.signing_key)
@@ -196,6 +206,7 @@
 {
     this->relay = Delivery::TokenRelay(token.attempt, resume.next_offset);
     this->relay.pin_execution(token.execution);
+    this->last_token_at = std::chrono::steady_clock::now();
     this->writer.set_header("Lilactiller-Generation", token.generation.value());
     Source source { token.generation, token.engine_address };
     auto opened = this->reattach(source);
--- a/Libraries/LibGateway/GenerationEdge.h
+++ b/Libraries/LibGateway/GenerationEdge.h
@@ -45,6 +45,7 @@
     RelayEnd relay_items(Source const&, std::unique_ptr<EngineStream>);
     RelayEnd pass_on(Source const&, EngineToken const&);
     std::variant<std::unique_ptr<EngineStream>, StreamFailure> reattach(Source const&);
+    void measure_token(bool is_first);
     void offer_resume(Admitted const&, std::string const& execution);
     bool try_elsewhere(std::shared_ptr<EdgeCall> const&, Admitted const&, RelayEnd);
     void fail_lost();
@@ -56,6 +57,7 @@
     // A generation may be tried again elsewhere; "not run" is said only if no attempt can have run.
     Delivery::DispatchRecord record { Delivery::Repeatability::Repeatable };
     u64 attachment { 0 };
+    Instant last_token_at;
     EdgeCall* call { nullptr };
     Admitted const* admitted { nullptr };
 };
--- a/Libraries/LibGateway/ServiceEdge.cpp
+++ b/Libraries/LibGateway/ServiceEdge.cpp
@@ -58,12 +58,10 @@
         // A call that carries a key is run at most once, whatever its path.
         auto is_repeatable = admitted.is_repeatable && call->idempotency_key.empty();
         if (!record)
-            record.emplace(
-                is_repeatable ? Delivery::Repeatability::Repeatable : Delivery::Repeatability::AtMostOnce);
+            record.emplace(is_repeatable ? Delivery::Repeatability::Repeatable : Delivery::Repeatability::AtMostOnce);
         VERIFY(record->may_dispatch());
         record->about_to_send();
-        auto answer
-            = Platform::call_http(admitted.address, to_question(*call, admitted.organisation), call->deadline);
+        auto answer = Platform::call_http(admitted.address, to_question(*call, admitted.organisation), call->deadline);
         auto was_turned_away = answer && answer.value().headers.contains(not_started_header);
         if (answer && !was_turned_away) {
             record->completed();
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -26,8 +26,7 @@
 
 static i64 now_milliseconds() { return AK::to_milliseconds(now().time_since_epoch()); }
 
-template<typename T>
-static Result<void> without_value(Result<T> const& result)
+template<typename T> static Result<void> without_value(Result<T> const& result)
 {
     return result ? Result<void>(success()) : Result<void>(result.error());
 }
@@ -124,8 +123,18 @@
     this->send(remote[this->beat_count / remote_digest_beats % remote.size()], std::move(envelope));
 }
 
+void Node::note_readiness()
+{
+    if (this->readiness_noted || !this->is_ready())
+        return;
+    this->readiness_noted = true;
+    this->event_log.record(EventNumber::ProcessReady, this->node_settings.member.value(),
+        "at revision " + std::to_string(this->follower.revision().value()));
+}
+
 void Node::beat()
 {
+    this->note_readiness();
     this->last_beat_milliseconds = now_milliseconds();
     ++this->beat_count;
     this->report(this->member_table.beat(now()));
@@ -134,8 +143,7 @@
         this->send_gossip(target);
     this->send_remote_digest();
     this->metric_set.set("lilac_members", static_cast<double>(this->member_table.others().size() + 1));
-    this->metric_set.set(
-        "lilac_configuration_revision", static_cast<double>(this->follower.revision().value()));
+    this->metric_set.set("lilac_configuration_revision", static_cast<double>(this->follower.revision().value()));
     this->metric_set.set("lilac_platform_silence_seconds", AK::to_seconds(this->since_platform_contact()));
 }
 
@@ -305,23 +313,36 @@
         return;
     this->configuration_poll_runs = true;
     this->last_configuration_poll = now();
-    auto revision = this->follower.revision();
     this->background_caller.submit(
-        [this, revision] {
-            return Configuration::ConfigurationLog(this->platform_client).read_after(revision);
-        },
-        [this](Result<std::vector<wire::LogEntry>> const& entries) { this->take_entries(entries); });
+        [this, revision = this->follower.revision()] { return this->read_configuration_news(revision); },
+        [this](Result<ConfigurationNews> const& news) { this->take_news(news); });
 }
 
-void Node::take_entries(Result<std::vector<wire::LogEntry>> const& entries)
+/// On a background thread: touches nothing but the platform's client.
+Result<Node::ConfigurationNews> Node::read_configuration_news(Revision known)
+{
+    Configuration::ConfigurationLog log(this->platform_client);
+    ConfigurationNews news;
+    if (known == Revision(0)) {
+        TRY(news.snapshot, log.read_snapshot());
+        if (news.snapshot)
+            known = Revision(news.snapshot->revision());
+    }
+    TRY(news.entries, log.read_after(known));
+    return news;
+}
+
+void Node::take_news(Result<ConfigurationNews> const& news)
 {
     this->configuration_poll_runs = false;
-    this->platform_answered(without_value(entries));
-    if (!entries)
+    this->platform_answered(without_value(news));
+    if (!news)
         return;
     this->configuration_known = true;
-    if (!entries.value().empty())
-        this->spread_entries(entries.value());
+    if (news.value().snapshot && this->follower.offer(*news.value().snapshot))
+        this->revision_moved();
+    if (!news.value().entries.empty())
+        this->spread_entries(news.value().entries);
 }
 
 Duration Node::since_platform_contact() const { return now() - this->last_platform_contact; }
@@ -338,8 +359,7 @@
     }
     if (this->platform_is_available)
         this->event_log.record(EventNumber::PlatformUnavailable, "platform",
-            "serving on revision " + std::to_string(this->follower.revision().value()) + ": "
-                + answer.error().message);
+            "serving on revision " + std::to_string(this->follower.revision().value()) + ": " + answer.error().message);
     this->platform_is_available = false;
     if (this->staleness_reported || this->since_platform_contact() < stale_after)
         return;
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -84,12 +84,19 @@
     void receive_events_fetch(wire::Envelope const&);
     void report(std::vector<Membership::MemberEvent> const&);
     void beat();
+    void note_readiness();
     void send_gossip(Address const& peer);
     void send_remote_digest();
     [[nodiscard]] std::vector<Address> gossip_targets();
     void fetch_configuration_from(Address const& peer);
     void poll_configuration();
-    void take_entries(Result<std::vector<wire::LogEntry>> const&);
+    /// What one look at the configuration log brought.
+    struct ConfigurationNews {
+        std::optional<wire::ConfigurationSnapshot> snapshot;
+        std::vector<wire::LogEntry> entries;
+    };
+    Result<ConfigurationNews> read_configuration_news(Revision known);
+    void take_news(Result<ConfigurationNews> const&);
     void poll_backend_servers();
     void take_backend_servers(std::vector<Platform::BackendServerRecord>);
     void revision_moved();
@@ -118,6 +125,7 @@
     Instant last_platform_contact;
     bool platform_is_available { true };
     bool staleness_reported { false };
+    bool readiness_noted { false };
     std::atomic<bool> configuration_known { false };
     std::atomic<bool> leaving { false };
     std::atomic<i64> last_beat_milliseconds;
--- a/Libraries/LibNode/StatusServer.cpp
+++ b/Libraries/LibNode/StatusServer.cpp
@@ -89,8 +89,7 @@
     auto* parameters = new Poco::Net::HTTPServerParams;
     parameters->setMaxThreads(2);
     parameters->setKeepAlive(false);
-    this->server
-        = std::make_unique<Poco::Net::HTTPServer>(new StatusHandlerFactory(node), socket, parameters);
+    this->server = std::make_unique<Poco::Net::HTTPServer>(new StatusHandlerFactory(node), socket, parameters);
     this->server->start();
 }
 
--- a/Libraries/LibOperator/OperatorLoop.cpp
+++ b/Libraries/LibOperator/OperatorLoop.cpp
@@ -51,12 +51,11 @@
     virtual void proceed(bool is_ok) = 0;
 };
 
-template<typename Request, typename Reply>
-class OperatorLoop::UnaryCall final : public Tag {
+template<typename Request, typename Reply> class OperatorLoop::UnaryCall final : public Tag {
 public:
     using Responder = grpc::ServerAsyncResponseWriter<Reply>;
-    using RequestFunction = void (wire::OperatorService::AsyncService::*)(grpc::ServerContext*, Request*, Responder*,
-        grpc::CompletionQueue*, grpc::ServerCompletionQueue*, void*);
+    using RequestFunction = void (wire::OperatorService::AsyncService::*)(
+        grpc::ServerContext*, Request*, Responder*, grpc::CompletionQueue*, grpc::ServerCompletionQueue*, void*);
     using Done = std::function<void(Result<Reply>)>;
     using Handler = std::function<void(Request const&, OperatorIdentity const&, Done)>;
 
@@ -84,8 +83,8 @@
         if (!identity)
             this->answer(identity.error());
         else if (identity.value().role < this->needed)
-            this->answer(Error { ErrorKind::Forbidden,
-                "operator '" + identity.value().name + "' may only look; ask an editor", {} });
+            this->answer(Error {
+                ErrorKind::Forbidden, "operator '" + identity.value().name + "' may only look; ask an editor", {} });
         else
             this->handler(this->request, identity.value(), [this](Result<Reply> reply) { this->answer(reply); });
     }
@@ -293,8 +292,8 @@
     using Service = wire::OperatorService::AsyncService;
     new UnaryCall<wire::ApplyRequest, wire::ApplyReply>(*this, &Service::RequestApply, OperatorRole::Editor,
         [this](auto const& request, auto const& identity, auto done) { this->apply(request, identity, done); });
-    new UnaryCall<wire::GetRequest, wire::ConfigurationSnapshot>(*this, &Service::RequestGet, OperatorRole::Viewer,
-        [this](auto const&, auto const&, auto done) {
+    new UnaryCall<wire::GetRequest, wire::ConfigurationSnapshot>(
+        *this, &Service::RequestGet, OperatorRole::Viewer, [this](auto const&, auto const&, auto done) {
             auto snapshot = this->node.configuration().snapshot();
             // Whoever can look at the configuration must not be able to sign resume tokens.
             for (auto& key : *snapshot.mutable_resume_keys())
@@ -303,12 +302,12 @@
         });
     new UnaryCall<wire::MembersRequest, wire::MembersReply>(*this, &Service::RequestMembers, OperatorRole::Viewer,
         [this](auto const&, auto const&, auto done) { done(this->members()); });
-    new UnaryCall<wire::EventsRequest, wire::EventBatch>(*this, &Service::RequestEvents, OperatorRole::Viewer,
-        [this](auto const& request, auto const&, auto done) {
+    new UnaryCall<wire::EventsRequest, wire::EventBatch>(
+        *this, &Service::RequestEvents, OperatorRole::Viewer, [this](auto const& request, auto const&, auto done) {
             this->collect_events(request.maximum(), "", [done](auto events) { done(std::move(events)); });
         });
-    new UnaryCall<wire::ExplainRequest, wire::ExplainReply>(*this, &Service::RequestExplain, OperatorRole::Viewer,
-        [this](auto const& request, auto const&, auto done) {
+    new UnaryCall<wire::ExplainRequest, wire::ExplainReply>(
+        *this, &Service::RequestExplain, OperatorRole::Viewer, [this](auto const& request, auto const&, auto done) {
             constexpr u64 most_events = 200;
             this->collect_events(most_events, request.generation(), [done](auto events) {
                 wire::ExplainReply reply;
@@ -336,8 +335,8 @@
 void OperatorLoop::apply(wire::ApplyRequest const& request, OperatorIdentity const& identity, ApplyDone done)
 {
     if (request.change_id().empty() || request.change_id().size() > longest_change_id) {
-        done(Error { ErrorKind::InvalidRequest, "change_id must be 1 to 128 bytes; choose one and keep it for repeats",
-            {} });
+        done(Error {
+            ErrorKind::InvalidRequest, "change_id must be 1 to 128 bytes; choose one and keep it for repeats", {} });
         return;
     }
     std::optional<Revision> expected;
@@ -358,6 +357,11 @@
                 auto entries = log.read_after(before);
                 if (entries)
                     applied.entries = std::move(entries.value());
+                for (auto const& entry : applied.entries) {
+                    if (entry.revision() > document.revision().value())
+                        document.apply(entry);
+                }
+                (void)log.write_snapshot_if_due(document);
             }
             return applied;
         },
--- a/Libraries/LibOperator/OperatorLoop.h
+++ b/Libraries/LibOperator/OperatorLoop.h
@@ -31,8 +31,7 @@
     void stop_accepting();
 
 private:
-    template<typename Request, typename Reply>
-    class UnaryCall;
+    template<typename Request, typename Reply> class UnaryCall;
     class WatchCall;
     class Tag;
 
--- a/Libraries/LibPlatform/ClaimBatch.h
+++ b/Libraries/LibPlatform/ClaimBatch.h
@@ -7,10 +7,10 @@
 #pragma once
 
 #include <AK/Identifiers.h>
-#include <algorithm>
-#include <optional>
 #include <LibPlatform/TableStore.h>
+#include <algorithm>
 #include <charconv>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -65,10 +65,28 @@
     return row.exists() && space != std::string::npos && row.value.substr(space + 1) == nonce;
 }
 
+/// Deletes claims whose lifetime is over among the `limit` rows after `after`, in one transaction, and returns the key
+/// to go on after; empty at the end. Best effort: what stays is found the next time.
+template<TableStore Store> std::string sweep_claims(Store& store, std::string const& after, size_t limit, u64 wall_now)
+{
+    auto rows = store.scan("claim/", after, limit);
+    if (!rows || rows.value().empty())
+        return {};
+    Transaction transaction;
+    for (auto const& row : rows.value()) {
+        if (claim_is_held(row, wall_now))
+            continue;
+        transaction.conditions.push_back({ row.key, row.version });
+        transaction.writes.push_back({ row.key, std::nullopt });
+    }
+    if (!transaction.writes.empty())
+        (void)store.commit(transaction);
+    return rows.value().size() < limit ? std::string() : rows.value().back().key;
+}
+
 /// Makes many claims in few transactions, and says for each what came of it. Blocks. The answers are in the order of
 /// the claims. Claims with the same key in one batch are granted to at most one of them.
-template<TableStore Store>
-class ClaimBatch {
+template<TableStore Store> class ClaimBatch {
 public:
     ClaimBatch(Store& store, u64 wall_now)
         : store(store)
@@ -130,8 +148,7 @@
             auto const& claim = (*this->claims)[i];
             auto row = this->store.read(claim_key(claim));
             if (!row) {
-                this->settle_open(
-                    this->has_lost_answer ? ClaimVerdict::Unknown : ClaimVerdict::PlatformUnavailable);
+                this->settle_open(this->has_lost_answer ? ClaimVerdict::Unknown : ClaimVerdict::PlatformUnavailable);
                 return std::nullopt;
             }
             if (claim_is_held_by(row.value(), claim.nonce)) {
@@ -157,8 +174,7 @@
         if (result.error().kind == ErrorKind::PlatformAnswerLost)
             this->has_lost_answer = true;
         else
-            this->settle_open(
-                this->has_lost_answer ? ClaimVerdict::Unknown : ClaimVerdict::PlatformUnavailable);
+            this->settle_open(this->has_lost_answer ? ClaimVerdict::Unknown : ClaimVerdict::PlatformUnavailable);
     }
 
     Store& store;
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -49,16 +49,15 @@
 
 Result<std::vector<Row>> HttpPlatform::scan(std::string const& prefix, std::string const& after, size_t limit)
 {
-    auto path = "/table/scan?prefix=" + escape(prefix) + "&after=" + escape(after)
-        + "&limit=" + std::to_string(limit);
+    auto path = "/table/scan?prefix=" + escape(prefix) + "&after=" + escape(after) + "&limit=" + std::to_string(limit);
     TRY(auto answer, read_only(this->address, path, this->patience));
     return parse_rows(answer.body);
 }
 
 Result<CommitResult> HttpPlatform::commit(Transaction const& transaction)
 {
-    auto answer = call_http(this->address, { "POST", "/table/commit", format_transaction(transaction), {} },
-        this->patience);
+    auto answer
+        = call_http(this->address, { "POST", "/table/commit", format_transaction(transaction), {} }, this->patience);
     if (!answer) {
         if (answer.error().progress == CallProgress::NothingSent)
             return platform_unavailable(answer.error().detail);
--- a/Libraries/LibPlatform/PlatformJson.cpp
+++ b/Libraries/LibPlatform/PlatformJson.cpp
@@ -24,8 +24,7 @@
 }
 
 /// Parses one JSON object and hands it to `read`; any exception of the parser becomes a typed error.
-template<typename T>
-static Result<T> parse_object(std::string const& json, std::function<T(Object const&)> const& read)
+template<typename T> static Result<T> parse_object(std::string const& json, std::function<T(Object const&)> const& read)
 {
     try {
         Poco::JSON::Parser parser;
@@ -131,8 +130,8 @@
             record.model = ModelId(host->optValue<std::string>("model", ""));
             record.service = ServiceName(host->optValue<std::string>("service", ""));
             record.capacity = TokenCount(host->optValue<Poco::Int64>("capacity_tokens", 0));
-            record.state = host->optValue<std::string>("state", "live") == "leaving" ? HostState::Leaving
-                                                                                     : HostState::Live;
+            record.state
+                = host->optValue<std::string>("state", "live") == "leaving" ? HostState::Leaving : HostState::Live;
             record.checks_epochs = host->optValue<bool>("checks_epochs", true);
             records.push_back(std::move(record));
         }
--- a/Libraries/LibPlatform/TableStore.h
+++ b/Libraries/LibPlatform/TableStore.h
@@ -49,17 +49,29 @@
 /// The platform's transactional table service. Calls block and belong on a background thread.
 /// Errors: PlatformUnavailable when nothing was done; PlatformAnswerLost when a commit may have been done.
 template<typename T>
-concept TableStore = requires(T& store, std::string const& text, Transaction const& transaction, size_t limit) {
-    { store.read(text) } -> std::same_as<Result<Row>>;
-    { store.scan(text, text, limit) } -> std::same_as<Result<std::vector<Row>>>;
-    { store.commit(transaction) } -> std::same_as<Result<CommitResult>>;
+concept TableStore = requires(T& store, std::string const& text, Transaction const& transaction, size_t limit)
+{
+    {
+        store.read(text)
+        } -> std::same_as<Result<Row>>;
+    {
+        store.scan(text, text, limit)
+        } -> std::same_as<Result<std::vector<Row>>>;
+    {
+        store.commit(transaction)
+        } -> std::same_as<Result<CommitResult>>;
 };
 
 /// The platform's object store, for bodies too large for a row. Errors as above.
 template<typename T>
-concept ObjectStore = requires(T& store, std::string const& text) {
-    { store.put_object(text, text) } -> std::same_as<Result<void>>;
-    { store.get_object(text) } -> std::same_as<Result<std::string>>;
+concept ObjectStore = requires(T& store, std::string const& text)
+{
+    {
+        store.put_object(text, text)
+        } -> std::same_as<Result<void>>;
+    {
+        store.get_object(text)
+        } -> std::same_as<Result<std::string>>;
 };
 
 enum class HostState : u8 {
--- a/Libraries/LibPolicyBench/Cells.cpp
+++ b/Libraries/LibPolicyBench/Cells.cpp
@@ -216,8 +216,8 @@
         if (stall != measures.stall_of_organisation.end())
             own.set("stall_p95", stall->second.quantile(0.95));
         auto refusals = measures.refusals_of_organisation.find(organisation);
-        own.set("refusals", static_cast<Poco::UInt64>(
-            refusals == measures.refusals_of_organisation.end() ? 0 : refusals->second));
+        own.set("refusals",
+            static_cast<Poco::UInt64>(refusals == measures.refusals_of_organisation.end() ? 0 : refusals->second));
         organisations.set(organisation, own);
     }
     object.set("organisations", organisations);
--- a/Libraries/LibPolicyBench/Dispatcher.h
+++ b/Libraries/LibPolicyBench/Dispatcher.h
@@ -24,8 +24,7 @@
     virtual void set_draining(EngineId const&) = 0;
     virtual void submit(Scheduling::SubmitRequest const&, Instant now) = 0;
     virtual void first_token(GenerationId const&, Instant now) = 0;
-    virtual void finished(
-        GenerationId const&, AttemptNumber, Scheduling::EndReason, TokenCount output, Instant now)
+    virtual void finished(GenerationId const&, AttemptNumber, Scheduling::EndReason, TokenCount output, Instant now)
         = 0;
     virtual void load_report(EngineId const&, Scheduling::LoadReport const&, Instant now) = 0;
     virtual void prefix_cached(EngineId const&, u64 prefix_hash, bool is_present) = 0;
@@ -48,7 +47,8 @@
     {
     }
 
-    double tightness(Scheduling::Tables& tables, Scheduling::EngineRow& engine, Scheduling::GenerationRow const& candidate)
+    double tightness(
+        Scheduling::Tables& tables, Scheduling::EngineRow& engine, Scheduling::GenerationRow const& candidate)
     {
         struct Holding {
             double remaining;
@@ -84,8 +84,7 @@
 };
 
 /// The scheduler that ships, or the same one with another admission policy.
-template<Scheduling::AdmissionPolicy Admission>
-class PoolDispatcher final : public Dispatcher {
+template<Scheduling::AdmissionPolicy Admission> class PoolDispatcher final : public Dispatcher {
 public:
     /// `make_admission` is given the constants, which live as long as the dispatcher.
     template<typename MakeAdmission>
@@ -101,7 +100,10 @@
         this->scheduler.load_report(id, {}, now);
     }
     void set_draining(EngineId const& id) override { this->scheduler.set_draining(id, true); }
-    void submit(Scheduling::SubmitRequest const& request, Instant now) override { this->scheduler.submit(request, now); }
+    void submit(Scheduling::SubmitRequest const& request, Instant now) override
+    {
+        this->scheduler.submit(request, now);
+    }
     void first_token(GenerationId const& id, Instant now) override { this->scheduler.first_token(id, now); }
     void finished(GenerationId const& id, AttemptNumber attempt, Scheduling::EndReason reason, TokenCount output,
         Instant now) override
@@ -174,8 +176,7 @@
     EngineId const& choose(Placed& own)
     {
         if (this->rule == Rule::LeastReported)
-            return *std::ranges::min_element(
-                this->engines, {}, [&](EngineId const& id) { return this->reported[id]; });
+            return *std::ranges::min_element(this->engines, {}, [&](EngineId const& id) { return this->reported[id]; });
         boost::random::uniform_int_distribution<size_t> draw(0, this->engines.size() - 1);
         auto const& first = this->engines[draw(this->random)];
         auto const& second = this->engines[draw(this->random)];
@@ -244,8 +245,7 @@
 private:
     Dispatcher& owner(GenerationId const& id) { return *this->owners[this->owner_of.at(id)]; }
 
-    template<typename Ask>
-    std::vector<Scheduling::Action> gather(Ask ask)
+    template<typename Ask> std::vector<Scheduling::Action> gather(Ask ask)
     {
         std::vector<Scheduling::Action> all;
         for (auto& owner : this->owners) {
--- a/Libraries/LibPolicyBench/Measures.h
+++ b/Libraries/LibPolicyBench/Measures.h
@@ -48,8 +48,9 @@
 
     [[nodiscard]] double preemptions_per_thousand() const
     {
-        return this->completions ? 1000.0 * static_cast<double>(this->preemptions) / static_cast<double>(this->completions)
-                                 : 0;
+        return this->completions
+            ? 1000.0 * static_cast<double>(this->preemptions) / static_cast<double>(this->completions)
+            : 0;
     }
     [[nodiscard]] double goodput() const { return static_cast<double>(this->good) / this->measured_seconds; }
 };
--- a/Libraries/LibPolicyBench/Workload.cpp
+++ b/Libraries/LibPolicyBench/Workload.cpp
@@ -25,8 +25,8 @@
     if (uniform(random) < distribution.tail_share)
         value = distribution.tail_start * std::pow(1 - uniform(random), -1 / distribution.tail_exponent);
     else
-        value = boost::random::lognormal_distribution<double>(
-            std::log(distribution.median), distribution.sigma)(random);
+        value
+            = boost::random::lognormal_distribution<double>(std::log(distribution.median), distribution.sigma)(random);
     return std::clamp(value, 1.0, distribution.largest);
 }
 
--- a/Libraries/LibRouter/ClaimDesk.cpp
+++ b/Libraries/LibRouter/ClaimDesk.cpp
@@ -10,18 +10,22 @@
 namespace Router {
 
 static constexpr size_t largest_batch = 200;
+// A write each period at most, for all domains together by the share of the owners: few beside those of the claims.
+static constexpr Duration sweep_period = 20s;
+static constexpr size_t rows_per_sweep = 500;
 
 ClaimDesk::ClaimDesk(Node::Node& node, Duration period)
     : node(node)
 {
     node.loop().every(period, [this] { this->flush(); });
+    node.loop().every(sweep_period, [this] { this->sweep(); });
 }
 
 void ClaimDesk::receive(wire::ClaimRequest const& request, Address const& sender)
 {
     // A question asked again while its answer is on the way is answered twice, with the same answer: the nonce says so.
-    this->waiting.push_back({ { OrganisationId(request.organisation()), request.idempotency_key(), request.nonce() },
-        sender });
+    this->waiting.push_back(
+        { { OrganisationId(request.organisation()), request.idempotency_key(), request.nonce() }, sender });
 }
 
 void ClaimDesk::receive(wire::ClaimRelease const& release)
@@ -65,6 +69,19 @@
         [this, batch](std::vector<Platform::ClaimVerdict> const& verdicts) { this->answer(batch, verdicts); });
 }
 
+void ClaimDesk::sweep()
+{
+    auto const* owner = this->node.owner_of("claims");
+    if (!owner || owner->id != this->node.settings().member)
+        return;
+    auto& platform = this->node.platform();
+    this->node.background().submit(
+        [&platform, after = this->swept_up_to] {
+            return Platform::sweep_claims(platform, after, rows_per_sweep, Core::SystemClock().wall_milliseconds());
+        },
+        [this](std::string const& up_to) { this->swept_up_to = up_to; });
+}
+
 static wire::ClaimAnswer to_answer(Platform::ClaimVerdict verdict)
 {
     switch (verdict) {
--- a/Libraries/LibRouter/ClaimDesk.h
+++ b/Libraries/LibRouter/ClaimDesk.h
@@ -29,12 +29,14 @@
     };
 
     void flush();
+    void sweep();
     void answer(std::vector<WaitingClaim> const&, std::vector<Platform::ClaimVerdict> const&);
 
     Node::Node& node;
     std::vector<WaitingClaim> waiting;
     std::vector<Platform::Claim> releases;
     bool is_writing { false };
+    std::string swept_up_to;
 };
 
 }
--- a/Libraries/LibRouter/OrderKeeper.cpp
+++ b/Libraries/LibRouter/OrderKeeper.cpp
@@ -53,8 +53,7 @@
     return wanted;
 }
 
-void OrderKeeper::engine_reported(
-    Platform::BackendServerRecord const& engine, std::vector<std::string> const& adapters)
+void OrderKeeper::engine_reported(Platform::BackendServerRecord const& engine, std::vector<std::string> const& adapters)
 {
     auto wanted = this->wanted_adapters(engine.model);
     if (wanted == std::set(adapters.begin(), adapters.end()) || this->is_keeping)
@@ -62,12 +61,11 @@
     auto may_act_until = this->lease->may_act_until();
     if (!may_act_until || now() >= *may_act_until || !this->orders_under_way.insert(engine.id).second)
         return;
-    EngineOrder order { this->lease->epoch(), this->node.configuration().revision(),
-        { wanted.begin(), wanted.end() } };
+    EngineOrder order { this->lease->epoch(), this->node.configuration().revision(), { wanted.begin(), wanted.end() } };
     auto text = "epoch " + std::to_string(order.epoch.value()) + " revision " + std::to_string(order.revision.value());
     this->node.background().submit(
-        [until = *may_act_until, address = engine.address, order, patience = this->settings.engine_patience]()
-            -> Result<void> {
+        [until = *may_act_until, address = engine.address, order,
+            patience = this->settings.engine_patience]() -> Result<void> {
             // The thread may have been held up since the loop looked.
             if (now() >= until)
                 return Error { ErrorKind::FencedOut, "the lease lapsed before the order left; the next holder gives it",
--- a/Libraries/LibRouter/RouterLoop.cpp
+++ b/Libraries/LibRouter/RouterLoop.cpp
@@ -36,8 +36,8 @@
 {
     auto& pool = this->pools[model];
     if (!pool) {
-        pool = std::make_unique<Pool>(
-            Pool { model, Scheduler(Scheduling::ForecastAdmission(this->constants), this->constants), {}, {}, false, {} });
+        pool = std::make_unique<Pool>(Pool {
+            model, Scheduler(Scheduling::ForecastAdmission(this->constants), this->constants), {}, {}, false, {} });
         this->update_engines(*pool);
         for (auto& [id, engine] : pool->engines)
             this->poll_engine(*pool, engine);
@@ -62,8 +62,7 @@
         listed.insert(record.id);
         auto [entry, is_new] = pool.engines.try_emplace(record.id);
         entry->second.record = record;
-        pool.scheduler.put_engine(
-            record.id, record.address, static_cast<double>(record.capacity.value()), now());
+        pool.scheduler.put_engine(record.id, record.address, static_cast<double>(record.capacity.value()), now());
         pool.scheduler.set_draining(record.id, this->node.is_leaving(record.id));
         if (is_new) {
             this->node.events().record(EventNumber::EngineSeen, record.id.value(), record.address.value());
@@ -143,8 +142,8 @@
         this->node.backend_server_is_back(id);
     pool.scheduler.set_draining(id, this->node.is_leaving(id));
     pool.scheduler.put_engine(id, engine.record.address, report.capacity_tokens, now());
-    pool.scheduler.load_report(
-        id, { report.used_tokens, report.running, report.waiting, report.steps, report.preemptions, report.age }, now());
+    pool.scheduler.load_report(id,
+        { report.used_tokens, report.running, report.waiting, report.steps, report.preemptions, report.age }, now());
     if (report.cache_has_gap)
         pool.scheduler.forget_prefixes(id);
     for (auto const& [hash, is_present] : report.cache_events)
@@ -318,8 +317,8 @@
     reply->set_engine_address(action.address.value());
     reply->set_priority(action.priority);
     this->node.send(pool.askers[action.generation], std::move(envelope));
-    this->node.events().record(EventNumber::GenerationPlaced, action.generation.value(),
-        "at " + action.engine.value() + ", " + action.reason);
+    this->node.events().record(
+        EventNumber::GenerationPlaced, action.generation.value(), "at " + action.engine.value() + ", " + action.reason);
 }
 
 void RouterLoop::carry_out(Pool& pool, Scheduling::RefuseAction const& action)
@@ -339,10 +338,25 @@
     this->pool_of_generation.erase(action.generation);
 }
 
+void RouterLoop::note_silent_engines(Pool& pool)
+{
+    // Only the owner asks engines all the time; to others they are silent as a matter of course.
+    if (!pool.is_own)
+        return;
+    for (auto const& row : pool.scheduler.view().engines) {
+        auto& engine = pool.engines[row.id];
+        if (row.silent && !engine.is_silent)
+            this->node.events().record(EventNumber::EngineSilent, row.id.value(), "no report; gets no new work");
+        engine.is_silent = row.silent;
+    }
+}
+
 void RouterLoop::tick()
 {
-    for (auto& [model, pool] : this->pools)
+    for (auto& [model, pool] : this->pools) {
         this->carry_out(*pool, pool->scheduler.tick(now()));
+        this->note_silent_engines(*pool);
+    }
     this->node.metrics().set("lilac_queued_generations", static_cast<double>(this->queued_count()));
 }
 
--- a/Libraries/LibRouter/RouterLoop.h
+++ b/Libraries/LibRouter/RouterLoop.h
@@ -36,6 +36,7 @@
         Platform::BackendServerRecord record;
         bool is_being_asked { false };
         u64 cache_sequence { 0 };
+        bool is_silent { false };
     };
 
     struct Pool {
@@ -64,6 +65,7 @@
     void carry_out(Pool&, std::vector<Scheduling::Action> const&);
     void carry_out(Pool&, Scheduling::PlaceAction const&);
     void carry_out(Pool&, Scheduling::RefuseAction const&);
+    void note_silent_engines(Pool&);
     void tick();
 
     Node::Node& node;
--- a/Libraries/LibRouter/RouterSettings.h
+++ b/Libraries/LibRouter/RouterSettings.h
@@ -16,8 +16,8 @@
     Duration tick_period { 50ms };
     Duration load_poll_period { 500ms };
     Duration engine_patience { 1s };
-    /// Claims wait so long to be written together.
-    Duration claim_period { 100ms };
+    /// Claims wait so long to be written together: 22 domains then stay under 100 writes a second.
+    Duration claim_period { 250ms };
     /// A lease for orders to engines lasts so long, and is renewed at a third of it.
     Duration lease_term { 15s };
     Duration lease_margin { 3s };
--- a/Libraries/LibScheduling/Admission.h
+++ b/Libraries/LibScheduling/Admission.h
@@ -15,10 +15,12 @@
 /// Decides whether an engine's memory has room for one more generation, and how tight it would be: 0 for an empty
 /// engine, 1 for one that is just full by the policy's reckoning, more when it does not fit.
 template<typename T>
-concept AdmissionPolicy
-    = requires(T& policy, Tables& tables, EngineRow& engine, GenerationRow const& generation) {
-          { policy.tightness(tables, engine, generation) } -> std::same_as<double>;
-      };
+concept AdmissionPolicy = requires(T& policy, Tables& tables, EngineRow& engine, GenerationRow const& generation)
+{
+    {
+        policy.tightness(tables, engine, generation)
+        } -> std::same_as<double>;
+};
 
 /// The shipped policy: the chance that demand passes the memory at any horizon, were nothing else admitted, stays
 /// small. Demand is the sum over generations of what each holds and may still grow to, given how far it has come.
@@ -73,7 +75,7 @@
     }
 };
 
-static_assert(AdmissionPolicy<ForecastAdmission> && AdmissionPolicy<MaximumReservation>
-    && AdmissionPolicy<PromptOnlyReservation>);
+static_assert(AdmissionPolicy<
+                  ForecastAdmission> && AdmissionPolicy<MaximumReservation> && AdmissionPolicy<PromptOnlyReservation>);
 
 }
--- a/Libraries/LibScheduling/LengthForecast.cpp
+++ b/Libraries/LibScheduling/LengthForecast.cpp
@@ -122,9 +122,9 @@
     auto leaf_key = organisation_key + '\n' + key.route.value();
     auto [entry, is_new] = this->index_of_key.try_emplace(leaf_key, static_cast<Index>(this->leaves.size()));
     if (is_new) {
-        this->leaves.push_back({ LengthHistogram(histogram_memory),
-            &find_or_make(this->of_organisation, organisation_key), &find_or_make(this->of_model, key.model.value()),
-            SurvivalCurve(prior_hazards), true });
+        this->leaves.push_back(
+            { LengthHistogram(histogram_memory), &find_or_make(this->of_organisation, organisation_key),
+                &find_or_make(this->of_model, key.model.value()), SurvivalCurve(prior_hazards), true });
         this->leaves.back().curve = SurvivalCurve(this->hazards_of(this->leaves.back()));
     }
     return entry->second;
--- a/Libraries/LibScheduling/PoolScheduler.h
+++ b/Libraries/LibScheduling/PoolScheduler.h
@@ -50,8 +50,7 @@
 
 /// The decisions for one pool: which generation goes to which engine, when, and what is refused. Time comes in as an
 /// argument, and what is to be done goes out as actions, so that the daemon and the bench run the same code.
-template<AdmissionPolicy Admission>
-class PoolScheduler {
+template<AdmissionPolicy Admission> class PoolScheduler {
 public:
     PoolScheduler(Admission admission, PolicyConstants const& constants)
         : admission(std::move(admission))
@@ -142,8 +141,7 @@
     this->tables.engines.push_back(std::move(row));
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::remove_engine(EngineId const& id)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::remove_engine(EngineId const& id)
 {
     auto found = this->tables.engine_of_id.find(id);
     if (found == this->tables.engine_of_id.end())
@@ -166,16 +164,14 @@
     this->tables.engines.pop_back();
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::set_draining(EngineId const& id, bool draining)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::set_draining(EngineId const& id, bool draining)
 {
     if (auto* engine = find_engine(this->tables, id))
         engine->draining = draining;
 }
 
 template<AdmissionPolicy Admission>
-bool PoolScheduler<Admission>::is_over_limits(
-    SubmitRequest const& request, OrganisationRow& organisation, Instant now)
+bool PoolScheduler<Admission>::is_over_limits(SubmitRequest const& request, OrganisationRow& organisation, Instant now)
 {
     if (request.maximum_concurrency > 0
         && organisation.running + organisation.queue.size() >= request.maximum_concurrency)
@@ -193,22 +189,18 @@
     return false;
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::refuse_new(SubmitRequest const& request, Error error)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::refuse_new(SubmitRequest const& request, Error error)
 {
     this->tables.actions.push_back(RefuseAction { request.generation, request.attempt, std::move(error) });
 }
 
-template<AdmissionPolicy Admission>
-bool PoolScheduler<Admission>::is_large(double prompt) const
+template<AdmissionPolicy Admission> bool PoolScheduler<Admission>::is_large(double prompt) const
 {
-    return std::ranges::any_of(this->tables.engines, [&](EngineRow const& engine) {
-        return prompt >= engine.capacity * this->constants.large_share;
-    });
+    return std::ranges::any_of(this->tables.engines,
+        [&](EngineRow const& engine) { return prompt >= engine.capacity * this->constants.large_share; });
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::raise_virtual_time(OrganisationRow& organisation)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::raise_virtual_time(OrganisationRow& organisation)
 {
     // An organisation that was away does not save up service: it starts level with the least served one that waits.
     if (!organisation.queue.empty() || organisation.running > 0)
@@ -237,22 +229,21 @@
     return true;
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::submit(SubmitRequest const& request, Instant now)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::submit(SubmitRequest const& request, Instant now)
 {
     if (auto known = find_generation(this->tables, request.generation)) {
         if (this->answer_repeat(request, *known))
             return;
-        this->finished(request.generation, this->tables.generations[*known].attempt, EndReason::NotStarted,
-            TokenCount(0), now);
+        this->finished(
+            request.generation, this->tables.generations[*known].attempt, EndReason::NotStarted, TokenCount(0), now);
     }
     auto organisation_number = organisation_index(this->tables, request.forecast_key.organisation);
     auto& organisation = this->tables.organisations[organisation_number];
     organisation.weight = request.organisation_weight > 0 ? request.organisation_weight : 1;
     if (this->is_over_limits(request, organisation, now)) {
         this->refuse_new(request,
-            { ErrorKind::OverLimit,
-                "the organisation is at its limit of requests here; come back after the time given", 1s });
+            { ErrorKind::OverLimit, "the organisation is at its limit of requests here; come back after the time given",
+                1s });
         return;
     }
     this->raise_virtual_time(organisation);
@@ -286,21 +277,18 @@
     this->enqueue(add_generation(this->tables, std::move(row)));
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::enqueue(GenerationIndex index)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::enqueue(GenerationIndex index)
 {
     auto const& generation = this->tables.generations[index];
     auto& queue = this->tables.organisations[generation.organisation].queue;
-    auto is_later = [&](GenerationIndex other) {
-        return this->tables.generations[other].deadline > generation.deadline;
-    };
+    auto is_later
+        = [&](GenerationIndex other) { return this->tables.generations[other].deadline > generation.deadline; };
     queue.insert(std::ranges::find_if(queue, is_later), index);
     this->tables.organisations[generation.organisation].queued_cost += generation.charged;
     ++this->tables.queued_count;
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::first_token(GenerationId const& id, Instant now)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::first_token(GenerationId const& id, Instant now)
 {
     auto index = find_generation(this->tables, id);
     if (!index || this->tables.generations[*index].state != GenerationState::Dispatched)
@@ -316,8 +304,7 @@
     engine.demand_is_stale = true;
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::leave_engine(GenerationIndex index)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::leave_engine(GenerationIndex index)
 {
     auto const& generation = this->tables.generations[index];
     auto& engine = this->tables.engines[generation.engine];
@@ -407,21 +394,18 @@
         engine->cached_prefixes.erase(prefix_hash);
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::forget_prefixes(EngineId const& id)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::forget_prefixes(EngineId const& id)
 {
     if (auto* engine = find_engine(this->tables, id))
         engine->cached_prefixes.clear();
 }
 
-template<AdmissionPolicy Admission>
-bool PoolScheduler<Admission>::knows(GenerationId const& id) const
+template<AdmissionPolicy Admission> bool PoolScheduler<Admission>::knows(GenerationId const& id) const
 {
     return find_generation(this->tables, id).has_value();
 }
 
-template<AdmissionPolicy Admission>
-bool PoolScheduler<Admission>::is_queued(GenerationId const& id) const
+template<AdmissionPolicy Admission> bool PoolScheduler<Admission>::is_queued(GenerationId const& id) const
 {
     auto index = find_generation(this->tables, id);
     return index && this->tables.generations[*index].state == GenerationState::Queued;
@@ -471,8 +455,7 @@
 }
 
 template<AdmissionPolicy Admission>
-std::optional<OrganisationIndex> PoolScheduler<Admission>::next_organisation(
-    std::vector<bool> const& passed_over) const
+std::optional<OrganisationIndex> PoolScheduler<Admission>::next_organisation(std::vector<bool> const& passed_over) const
 {
     std::optional<OrganisationIndex> best;
     auto comes_before = [&](OrganisationRow const& left, OrganisationRow const& right) {
@@ -509,12 +492,10 @@
 bool PoolScheduler<Admission>::may_take(EngineRow const& engine, GenerationRow const& generation) const
 {
     auto const& excluded = generation.excluded_engines;
-    return takes_new_work(engine) && !engine.is_reserved
-        && std::ranges::find(excluded, engine.id) == excluded.end();
+    return takes_new_work(engine) && !engine.is_reserved && std::ranges::find(excluded, engine.id) == excluded.end();
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::reserve_engine_for(GenerationRow const& generation)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::reserve_engine_for(GenerationRow const& generation)
 {
     EngineRow* best = nullptr;
     auto least = std::numeric_limits<double>::infinity();
@@ -561,8 +542,7 @@
 }
 
 template<AdmissionPolicy Admission>
-std::optional<EngineIndex> PoolScheduler<Admission>::choose_engine(
-    GenerationRow const& generation, std::string& reason)
+std::optional<EngineIndex> PoolScheduler<Admission>::choose_engine(GenerationRow const& generation, std::string& reason)
 {
     auto candidates = this->engines_with_room(generation);
     this->spare_roomiest(candidates, generation);
@@ -575,8 +555,7 @@
     return best->engine;
 }
 
-template<AdmissionPolicy Admission>
-int PoolScheduler<Admission>::priority_of(GenerationRow const& generation) const
+template<AdmissionPolicy Admission> int PoolScheduler<Admission>::priority_of(GenerationRow const& generation) const
 {
     // When an engine runs out of memory it pauses the lowest priority first: routes that mind a pause least, and
     // organisations that have had more than others.
@@ -592,8 +571,7 @@
 }
 
 template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::place(
-    GenerationIndex index, EngineIndex engine_index, std::string reason, Instant now)
+void PoolScheduler<Admission>::place(GenerationIndex index, EngineIndex engine_index, std::string reason, Instant now)
 {
     dequeue(this->tables, index);
     auto& generation = this->tables.generations[index];
@@ -646,8 +624,7 @@
     return false;
 }
 
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::run_admission(Instant now)
+template<AdmissionPolicy Admission> void PoolScheduler<Admission>::run_admission(Instant now)
 {
     std::vector<bool> passed_over(this->tables.organisations.size(), false);
     for (auto& engine : this->tables.engines)
@@ -666,15 +643,13 @@
     }
 }
 
-template<AdmissionPolicy Admission>
-std::vector<Action> PoolScheduler<Admission>::admit(Instant now)
+template<AdmissionPolicy Admission> std::vector<Action> PoolScheduler<Admission>::admit(Instant now)
 {
     this->run_admission(now);
     return std::exchange(this->tables.actions, {});
 }
 
-template<AdmissionPolicy Admission>
-std::vector<Action> PoolScheduler<Admission>::tick(Instant now)
+template<AdmissionPolicy Admission> std::vector<Action> PoolScheduler<Admission>::tick(Instant now)
 {
     constexpr size_t kept_usage_samples = 128;
     advance_progress(this->tables, now);
--- a/Libraries/LibScheduling/Systems.cpp
+++ b/Libraries/LibScheduling/Systems.cpp
@@ -58,8 +58,8 @@
     auto change = preemptions;
     if (tables.last_short_of_memory && now - *tables.last_short_of_memory < constants.shortage_memory)
         change -= finished * constants.target_preemptions_per_generation;
-    tables.safety_deviations = std::clamp(tables.safety_deviations + constants.safety_gain * change,
-        constants.smallest_safety, constants.largest_safety);
+    tables.safety_deviations = std::clamp(
+        tables.safety_deviations + constants.safety_gain * change, constants.smallest_safety, constants.largest_safety);
 }
 
 Duration corrected_wait(Tables const& tables, Duration reckoned)
@@ -76,7 +76,8 @@
     if (generation.reckoned_wait < shortest_telling_wait)
         return;
     auto ratio = AK::to_seconds(now - generation.arrived) / AK::to_seconds(generation.reckoned_wait);
-    auto moved = tables.wait_correction + learning_rate * (std::min(ratio, largest_correction) - tables.wait_correction);
+    auto moved
+        = tables.wait_correction + learning_rate * (std::min(ratio, largest_correction) - tables.wait_correction);
     tables.wait_correction = std::max(moved, smallest_correction);
 }
 
@@ -123,8 +124,7 @@
     }
 }
 
-void add_demand(
-    DemandForecast& demand, SurvivalCurve const& curve, GenerationRow const& generation, double produced)
+void add_demand(DemandForecast& demand, SurvivalCurve const& curve, GenerationRow const& generation, double produced)
 {
     for (size_t i = 0; i < forecast_horizons.size(); ++i) {
         auto reached = produced + forecast_horizons[i];
--- a/Libraries/LibScheduling/Systems.h
+++ b/Libraries/LibScheduling/Systems.h
@@ -14,9 +14,9 @@
 /// Constants of the policy, apart from the code so that the bench can vary them. docs/POLICY.md gives the runs that
 /// chose each value.
 struct PolicyConstants {
-    /// The margin between expected demand and memory, in standard deviations, starts here. It grows with each preemption
-    /// and shrinks with each generation that finishes while others wait for memory, so that preemptions come to about
-    /// the target where memory is short, and to fewer where it is not.
+    /// The margin between expected demand and memory, in standard deviations, starts here. It grows with each
+    /// preemption and shrinks with each generation that finishes while others wait for memory, so that preemptions come
+    /// to about the target where memory is short, and to fewer where it is not.
     double initial_safety { 0.6 };
     double smallest_safety { 0.5 };
     double largest_safety { 2.5 };
--- a/Libraries/LibWire/PeerTransport.cpp
+++ b/Libraries/LibWire/PeerTransport.cpp
@@ -82,8 +82,8 @@
     auto is_known = parts.size() == expected_parts && parts[6].size() == key_bytes
         && encode_key(parts[6]) == this->curve->public_key;
     auto request_id = parts.size() > 1 ? parts[1] : std::string();
-    std::vector<std::string> answer { "1.0", request_id, is_known ? "200" : "400",
-        is_known ? "OK" : "unknown key", "", "" };
+    std::vector<std::string> answer { "1.0", request_id, is_known ? "200" : "400", is_known ? "OK" : "unknown key", "",
+        "" };
     for (size_t i = 0; i < answer.size(); ++i) {
         auto flags = i + 1 < answer.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
         this->authentication_socket.send(zmq::buffer(answer[i]), flags);
--- a/Meta/Fleet.sh
+++ b/Meta/Fleet.sh
@@ -93,7 +93,10 @@
 fleet_start_engine() {
     local domain_number=$1 number=$2
     local name="engine-$domain_number-$number"
-    fleet_start "$name" FakeEngine --name="$name" --model=tollwriter \
+    # A restarted engine is told from the one before by its executions' names.
+    engine_starts=$((${engine_starts:-0} + 1))
+    fleet_start "$name" FakeEngine --name="$name-start-$engine_starts" --model=tollwriter \
+        --history="$run_directory/$name.history" \
         --listen="127.0.0.1:$((9100 + domain_number * 10 + number))"
 }
 
@@ -105,6 +108,7 @@
             fleet_start_engine "$domain_number" "$number"
         done
         fleet_start "service-$domain_number" FakeService --name="service-$domain_number" \
+            --history="$run_directory/service-$domain_number.history" \
             --listen="127.0.0.1:$((9200 + domain_number))"
     done
     fleet_start platform FakePlatform --listen="$(IFS=,; echo "${links[*]}")" --host_list_lag_milliseconds=200
--- /dev/null
+++ b/Meta/bench.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: BSD-2-Clause
+# BUILD_DIRECTORY RUN_DIRECTORY [--quick | capacity]
+set -euo pipefail
+build_directory=$1
+run_directory=$2
+shift 2
+if [[ ${1:-} == capacity ]]; then
+    exec Meta/capacity.sh "$build_directory" "$run_directory"
+fi
+output=$run_directory/bench
+mkdir -p "$output"
+"$build_directory/Utilities/policybench" --output="$output" "$@"
+# A plot for each measure: policies by load, on the plain shapes.
+for measure in 5:stall-p95-ms 9:gap-p99-ms 11:preemptions-per-1000; do
+    column=$((${measure%%:*} + 1))
+    for shape in toll hanak; do
+        data=$output/$shape-${measure#*:}.dat
+        awk -F'|' -v shape=" $shape " -v column="$column" '$2 == shape && ($4 ~ /forecast|clairvoyant|prompt_only|two_choices/) {
+            gsub(/ /, ""); print $4, $3, $column }' "$output/table.md" | sort -s -k1,1 |
+            awk '$1 != last { if (NR > 1) print "\n"; print "\"" $1 "\""; last = $1 } { print $2, $3 }' >"$data"
+        gnuplot -e "set terminal png size 900,540; set output '$output/$shape-${measure#*:}.png'; set logscale y;
+            set title '$shape: ${measure#*:}'; set xlabel 'load, as a share of capacity'; set key left top;
+            plot for [i=0:3] '$data' index i using 1:2 with linespoints title columnheader(1)" 2>/dev/null || true
+    done
+done
+echo "wrote $output/cells.jsonl, table.md and plots"
--- a/Meta/lilactiller.sh
+++ b/Meta/lilactiller.sh
@@ -17,6 +17,7 @@
   bench [--quick]    build and measure the decisions; writes Run/bench
   bench capacity     build and measure the slopes behind docs/CAPACITY.md
   drill [SEED]       build and run the fleet under load and faults, then check the history of the run
+  guards             take each guard out on a scratch copy and show that its test fails
   lint               check formatting and lint
   format             format all sources
 TEXT
@@ -94,6 +95,10 @@
     build
     LILAC_BUILD_DIRECTORY=$build_directory Meta/drill.sh "${2:-1}"
     ;;
+guards)
+    setup
+    Meta/prove-guards.sh
+    ;;
 lint)
     setup
     Meta/lint.sh "$build_directory"
--- /dev/null
+++ b/Meta/lint.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: BSD-2-Clause
+# Checks formatting, lint and names. BUILD_DIRECTORY
+set -euo pipefail
+build_directory=$1
+[[ -f $build_directory/compile_commands.json ]] || cmake -G Ninja -B "$build_directory" -S . >/dev/null
+mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v '/Generated/')
+clang-format --dry-run --Werror "${files[@]}"
+for file in "${files[@]}"; do
+    grep -q 'SPDX-License-Identifier' "$file" || { echo "$file: add the SPDX header"; exit 1; }
+    [[ $file != *.h ]] || grep -q '#pragma once' "$file" || { echo "$file: add #pragma once"; exit 1; }
+done
+if grep -nE '\bm_[a-z]|\bstd::shared_mutex\b' "${files[@]}"; then
+    echo "members carry no mark" && exit 1
+fi
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep -E '^(AK|Libraries|Services|StandIns|Utilities)/.*\.cpp$')
+cppcheck --quiet --error-exitcode=1 --enable=warning,performance,portability --inline-suppr --language=c++ --std=c++20 \
+    --suppress=missingIncludeSystem --suppress=unknownMacro --suppress=syntaxError -j 8 "${sources[@]}"
+printf '%s\n' "${sources[@]}" | xargs -P 8 -n 4 clang-tidy -p "$build_directory" --quiet 2>/dev/null
+echo "lint: ${#files[@]} files are clean"
--- /dev/null
+++ b/Meta/prove-guards.sh
@@ -0,0 +1,81 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: BSD-2-Clause
+# Takes one guard at a time out of a scratch copy and shows that the test which stands for it fails, and passes with it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git ls-files --cached --others --exclude-standard | tar -cf - -T - | tar -xf - -C "$scratch"
+cmake -G Ninja -B "$scratch/Build" -S "$scratch" >/dev/null
+failures=0
+
+# guard NAME TEST_PROGRAM TEST FILE ORIGINAL REPLACEMENT
+guard() {
+    local name=$1 program=$2 test=$3 file=$4 original=$5 replacement=$6 verdict
+    cp "$scratch/$file" "$scratch/kept"
+    if ! ORIGINAL=$original REPLACEMENT=$replacement perl -0pi -e \
+        'BEGIN { $o = $ENV{ORIGINAL}; $r = $ENV{REPLACEMENT} } $n = s/\Q$o\E/$r/; END { exit($n ? 0 : 1) }' "$scratch/$file"; then
+        echo "$name: the guard was not found in $file" && failures=$((failures + 1))
+        return
+    fi
+    ninja -C "$scratch/Build" --quiet "$program"
+    if timeout 120 "$scratch/Build/Tests/$program" "$test" >/dev/null 2>&1; then verdict="NOT NOTICED"; else verdict="fails"; fi
+    cp "$scratch/kept" "$scratch/$file"
+    ninja -C "$scratch/Build" --quiet "$program"
+    if timeout 120 "$scratch/Build/Tests/$program" "$test" >/dev/null 2>&1; then
+        echo "$name: without the guard the test $verdict, with it it passes"
+    else
+        echo "$name: the test fails with the guard too" && verdict="NOT NOTICED"
+    fi
+    [[ $verdict == fails ]] || failures=$((failures + 1))
+}
+
+guard "duplicates are dropped" TestLibDelivery "whatever comes, what passes is one execution's tokens from the first on" \
+    Libraries/LibDelivery/TokenRelay.h "offset < this->next" "false && offset < this->next"
+guard "tokens come in order" TestLibDelivery "whatever comes, what passes is one execution's tokens from the first on" \
+    Libraries/LibDelivery/TokenRelay.h "offset > this->next" "false && offset > this->next"
+guard "one execution" TestLibDelivery "whatever comes, what passes is one execution's tokens from the first on" \
+    Libraries/LibDelivery/TokenRelay.h "token_execution != this->execution" "false"
+guard "no new attempt after a token" TestPromises "Scenario: an engine loses a generation of which tokens were delivered" \
+    Libraries/LibDelivery/TokenRelay.h "if (this->delivered_any)
+            return false;" ""
+guard "a whole answer" TestPromises "Scenario: the link to an engine breaks in the middle of answers" \
+    Libraries/LibGateway/GenerationEdge.cpp "auto reattached = this->reattach(source);" \
+    "if (true) return RelayEnd::Finished; auto reattached = this->reattach(source);"
+guard "not run is certain" TestLibDelivery "the record agrees with a model that counts runs" \
+    Libraries/LibDelivery/DispatchRecord.h "return this->open_dispatches == 0 ? Outcome::NotRun : Outcome::MayHaveRun;" \
+    "return Outcome::NotRun;"
+guard "at most one dispatch" TestPromises "Scenario: a call that must not be repeated runs at most once" \
+    Libraries/LibDelivery/DispatchRecord.h \
+    "return this->repeatability == Repeatability::Repeatable || this->open_dispatches == 0;" "return true;"
+guard "a key is claimed first" TestPromises "Scenario: an idempotency key runs once, through whichever gateway it is repeated" \
+    Libraries/LibPlatform/ClaimBatch.h "} else if (claim_is_held(row.value(), this->wall_now)) {" \
+    "} else if (false) {"
+guard "a claim is conditional" TestLibPlatform "no key is ever granted to two calls" \
+    Libraries/LibPlatform/ClaimBatch.h "this->settle_doubles();" ""
+guard "leaving is heeded" TestPromises "Scenario: a backend server that is leaving gets no new work, and what it runs runs to its end" \
+    Libraries/LibScheduling/Systems.cpp "return !engine.draining && !engine.silent" "return !engine.silent"
+guard "a queue is handed on" TestPromises "Scenario: a router that leaves hands its queue on" \
+    Libraries/LibGateway/GatewayLoop.cpp "else if (owner_moved || now() - row.asked_at > ask_again_after)" "else if (false)"
+guard "the head is compared" TestLibConfiguration "operators, lost answers and outages leave one gapless log" \
+    Libraries/LibConfiguration/ConfigurationLog.h "{ { head_key, head_row.version }, { change_key(change_id), 0 } }" "{ }"
+guard "forward only" TestLibConfiguration "in whatever order news comes, a process only moves forward" \
+    Libraries/LibConfiguration/ConfigurationFollower.cpp "if (Revision(snapshot.revision()) <= this->current.revision())
+        return false;" ""
+guard "expected revision" TestLibConfiguration "Scenario: of two operators who race from the same revision, one gets a conflict" \
+    Libraries/LibConfiguration/ConfigurationLog.h "if (expected_revision && *expected_revision != head_revision)" "if (false)"
+guard "the resume token's owner" TestPromises "Scenario: a caller goes on through another gateway" \
+    Libraries/LibGateway/GatewayLoop.cpp "token.organisation.value() != organisation->id() || " ""
+guard "a route's owner" TestPromises "Scenario: no organisation reaches what belongs to another" \
+    Libraries/LibConfiguration/Configuration.cpp "return find_in(this->routes, RouteKey(organisation, name));" \
+    "for (auto const& [key, route] : this->routes) { if (key.second == name) return &route; } return nullptr;"
+guard "refused at once" TestLibScheduling "Scenario: a request that cannot be served in time is refused at once, with when to come back" \
+    Libraries/LibScheduling/PoolScheduler.h "this->constants.refuses_by_forecast && wait > longest_wait" "false"
+guard "the lease's own clock" TestLibPlatform "pauses, lost answers and outages never make two holders, and epochs only grow" \
+    Libraries/LibPlatform/Lease.h "return this->held_until && now < *this->held_until - this->margin;" \
+    "return this->held_until.has_value();"
+guard "a lease is watched for its term" TestLibPlatform "pauses, lost answers and outages never make two holders, and epochs only grow" \
+    Libraries/LibPlatform/Lease.h "now - this->watched_since >= this->term + this->margin" "true"
+
+echo "guards not noticed: $failures"
+exit $((failures > 0))
--- a/Services/GatewayServer/main.cpp
+++ b/Services/GatewayServer/main.cpp
@@ -38,8 +38,7 @@
         Gateway::CallerFrontend frontend(gateway, settings);
         Node::StatusServer status(node);
         node.start();
-        stop_signal.watch(
-            [&] { node.loop().post([&] { stop_when_drained(node, gateway, frontend, settings); }); });
+        stop_signal.watch([&] { node.loop().post([&] { stop_when_drained(node, gateway, frontend, settings); }); });
         node.loop().run();
         node.events().record(Core::EventNumber::ProcessStopped, node.settings().member.value(), "drained");
     } catch (std::exception const& exception) {
--- a/StandIns/FakeEngine/FakeEngine.cpp
+++ b/StandIns/FakeEngine/FakeEngine.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <boost/random/lognormal_distribution.hpp>
 #include <boost/random/mersenne_twister.hpp>
+#include <fstream>
 #include <sstream>
 #include <xxhash.h>
 
@@ -93,7 +94,8 @@
     auto began = std::chrono::steady_clock::now();
     // The scale may be changed, and the stand-in stopped, in the middle of a long step.
     while (!this->stopping && std::chrono::steady_clock::now() < began + this->scaled(duration))
-        this->changed.wait_until(lock, std::min(began + this->scaled(duration), std::chrono::steady_clock::now() + longest_idle_wait));
+        this->changed.wait_until(
+            lock, std::min(began + this->scaled(duration), std::chrono::steady_clock::now() + longest_idle_wait));
 }
 
 Duration FakeEngine::scaled(Duration duration) const
@@ -245,8 +247,9 @@
         this->executions[generation] = execution;
         this->execution_of_key[execution->key] = execution;
         this->begun.push_back(execution);
-        this->engine.start({ execution->key, static_cast<i64>(prompt.size()) / bytes_per_token + 1,
-            output_length(prompt, static_cast<i64>(body->getValue<Poco::UInt64>("maximum_output_tokens"))),
+        auto length = output_length(prompt, static_cast<i64>(body->getValue<Poco::UInt64>("maximum_output_tokens")));
+        this->write_plan(*execution, length);
+        this->engine.start({ execution->key, static_cast<i64>(prompt.size()) / bytes_per_token + 1, length,
             body->optValue<int>("priority", 0), body->optValue<Poco::UInt64>("prefix_hash", 0) });
         this->changed.notify_all();
     }
@@ -430,22 +433,39 @@
     answer(response, 200, "{}");
 }
 
+static std::string history_line(std::string const& name, std::string const& generation, u32 attempt, bool is_finished,
+    std::vector<std::string> const& tokens)
+{
+    Object line;
+    line.set("execution", name);
+    line.set("generation", generation);
+    line.set("attempt", attempt);
+    line.set("finished", is_finished);
+    Array array;
+    for (auto const& token : tokens)
+        array.add(token);
+    line.set("tokens", array);
+    return to_text(line) + '\n';
+}
+
+void FakeEngine::write_plan(Execution const& execution, i64 output_tokens)
+{
+    if (this->options.history_path.empty())
+        return;
+    std::vector<std::string> tokens;
+    for (size_t offset = 0; offset < static_cast<size_t>(output_tokens); ++offset)
+        tokens.push_back(this->word(execution.key, offset));
+    std::ofstream(this->options.history_path, std::ios::app)
+        << history_line(execution.name, execution.generation, execution.attempt, true, tokens);
+}
+
 std::string FakeEngine::history()
 {
     std::lock_guard lock(this->mutex);
     std::string lines;
-    for (auto const& execution : this->begun) {
-        Object line;
-        line.set("execution", execution->name);
-        line.set("generation", execution->generation);
-        line.set("attempt", execution->attempt);
-        line.set("finished", execution->is_finished);
-        Array tokens;
-        for (auto const& token : execution->tokens)
-            tokens.add(token);
-        line.set("tokens", tokens);
-        lines += to_text(line) + '\n';
-    }
+    for (auto const& execution : this->begun)
+        lines += history_line(
+            execution->name, execution->generation, execution->attempt, execution->is_finished, execution->tokens);
     return lines;
 }
 
--- a/StandIns/FakeEngine/FakeEngine.h
+++ b/StandIns/FakeEngine/FakeEngine.h
@@ -29,6 +29,9 @@
     Duration report_age { 0 };
     /// Whether orders with an epoch or revision lower than one seen are refused.
     bool checks_epochs { true };
+    /// Each execution is appended to this file as it begins, with all the tokens it would give if it ran to its end, so
+    /// that the history outlives the process.
+    std::string history_path {};
     /// A generation to which no stream is attached for so long is stopped.
     Duration orphan_limit { 10s };
 };
@@ -80,6 +83,7 @@
     void take_events(std::vector<EngineModel::StepEvent> const&);
     void stop_orphans();
     /// The token at `offset`, which differs between executions, so that mixed outputs show.
+    void write_plan(Execution const&, i64 output_tokens);
     [[nodiscard]] std::string word(u64 key, size_t offset) const;
     void wait_while_frozen();
     std::string load_json(u64 after_cache_sequence);
--- a/StandIns/FakeEngine/main.cpp
+++ b/StandIns/FakeEngine/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_int64(capacity_tokens, 24000, "memory for prompts and outputs, in tokens");
 DEFINE_double(time_scale, 1, "steps take this many times what the model says");
 DEFINE_int32(report_age_milliseconds, 0, "how old load reports are when given out");
+DEFINE_string(history, "", "file to append each execution to as it begins");
 DEFINE_bool(checks_epochs, true, "whether orders with an older epoch are refused");
 
 int main(int argc, char** argv)
@@ -25,6 +26,7 @@
     options.parameters.capacity_tokens = FLAGS_capacity_tokens;
     options.time_scale = FLAGS_time_scale;
     options.report_age = std::chrono::milliseconds(FLAGS_report_age_milliseconds);
+    options.history_path = FLAGS_history;
     options.checks_epochs = FLAGS_checks_epochs;
     StandIns::FakeEngine engine(Address(FLAGS_listen), options);
     StandIns::wait_for_stop();
--- a/StandIns/FakePlatform/FakePlatform.cpp
+++ b/StandIns/FakePlatform/FakePlatform.cpp
@@ -18,8 +18,8 @@
     this->host_lists.emplace_back(Instant(), R"({"hosts":[]})");
     for (auto const& address : listen) {
         auto link = std::make_unique<Link>();
-        link->server = std::make_unique<HttpStandIn>(address,
-            [this, raw = link.get()](auto& request, auto& response) { this->serve(*raw, request, response); });
+        link->server = std::make_unique<HttpStandIn>(
+            address, [this, raw = link.get()](auto& request, auto& response) { this->serve(*raw, request, response); });
         this->links.push_back(std::move(link));
     }
 }
@@ -46,8 +46,7 @@
     return fault;
 }
 
-void FakePlatform::serve(
-    Link& link, Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
+void FakePlatform::serve(Link& link, Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
     if (path_of(request).starts_with("/control/")) {
         this->serve_control(link, request, response);
@@ -114,8 +113,7 @@
     auto all = Platform::parse_backend_servers(this->host_lists.front().second);
     if (!all)
         return R"({"hosts":[]})";
-    std::erase_if(
-        all.value(), [&](auto const& record) { return record.failure_domain.value() != failure_domain; });
+    std::erase_if(all.value(), [&](auto const& record) { return record.failure_domain.value() != failure_domain; });
     return Platform::format_backend_servers(all.value());
 }
 
@@ -125,8 +123,8 @@
     constexpr std::string_view object_prefix = "/object/";
     if (path == "/table/row") {
         auto row = this->table.read(query["key"]);
-        return { 200, Platform::format_rows(row.value().exists() ? std::vector { row.value() }
-                                                                 : std::vector<Platform::Row>()) };
+        return { 200,
+            Platform::format_rows(row.value().exists() ? std::vector { row.value() } : std::vector<Platform::Row>()) };
     }
     if (path == "/table/scan") {
         auto rows = this->table.scan(query["prefix"], query["after"], std::stoull(query["limit"]));
--- a/StandIns/FakeService/FakeService.cpp
+++ b/StandIns/FakeService/FakeService.cpp
@@ -5,11 +5,13 @@
  */
 
 #include <StandIns/FakeService/FakeService.h>
+#include <fstream>
 
 namespace StandIns {
 
-FakeService::FakeService(Address const& listen, std::string name)
+FakeService::FakeService(Address const& listen, std::string name, std::string history_path)
     : name(std::move(name))
+    , history_path(std::move(history_path))
     , server(std::make_unique<HttpStandIn>(
           listen, [this](auto& request, auto& response) { this->serve(request, response); }))
 {
@@ -68,6 +70,8 @@
         std::lock_guard lock(this->mutex);
         this->executions.push_back("{\"call\":\"" + request.get("Lilactiller-Call", "") + "\",\"key\":\""
             + request.get("Idempotency-Key", "") + "\",\"path\":\"" + path + "\",\"server\":\"" + this->name + "\"}");
+        if (!this->history_path.empty())
+            std::ofstream(this->history_path, std::ios::app) << this->executions.back() << '\n';
     }
     if (current == ServiceFault::LoseAnswer)
         hang_up(request);
--- a/StandIns/FakeService/FakeService.h
+++ b/StandIns/FakeService/FakeService.h
@@ -28,7 +28,8 @@
 /// /control/history, a line for each execution: call, idempotency key, path.
 class FakeService {
 public:
-    explicit FakeService(Address const& listen, std::string name = "service");
+    /// Executions are also appended to the file at `history_path`, if one is named, before they are answered.
+    explicit FakeService(Address const& listen, std::string name = "service", std::string history_path = "");
 
     [[nodiscard]] Address address() const { return this->server->address(); }
     void set_fault(ServiceFault, u64 count = 0);
@@ -40,6 +41,7 @@
     ServiceFault take_fault();
 
     std::string name;
+    std::string history_path;
     std::mutex mutex;
     ServiceFault fault { ServiceFault::None };
     u64 remaining { 0 };
--- a/StandIns/FakeService/main.cpp
+++ b/StandIns/FakeService/main.cpp
@@ -10,10 +10,11 @@
 
 DEFINE_string(listen, "127.0.0.1:9200", "address");
 DEFINE_string(name, "service", "name, for its history");
+DEFINE_string(history, "", "file to append each execution to");
 
 int main(int argc, char** argv)
 {
     StandIns::prepare(argc, argv, "Stand-in for a plain service.");
-    StandIns::FakeService service(Address(FLAGS_listen), FLAGS_name);
+    StandIns::FakeService service(Address(FLAGS_listen), FLAGS_name, FLAGS_history);
     StandIns::wait_for_stop();
 }
--- a/Tests/LibConfiguration/TestConfigurationLog.cpp
+++ b/Tests/LibConfiguration/TestConfigurationLog.cpp
@@ -89,6 +89,25 @@
     }
 }
 
+SCENARIO("a process that starts reads a snapshot and what follows it")
+{
+    MemoryTable table;
+    ConfigurationLog log(table);
+    Document document;
+    for (int i = 1; i <= 260; ++i) {
+        auto id = "m" + std::to_string(i);
+        REQUIRE(log.append(document, put_model(id), id, "test", {}).has_value());
+        REQUIRE(log.catch_up(document).has_value());
+        REQUIRE(log.write_snapshot_if_due(document).has_value());
+    }
+    auto snapshot = log.read_snapshot();
+    REQUIRE(snapshot.value());
+    CHECK(snapshot.value()->revision() == 256);
+    auto fresh = Document::from_snapshot(*snapshot.value());
+    REQUIRE(log.catch_up(fresh).has_value());
+    CHECK(fresh.snapshot().SerializeAsString() == document.snapshot().SerializeAsString());
+}
+
 SCENARIO("of two operators who race from the same revision, one gets a conflict")
 {
     MemoryTable table;
--- a/Tests/LibConfiguration/TestDocument.cpp
+++ b/Tests/LibConfiguration/TestDocument.cpp
@@ -82,7 +82,8 @@
 {
     Document document;
     for (char digit : std::string("0123456"))
-        accept(document, std::string(R"({"putResumeKey":{"id":"key-)") + digit + R"(","secretHexadecimal":")"
+        accept(document,
+            std::string(R"({"putResumeKey":{"id":"key-)") + digit + R"(","secretHexadecimal":")"
                 + std::string(32, digit) + "\"}}");
     CHECK(document.newest_resume_key()->id() == "key-6");
     CHECK(document.find_resume_key("key-3"));
--- a/Tests/LibCore/TestEventLog.cpp
+++ b/Tests/LibCore/TestEventLog.cpp
@@ -26,10 +26,7 @@
             CHECK(events[2].subject == "c");
             CHECK(events[0].stamp < events[1].stamp);
         }
-        THEN("events about one subject can be asked for")
-        {
-            CHECK(log.latest(10, "a").size() == 1);
-        }
+        THEN("events about one subject can be asked for") { CHECK(log.latest(10, "a").size() == 1); }
     }
 }
 
--- a/Tests/LibDelivery/TestResumeToken.cpp
+++ b/Tests/LibDelivery/TestResumeToken.cpp
@@ -52,6 +52,5 @@
 
 SCENARIO("API keys are kept as their SHA-256")
 {
-    CHECK(Delivery::sha256_hexadecimal("abc")
-        == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(Delivery::sha256_hexadecimal("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
--- a/Tests/LibPlatform/TestClaimBatch.cpp
+++ b/Tests/LibPlatform/TestClaimBatch.cpp
@@ -74,6 +74,19 @@
     }
 }
 
+SCENARIO("claims whose lifetime is over are swept, and no others")
+{
+    MemoryTable table;
+    FaultyTable view(table);
+    (void)ClaimBatch(view, wall_now).make({ claim("a", "n1"), claim("b", "n2") });
+    auto later = wall_now + Platform::claim_lifetime_milliseconds + 1;
+    (void)ClaimBatch(view, later).make({ claim("c", "n3") });
+    auto next = Platform::sweep_claims(view, "", 2, later);
+    CHECK(table.scan("claim/", "", 10).value().size() == 1);
+    CHECK(Platform::sweep_claims(view, next, 2, later).empty());
+    CHECK(ClaimBatch(view, later).make({ claim("c", "n4") }).front() == ClaimVerdict::TakenByOther);
+}
+
 TEST_CASE("no key is ever granted to two calls", "[property]")
 {
     rc::prop("claims", [] {
@@ -92,8 +105,8 @@
             std::vector<Claim> claims;
             auto count = *rc::gen::inRange(1, 6);
             for (int i = 0; i < count; ++i)
-                claims.push_back(claim("k" + std::to_string(*rc::gen::inRange(0, 5)),
-                    "n" + std::to_string(*rc::gen::inRange(0, 12))));
+                claims.push_back(claim(
+                    "k" + std::to_string(*rc::gen::inRange(0, 5)), "n" + std::to_string(*rc::gen::inRange(0, 12))));
             auto verdicts = ClaimBatch(view, wall_now).make(claims);
             view.script({});
             for (size_t i = 0; i < claims.size(); ++i) {
--- a/Tests/LibScheduling/TestPoolScheduler.cpp
+++ b/Tests/LibScheduling/TestPoolScheduler.cpp
@@ -122,8 +122,8 @@
     CHECK(pool.scheduler.view().queued_count == 1);
     auto actions = std::vector<Action>();
     for (int i = 0; i < count && actions.empty(); ++i) {
-        pool.scheduler.finished(GenerationId("toll" + std::to_string(i)), AttemptNumber(1), EndReason::Completed,
-            TokenCount(50), start);
+        pool.scheduler.finished(
+            GenerationId("toll" + std::to_string(i)), AttemptNumber(1), EndReason::Completed, TokenCount(50), start);
         actions = pool.scheduler.admit(start);
     }
     CHECK(placed(actions).generation == GenerationId("toll" + std::to_string(count)));
@@ -187,8 +187,8 @@
     {
         std::vector<Action> actions;
         for (int i = 0; i < count && actions.empty(); ++i) {
-            pool.scheduler.finished(GenerationId("greedy" + std::to_string(i)), AttemptNumber(1),
-                EndReason::Completed, TokenCount(50), start + 1s);
+            pool.scheduler.finished(GenerationId("greedy" + std::to_string(i)), AttemptNumber(1), EndReason::Completed,
+                TokenCount(50), start + 1s);
             actions = pool.scheduler.admit(start + 1s);
         }
         REQUIRE_FALSE(actions.empty());
@@ -220,9 +220,9 @@
 SCENARIO("a new owner learns what runs from the gateways")
 {
     Pool pool;
-    pool.scheduler.rebuild({ GenerationId("g"), AttemptNumber(1),
-                               { OrganisationId("toll"), RouteName("r"), ModelId("m") }, TokenCount(500),
-                               TokenCount(40), TokenCount(2000), engine_a },
+    pool.scheduler.rebuild(
+        { GenerationId("g"), AttemptNumber(1), { OrganisationId("toll"), RouteName("r"), ModelId("m") },
+            TokenCount(500), TokenCount(40), TokenCount(2000), engine_a },
         start);
     CHECK(pool.scheduler.view().engines[0].generations.size() == 1);
     WHEN("the engine does not list it") { CHECK(pool.scheduler.unlisted_since(engine_a, {}, start + 1s).size() == 1); }
--- a/Tests/Promises/TestConfigurationSpread.cpp
+++ b/Tests/Promises/TestConfigurationSpread.cpp
@@ -58,9 +58,8 @@
             fleet.start_gateway(1);
             wait_until("the new gateway to be ready", [&] { return fleet.gateways[1]->daemon.node->is_ready(); });
             wait_until("revision 18 everywhere", [&] { return revisions(fleet) == std::set<u64> { 18 }; });
-            wait_until("it to serve", [&] {
-                return fleet.caller().generate(1, "summary", "x [tokens=5]", 10s).outcome == "completed";
-            });
+            wait_until("it to serve",
+                [&] { return fleet.caller().generate(1, "summary", "x [tokens=5]", 10s).outcome == "completed"; });
         }
         THEN("a change is in force once the platform is back")
         {
--- a/Tests/Promises/TestGenerations.cpp
+++ b/Tests/Promises/TestGenerations.cpp
@@ -4,16 +4,15 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <Tests/Support/TestFleet.h>
 #include <LibPlatform/HttpCall.h>
+#include <Tests/Support/TestFleet.h>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <set>
 
 static size_t count_outcome(std::vector<GenerationResult> const& results, std::string const& outcome)
 {
-    return static_cast<size_t>(
-        std::ranges::count(results, outcome, [](auto const& result) { return result.outcome; }));
+    return static_cast<size_t>(std::ranges::count(results, outcome, [](auto const& result) { return result.outcome; }));
 }
 
 static bool has_begun(StandIns::FakeEngine& engine) { return !engine.history().empty(); }
@@ -157,10 +156,7 @@
             CHECK(fleet.record({}).executions.size() == 1);
         }
     }
-    WHEN("another organisation has got hold of the token")
-    {
-        CHECK(resume("hanak-key", token).value().status == 403);
-    }
+    WHEN("another organisation has got hold of the token") { CHECK(resume("hanak-key", token).value().status == 403); }
     WHEN("the token was altered") { CHECK(resume("toll-key", token + "0").value().status == 403); }
 }
 
--- a/Tests/Promises/TestLeaving.cpp
+++ b/Tests/Promises/TestLeaving.cpp
@@ -32,14 +32,8 @@
     auto results = fleet.generate(8, 150, [&] {
         wait_until("both engines to be at work",
             [&] { return begun_at(*fleet.engines[0]) > 0 && begun_at(*fleet.engines[1]) > 0; });
-        WHEN("it says so itself")
-        {
-            fleet.engines[0]->control("leave", {});
-        }
-        WHEN("an operator drains it")
-        {
-            fleet.apply(R"({"drain":{"id":"engine-0","draining":true}})");
-        }
+        WHEN("it says so itself") { fleet.engines[0]->control("leave", {}); }
+        WHEN("an operator drains it") { fleet.apply(R"({"drain":{"id":"engine-0","draining":true}})"); }
         wait_until("everyone to know", [&] { return all_know_it_leaves(fleet, "engine-0"); });
         auto before = begun_at(*fleet.engines[0]);
         auto more = fleet.generate(6, 10);
--- a/Tests/Promises/TestWholeSession.cpp
+++ b/Tests/Promises/TestWholeSession.cpp
@@ -4,8 +4,8 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <Tests/Support/TestFleet.h>
 #include <LibPlatform/HttpCall.h>
+#include <Tests/Support/TestFleet.h>
 #include <Utilities/OperatorClient.h>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -62,7 +62,10 @@
     Address gateway;
 };
 
-static wire::Change change_from(std::string const& json) { return Configuration::from_json<wire::Change>(json).value(); }
+static wire::Change change_from(std::string const& json)
+{
+    return Configuration::from_json<wire::Change>(json).value();
+}
 
 static void operate(Session& session, TestFleet& fleet)
 {
@@ -89,8 +92,8 @@
         return watched.size() < 2;
     });
     CHECK(result.has_value());
-    session.say("operator vesela watches from 7: " + std::to_string(watched.at(0)) + ' '
-        + std::to_string(watched.at(1)));
+    session.say(
+        "operator vesela watches from 7: " + std::to_string(watched.at(0)) + ' ' + std::to_string(watched.at(1)));
     wait_until("the change at the gateway and the router", [&] {
         auto& gateway = fleet.gateways[0]->daemon;
         auto& router = *fleet.routers[0];
@@ -114,7 +117,8 @@
         REQUIRE(reply.has_value());
         for (auto const& event : reply.value().events())
             by_member[event.member()].push_back("  E" + std::to_string(event.number()) + ' '
-                + std::string(Core::describe(static_cast<Core::EventNumber>(event.number())).name) + ' ' + event.text());
+                + std::string(Core::describe(static_cast<Core::EventNumber>(event.number())).name) + ' '
+                + event.text());
         return by_member["gateway-0"].size() == 3 && by_member["router-0"].size() == 2;
     });
     session.say("operator vesela has the first generation explained");
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -76,8 +76,8 @@
     for (auto const* name : { "toll", "hanak" }) {
         auto hash = Delivery::sha256_hexadecimal(std::string(name) + "-key");
         this->apply(std::string(R"({"putOrganisation":{"id":")") + name + R"(","apiKeyHashes":[")" + hash + "\"]}}");
-        this->apply(std::string(R"({"putRoute":{"organisation":")") + name
-            + R"(","name":"summary","model":"writer"}})");
+        this->apply(
+            std::string(R"({"putRoute":{"organisation":")") + name + R"(","name":"summary","model":"writer"}})");
     }
     this->apply(R"({"putRoute":{"organisation":"toll","name":"only-toll","model":"writer"}})");
     this->apply(R"({"putService":{"name":"till","organisations":["hanak"],"repeatablePaths":["/receipts/"]}})");
@@ -141,10 +141,10 @@
         "router-" + std::to_string(number), first_router_port + static_cast<int>(number), wire::ROLE_ROUTER);
     settings.load_poll_period = 50ms;
     settings.claim_period = 10ms;
-    this->routers[number] = std::make_unique<TestRouter>(settings,
-        [](Node::Node& node, Router::RouterSettings const& own) {
-            return std::make_unique<Router::RouterLoop>(node, own);
-        });
+    this->routers[number]
+        = std::make_unique<TestRouter>(settings, [](Node::Node& node, Router::RouterSettings const& own) {
+              return std::make_unique<Router::RouterLoop>(node, own);
+          });
 }
 
 void TestFleet::start_gateway(size_t number)
@@ -165,12 +165,12 @@
     settings.listen = own_address(operator_port + 1);
     settings.operators[Delivery::sha256_hexadecimal("editor-key")] = { "vesela", Operator::OperatorRole::Editor };
     settings.operators[Delivery::sha256_hexadecimal("viewer-key")] = { "dimitar", Operator::OperatorRole::Viewer };
-    this->operator_server = std::make_unique<TestOperator>(settings,
-        [](Node::Node& node, Operator::OperatorSettings const& own) {
-            auto created = Operator::OperatorLoop::create(node, own);
-            VERIFY(created.has_value());
-            return std::move(created.value());
-        });
+    this->operator_server
+        = std::make_unique<TestOperator>(settings, [](Node::Node& node, Operator::OperatorSettings const& own) {
+              auto created = Operator::OperatorLoop::create(node, own);
+              VERIFY(created.has_value());
+              return std::move(created.value());
+          });
 }
 
 size_t TestFleet::owner()
@@ -193,8 +193,8 @@
     REQUIRE(change.has_value());
     Configuration::ConfigurationLog log(this->platform->contents());
     Configuration::Document document;
-    auto accepted = log.append(document, change.value(), change_json.substr(0, 100) + std::to_string(change_json.size()),
-        "test", {});
+    auto accepted = log.append(
+        document, change.value(), change_json.substr(0, 100) + std::to_string(change_json.size()), "test", {});
     REQUIRE(accepted.has_value());
 }
 
@@ -206,9 +206,9 @@
             FailureDomainId(failure_domain), ModelId("writer"), ServiceName(), TokenCount(this->size.engine_capacity),
             Platform::HostState::Live, true });
     for (size_t i = 0; i < this->services.size(); ++i)
-        hosts.push_back({ EngineId("service-" + std::to_string(i)), this->services[i]->address(),
-            FailureDomainId(failure_domain), ModelId(), ServiceName("till"), TokenCount(0), Platform::HostState::Live,
-            true });
+        hosts.push_back(
+            { EngineId("service-" + std::to_string(i)), this->services[i]->address(), FailureDomainId(failure_domain),
+                ModelId(), ServiceName("till"), TokenCount(0), Platform::HostState::Live, true });
     this->platform->set_hosts(Platform::format_backend_servers(hosts));
 }
 
@@ -220,8 +220,7 @@
     return CallerClient(addresses, key);
 }
 
-std::vector<GenerationResult> TestFleet::generate(
-    size_t count, int tokens, std::function<void()> const& meanwhile)
+std::vector<GenerationResult> TestFleet::generate(size_t count, int tokens, std::function<void()> const& meanwhile)
 {
     std::vector<GenerationResult> results(count);
     std::vector<std::thread> threads;
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -21,8 +21,7 @@
 #include <vector>
 
 /// One daemon's node with its loop on a thread of its own.
-template<typename Settings, typename Part>
-struct TestDaemon {
+template<typename Settings, typename Part> struct TestDaemon {
     TestDaemon(Settings daemon_settings, std::function<std::unique_ptr<Part>(Node::Node&, Settings const&)> make)
         : settings(std::move(daemon_settings))
         , node(std::make_unique<Node::Node>(this->settings.node))
@@ -39,8 +38,7 @@
     }
 
     /// Runs `ask` on the loop and returns its result.
-    template<typename Ask>
-    auto on_loop(Ask ask)
+    template<typename Ask> auto on_loop(Ask ask)
     {
         std::promise<decltype(ask())> promise;
         this->node->loop().post([&] { promise.set_value(ask()); });
--- a/Utilities/lilacctl.cpp
+++ b/Utilities/lilacctl.cpp
@@ -35,10 +35,7 @@
   lilacctl events             show the newest events of all processes of the failure domain
   lilacctl hash KEY           print the hash of an API key or operator key, as the configuration wants it)";
 
-static Result<void> fail(std::string message)
-{
-    return Error { ErrorKind::InvalidRequest, std::move(message), {} };
-}
+static Result<void> fail(std::string message) { return Error { ErrorKind::InvalidRequest, std::move(message), {} }; }
 
 static std::string drawn_change_id()
 {
--- a/Utilities/loadgen.cpp
+++ b/Utilities/loadgen.cpp
@@ -171,14 +171,16 @@
 {
     CallerClient client(gateways, plan.api_key);
     if (!plan.is_service_call) {
-        auto prompt = "Incident " + std::to_string(plan.number) + " [tokens=" + std::to_string(plan.output_tokens) + "]";
-        report.add(client.generate(plan.gateway, FLAGS_route, prompt,
-            std::chrono::milliseconds(FLAGS_deadline_milliseconds)));
+        auto prompt
+            = "Incident " + std::to_string(plan.number) + " [tokens=" + std::to_string(plan.output_tokens) + "]";
+        report.add(
+            client.generate(plan.gateway, FLAGS_route, prompt, std::chrono::milliseconds(FLAGS_deadline_milliseconds)));
         return;
     }
     auto base = "/v1/services/" + FLAGS_service;
     if (!plan.is_charge) {
-        auto result = client.call_service(plan.gateway, "GET", base + "/receipts/" + std::to_string(plan.number), "", "");
+        auto result
+            = client.call_service(plan.gateway, "GET", base + "/receipts/" + std::to_string(plan.number), "", "");
         report.add(result, "", true);
         return;
     }
--- a/Utilities/policybench.cpp
+++ b/Utilities/policybench.cpp
@@ -109,14 +109,15 @@
         this->lost += static_cast<double>(measures.lost);
         ++this->count;
     }
-    [[nodiscard]] double mean(double Row::* field) const { return this->*field / this->count; }
+    [[nodiscard]] double mean(double Row::*field) const { return this->*field / this->count; }
 };
 
 using RowKey = std::tuple<std::string, double, std::string>;
 
 static void print_table(std::map<RowKey, Row> const& rows, std::vector<RowKey> const& order, std::ostream& out)
 {
-    out << "| scenario | load | policy | stall p50 ms | p95 ms | p99 ms | p95 / clairvoyant | gap p95 ms | gap p99 ms | "
+    out << "| scenario | load | policy | stall p50 ms | p95 ms | p99 ms | p95 / clairvoyant | gap p95 ms | gap p99 ms "
+           "| "
            "p99 / clairvoyant | preemptions per 1,000 | goodput /s | refused % | lost |\n"
         << "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
         << std::fixed;
@@ -124,17 +125,16 @@
         auto const& [scenario, load, policy] = key;
         auto const& row = rows.at(key);
         auto limit = rows.find({ scenario, load, "clairvoyant" });
-        auto ratio = [&](double Row::* field) {
-            return limit == rows.end() ? 0 : row.mean(field) / limit->second.mean(field);
-        };
-        auto milliseconds = [&](double Row::* field) { return row.mean(field) * 1000; };
+        auto ratio
+            = [&](double Row::*field) { return limit == rows.end() ? 0 : row.mean(field) / limit->second.mean(field); };
+        auto milliseconds = [&](double Row::*field) { return row.mean(field) * 1000; };
         out << "| " << scenario << " | " << std::setprecision(1) << load << " | " << policy << " | "
             << std::setprecision(0) << milliseconds(&Row::stall_p50) << " | " << milliseconds(&Row::stall_p95) << " | "
             << milliseconds(&Row::stall_p99) << " | " << std::setprecision(2) << ratio(&Row::stall_p95) << " | "
             << std::setprecision(1) << milliseconds(&Row::gap_p95) << " | " << milliseconds(&Row::gap_p99) << " | "
             << std::setprecision(2) << ratio(&Row::gap_p99) << " | " << row.mean(&Row::preemptions) << " | "
-            << row.mean(&Row::goodput) << " | " << row.mean(&Row::refused_share) * 100 << " | "
-            << std::setprecision(1) << row.mean(&Row::lost) << " |\n";
+            << row.mean(&Row::goodput) << " | " << row.mean(&Row::refused_share) * 100 << " | " << std::setprecision(1)
+            << row.mean(&Row::lost) << " |\n";
     }
 }
 
