--- a/AK/Error.h
+++ b/AK/Error.h
@@ -51,7 +51,8 @@
     bool operator==(Error const&) const = default;
 };
 
-template<typename T> using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+template<typename T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
 
 inline auto success() { return boost::outcome_v2::success(); }
 
--- a/AK/Types.h
+++ b/AK/Types.h
@@ -25,7 +25,8 @@
 
 /// A value that cannot be mixed up with another one of the same representation.
 /// `Tag` is an empty type that names the meaning; it is never instantiated.
-template<typename Tag, typename Representation> class StrongType {
+template<typename Tag, typename Representation>
+class StrongType {
 public:
     using ValueType = Representation;
 
@@ -65,7 +66,8 @@
 }
 
 namespace std {
-template<typename Tag, typename Representation> struct hash<AK::StrongType<Tag, Representation>> {
+template<typename Tag, typename Representation>
+struct hash<AK::StrongType<Tag, Representation>> {
     size_t operator()(AK::StrongType<Tag, Representation> const& strong) const
     {
         return hash<Representation> {}(strong.value());
--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -268,7 +268,8 @@
     return document;
 }
 
-template<typename Map, typename Key> static auto const* find_in(Map const& map, Key const& key)
+template<typename Map, typename Key>
+static auto const* find_in(Map const& map, Key const& key)
 {
     auto found = map.find(key);
     return found == map.end() ? nullptr : &found->second;
--- a/Libraries/LibConfiguration/ConfigurationLog.h
+++ b/Libraries/LibConfiguration/ConfigurationLog.h
@@ -31,7 +31,8 @@
 }
 
 /// Parses a message of the schema from JSON. Errors: InvalidRequest.
-template<typename Message> Result<Message> from_json(std::string const& json)
+template<typename Message>
+Result<Message> from_json(std::string const& json)
 {
     Message message;
     auto status = google::protobuf::util::JsonStringToMessage(json, &message);
@@ -46,7 +47,8 @@
 /// The one ordered log of changes in the platform's table. A change is accepted by the single transaction that moves
 /// the head from one revision to the next, so that two operators never both get the same revision, and a lost answer
 /// is settled by looking for the change's own id. Calls block.
-template<Platform::TableStore Store> class ConfigurationLog {
+template<Platform::TableStore Store>
+class ConfigurationLog {
 public:
     explicit ConfigurationLog(Store& store)
         : store(store)
--- a/Libraries/LibCore/BackgroundCaller.h
+++ b/Libraries/LibCore/BackgroundCaller.h
@@ -25,7 +25,8 @@
     ~BackgroundCaller();
 
     /// Runs `call` in the background, then `on_result` with what it returned on the loop.
-    template<typename Call, typename OnResult> void submit(Call call, OnResult on_result)
+    template<typename Call, typename OnResult>
+    void submit(Call call, OnResult on_result)
     {
         this->enqueue([this, call = std::move(call), on_result = std::move(on_result)]() mutable {
             auto result = call();
--- a/Libraries/LibCore/Mailbox.h
+++ b/Libraries/LibCore/Mailbox.h
@@ -15,7 +15,8 @@
 namespace Core {
 
 /// A queue of typed messages from the loop to one edge thread.
-template<typename Message> class Mailbox {
+template<typename Message>
+class Mailbox {
 public:
     void put(Message message)
     {
--- a/Libraries/LibGateway/GatewayLoop.cpp
+++ b/Libraries/LibGateway/GatewayLoop.cpp
@@ -19,8 +19,6 @@
 static constexpr u32 default_deadline_milliseconds = 10'000;
 static constexpr u64 default_maximum_output_tokens = 65'536;
 static constexpr size_t most_excluded_engines = 8;
-static constexpr double retry_earned_per_request = 0.1;
-static constexpr double largest_retry_allowance = 10;
 
 static Instant now() { return std::chrono::steady_clock::now(); }
 
@@ -34,6 +32,8 @@
 GatewayLoop::GatewayLoop(Node::Node& node, GatewaySettings const& settings)
     : node(node)
     , settings(settings)
+    , accounts(node)
+    , service_desk(node, this->accounts, this->open_calls)
     , random(std::random_device {}())
 {
     this->id_prefix = "gen-" + random_hexadecimal(this->random()) + '-';
@@ -49,25 +49,6 @@
 
 Duration GatewayLoop::time_left(Instant deadline) const { return std::max<Duration>(deadline - now(), 0s); }
 
-Result<wire::Organisation const*> GatewayLoop::authenticate(std::string const& api_key) const
-{
-    auto const* organisation
-        = this->node.configuration().find_organisation_by_key_hash(Delivery::sha256_hexadecimal(api_key));
-    if (organisation)
-        return organisation;
-    return Error { ErrorKind::Unauthenticated, "this API key is not known; check it, or ask your operator for one",
-        {} };
-}
-
-bool GatewayLoop::spend_retry(OrganisationId const& id)
-{
-    auto& organisation = this->organisations[id];
-    if (organisation.retry_allowance < 1)
-        return false;
-    organisation.retry_allowance -= 1;
-    return true;
-}
-
 // Generations
 
 void GatewayLoop::post_begin(std::shared_ptr<EdgeCall> call)
@@ -88,7 +69,7 @@
         refuse_early({ ErrorKind::NotReady, "this host is not ready: " + this->node.readiness_reason(), 1s });
         return;
     }
-    auto organisation = this->authenticate(call->request.api_key);
+    auto organisation = this->accounts.authenticate(call->request.api_key);
     if (!organisation) {
         refuse_early(organisation.error());
         return;
@@ -115,8 +96,7 @@
     row.deadline = now() + call->request.deadline.value_or(std::chrono::milliseconds(route_deadline));
     row.attempt = AttemptNumber(1);
 
-    auto& budget = this->organisations[organisation_id];
-    budget.retry_allowance = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
+    this->accounts.earn_retry(organisation_id);
     this->node.metrics().add("lilac_requests_total");
     this->node.events().record(
         EventNumber::RequestReceived, call->generation.value(), "route " + row.route.value(), organisation_id);
@@ -173,7 +153,7 @@
         this->receive_place_reply(envelope.place_reply(), Address(envelope.sender_address()));
         return;
     case wire::Envelope::kClaimReply:
-        this->receive_claim_reply(envelope.claim_reply());
+        this->service_desk.receive(envelope.claim_reply());
         return;
     default:
         return;
@@ -254,7 +234,8 @@
     this->tell_owner(row, std::move(envelope));
 
     row.excluded.insert(failed_engine);
-    if (now() >= row.deadline || row.excluded.size() > most_excluded_engines || !this->spend_retry(row.organisation)) {
+    if (now() >= row.deadline || row.excluded.size() > most_excluded_engines
+        || !this->accounts.spend_retry(row.organisation)) {
         this->refuse(row,
             { ErrorKind::NoBackendServer,
                 "the engines that were tried did not take the request; come back after the time given", 2s });
@@ -389,20 +370,7 @@
         else if (owner_moved || now() - row.asked_at > ask_again_after)
             this->ask_router(row);
     }
-    std::vector<std::string> waiting;
-    for (auto const& [id, row] : this->service_calls) {
-        if (row.waits_for_claim)
-            waiting.push_back(id);
-    }
-    for (auto const& id : waiting) {
-        auto& row = this->service_calls[id];
-        if (now() >= row.deadline)
-            this->refuse_service_call(row,
-                { ErrorKind::PlatformUnavailable,
-                    "the claim on this idempotency key could not be made before the deadline; come back later", 5s });
-        else if (now() - row.asked_at > ask_again_after)
-            this->ask_for_claim(row);
-    }
+    this->service_desk.tick();
     this->node.metrics().set("lilac_open_generations", static_cast<double>(this->generations.size()));
 }
 
@@ -425,7 +393,7 @@
 void GatewayLoop::decide_resume(ResumeCall& call)
 {
     auto verified = [&]() -> Result<Delivery::ResumeToken> {
-        TRY(auto organisation, this->authenticate(call.api_key));
+        TRY(auto organisation, this->accounts.authenticate(call.api_key));
         TRY(auto key_id, Delivery::signing_key_id(call.token));
         auto const* key = this->node.configuration().find_resume_key(key_id);
         if (!key)
@@ -448,182 +416,4 @@
     call.decisions.put(Refused { verified.error() });
 }
 
-// Plain services
-
-void GatewayLoop::post_service_call(std::shared_ptr<ServiceCall> call)
-{
-    ++this->open_calls;
-    this->node.loop().post([this, call = std::move(call)] { this->begin_service_call(call); });
-}
-
-static bool is_repeatable_path(wire::PlainService const& service, std::string const& path)
-{
-    return std::ranges::any_of(
-        service.repeatable_paths(), [&](auto const& prefix) { return path.starts_with(prefix); });
-}
-
-void GatewayLoop::begin_service_call(std::shared_ptr<ServiceCall> call)
-{
-    auto decided = [&]() -> Result<ServiceRow> {
-        if (!this->node.is_ready())
-            return Error { ErrorKind::NotReady, "this host is not ready: " + this->node.readiness_reason(), 1s };
-        TRY(auto organisation, this->authenticate(call->api_key));
-        auto const* service = this->node.configuration().find_service(call->service);
-        if (!service
-            || std::ranges::find(service->organisations(), organisation->id()) == service->organisations().end())
-            return Error { ErrorKind::UnknownRoute,
-                "your organisation has no such service; ask your operator for its services", {} };
-        ServiceRow row;
-        row.call = call;
-        row.organisation = OrganisationId(organisation->id());
-        row.is_repeatable = is_repeatable_path(*service, call->path);
-        row.deadline = now() + call->deadline;
-        return row;
-    }();
-    if (!decided) {
-        --this->open_calls;
-        call->decisions.put(Refused { decided.error() });
-        return;
-    }
-    auto& budget = this->organisations[decided.value().organisation];
-    budget.retry_allowance = std::min(budget.retry_allowance + retry_earned_per_request, largest_retry_allowance);
-    auto& row = this->service_calls[call->id] = std::move(decided.value());
-    if (call->idempotency_key.empty()) {
-        this->dispatch_service_call(row);
-        return;
-    }
-    row.nonce = call->id;
-    this->ask_for_claim(row);
-}
-
-void GatewayLoop::ask_for_claim(ServiceRow& row)
-{
-    row.waits_for_claim = true;
-    row.asked_at = now();
-    auto const* owner = this->node.owner_of("claims");
-    if (!owner)
-        return;
-    wire::Envelope envelope;
-    auto* request = envelope.mutable_claim_request();
-    request->set_organisation(row.organisation.value());
-    request->set_idempotency_key(row.call->idempotency_key);
-    request->set_nonce(row.nonce);
-    this->node.send(owner->address, std::move(envelope));
-}
-
-void GatewayLoop::receive_claim_reply(wire::ClaimReply const& reply)
-{
-    auto found = this->service_calls.find(reply.nonce());
-    if (found == this->service_calls.end() || !found->second.waits_for_claim)
-        return;
-    auto& row = found->second;
-    row.waits_for_claim = false;
-    switch (reply.answer()) {
-    case wire::CLAIM_GRANTED:
-        row.is_claimed = true;
-        this->dispatch_service_call(row);
-        return;
-    case wire::CLAIM_TAKEN:
-        this->node.events().record(EventNumber::ClaimRefused, row.call->id, "key in use", row.organisation);
-        this->refuse_service_call(row,
-            { ErrorKind::Conflict,
-                "a call with this idempotency key was made before and may have run; look its result up, or use a "
-                "new key for a new call",
-                {} });
-        return;
-    default:
-        this->refuse_service_call(row,
-            { ErrorKind::PlatformUnavailable,
-                "the claim on this idempotency key could not be made; this call was not run, come back later", 5s });
-    }
-}
-
-Platform::BackendServerRecord const* GatewayLoop::choose_server(ServiceRow const& row)
-{
-    Platform::BackendServerRecord const* best = nullptr;
-    for (auto const& server : this->node.backend_servers()) {
-        if (server.service != row.call->service || row.failed_servers.contains(server.id)
-            || this->node.is_leaving(server.id))
-            continue;
-        if (!best || this->calls_at_server[server.id] < this->calls_at_server[best->id])
-            best = &server;
-    }
-    return best;
-}
-
-void GatewayLoop::dispatch_service_call(ServiceRow& row)
-{
-    auto const* server = this->choose_server(row);
-    if (!server) {
-        this->refuse_service_call(row,
-            { ErrorKind::NoBackendServer, "no server of the service takes calls here; come back after the time given",
-                2s });
-        return;
-    }
-    row.server = server->id;
-    ++this->calls_at_server[server->id];
-    this->node.events().record(
-        EventNumber::ServiceCallDispatched, row.call->id, "to " + server->id.value(), row.organisation);
-    row.call->decisions.put(ServiceAdmitted { server->id, server->address, row.organisation, row.is_repeatable });
-}
-
-void GatewayLoop::release_claim(ServiceRow const& row)
-{
-    auto const* owner = this->node.owner_of("claims");
-    if (!row.is_claimed || !owner)
-        return;
-    wire::Envelope envelope;
-    auto* release = envelope.mutable_claim_release();
-    release->set_organisation(row.organisation.value());
-    release->set_idempotency_key(row.call->idempotency_key);
-    release->set_nonce(row.nonce);
-    this->node.send(owner->address, std::move(envelope));
-}
-
-void GatewayLoop::refuse_service_call(ServiceRow const& row, Error error)
-{
-    auto call = row.call;
-    this->release_claim(row);
-    this->service_calls.erase(call->id);
-    --this->open_calls;
-    call->decisions.put(Refused { std::move(error) });
-}
-
-void GatewayLoop::post_service_again(std::shared_ptr<ServiceCall> call, EngineId failed_server)
-{
-    this->node.loop().post([this, call = std::move(call), failed_server = std::move(failed_server)] {
-        auto found = this->service_calls.find(call->id);
-        if (found == this->service_calls.end())
-            return;
-        auto& row = found->second;
-        --this->calls_at_server[failed_server];
-        row.failed_servers.insert(failed_server);
-        if (now() >= row.deadline || !this->spend_retry(row.organisation)) {
-            this->refuse_service_call(row,
-                { ErrorKind::NoBackendServer, "the servers that were tried did not take the call; come back later",
-                    2s });
-            return;
-        }
-        this->dispatch_service_call(row);
-    });
-}
-
-void GatewayLoop::post_service_ended(
-    std::shared_ptr<ServiceCall> call, Delivery::Outcome outcome, std::string const& text)
-{
-    this->node.loop().post([this, call = std::move(call), outcome, text] {
-        auto found = this->service_calls.find(call->id);
-        if (found == this->service_calls.end())
-            return;
-        auto& row = found->second;
-        --this->calls_at_server[row.server];
-        this->node.events().record(EventNumber::ServiceCallEnded, call->id,
-            std::string(Delivery::to_string(outcome)) + ' ' + text, row.organisation);
-        if (outcome == Delivery::Outcome::NotRun)
-            this->release_claim(row);
-        this->service_calls.erase(found);
-        --this->open_calls;
-    });
-}
-
 }
--- a/Libraries/LibGateway/GatewayLoop.h
+++ b/Libraries/LibGateway/GatewayLoop.h
@@ -6,8 +6,10 @@
 
 #pragma once
 
+#include <LibGateway/Accounts.h>
 #include <LibGateway/EdgeCall.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/ServiceDesk.h>
 #include <LibNode/Node.h>
 #include <atomic>
 #include <map>
@@ -19,7 +21,7 @@
 namespace Gateway {
 
 /// The gateway's tables and decisions: which organisation and route a request belongs to, whom to ask for an engine,
-/// what is alive, where a plain-service call goes. Everything runs on the node's loop; edge threads come in by the
+/// what is alive. Everything runs on the node's loop; edge threads come in by the
 /// functions named post_*, which may be called from any thread.
 class GatewayLoop {
 public:
@@ -35,15 +37,13 @@
     void post_caller_gone(EngineSource const&, u64 token_count);
     void post_resume(std::shared_ptr<ResumeCall>);
     void post_resume_ended(GenerationId const&);
-    void post_service_call(std::shared_ptr<ServiceCall>);
-    /// Another try of a call that is known not to have run, or that may be repeated.
-    void post_service_again(std::shared_ptr<ServiceCall>, EngineId failed_server);
-    void post_service_ended(std::shared_ptr<ServiceCall>, Delivery::Outcome, std::string const& text);
 
     /// Requests that have not had their final answer. Any thread.
     [[nodiscard]] size_t open_count() const { return this->open_calls; }
     /// Any thread.
     GenerationId new_generation_id();
+    /// Its post_ functions may be called from any thread.
+    [[nodiscard]] ServiceDesk& services() { return this->service_desk; }
     [[nodiscard]] Node::Node& own_node() { return this->node; }
 
 private:
@@ -68,27 +68,8 @@
         std::set<EngineId> excluded;
     };
 
-    struct ServiceRow {
-        std::shared_ptr<ServiceCall> call;
-        OrganisationId organisation;
-        bool is_repeatable { false };
-        std::string nonce;
-        bool is_claimed { false };
-        bool waits_for_claim { false };
-        Instant deadline;
-        Instant asked_at;
-        std::set<EngineId> failed_servers;
-        EngineId server;
-    };
-
-    struct OrganisationRow {
-        /// Repeats that may still be made; a tenth is earned with each request.
-        double retry_allowance { 3 };
-    };
-
     void receive(wire::Envelope const&);
     void receive_place_reply(wire::PlaceReply const&, Address const& sender);
-    void receive_claim_reply(wire::ClaimReply const&);
 
     void begin(std::shared_ptr<EdgeCall>);
     void ask_router(GenerationRow&);
@@ -101,26 +82,16 @@
     void tick();
 
     void decide_resume(ResumeCall&);
-    void begin_service_call(std::shared_ptr<ServiceCall>);
-    void ask_for_claim(ServiceRow&);
-    void dispatch_service_call(ServiceRow&);
-    void refuse_service_call(ServiceRow const&, Error);
-    [[nodiscard]] Platform::BackendServerRecord const* choose_server(ServiceRow const&);
-    void release_claim(ServiceRow const&);
-
-    [[nodiscard]] Result<wire::Organisation const*> authenticate(std::string const& api_key) const;
-    bool spend_retry(OrganisationId const&);
     [[nodiscard]] Duration time_left(Instant deadline) const;
 
     Node::Node& node;
     GatewaySettings const& settings;
+    std::atomic<size_t> open_calls { 0 };
+    Accounts accounts;
+    ServiceDesk service_desk;
     std::unordered_map<GenerationId, GenerationRow> generations;
-    std::unordered_map<std::string, ServiceRow> service_calls;
-    std::unordered_map<OrganisationId, OrganisationRow> organisations;
-    std::map<EngineId, u32> calls_at_server;
     /// The owner of each model's pool as last told of the live generations.
     std::map<ModelId, MemberId> told_owners;
-    std::atomic<size_t> open_calls { 0 };
     std::string id_prefix;
     std::atomic<u64> next_id { 1 };
     std::mt19937_64 random;
--- /dev/null
+++ b/Libraries/LibGateway/ServiceDesk.h
@@ -0,0 +1,65 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibDelivery/Outcome.h>
+#include <LibGateway/Accounts.h>
+#include <LibGateway/EdgeCall.h>
+#include <LibNode/Node.h>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Gateway {
+
+/// The gateway's plain-service calls: claims their idempotency keys and chooses their servers. Runs on the node's loop;
+/// the functions named post_* may be called from any thread.
+class ServiceDesk {
+public:
+    /// `open_calls` counts the requests of the whole gateway that have not had their final answer.
+    ServiceDesk(Node::Node&, Accounts&, std::atomic<size_t>& open_calls);
+
+    void post_call(std::shared_ptr<ServiceCall>);
+    /// Another try of a call that is known not to have run, or that may be repeated.
+    void post_again(std::shared_ptr<ServiceCall>, EngineId failed_server);
+    void post_ended(std::shared_ptr<ServiceCall>, Delivery::Outcome, std::string const& text);
+
+    void receive(wire::ClaimReply const&);
+    /// Asks again for claims of which nothing was heard, and refuses those past their deadline.
+    void tick();
+
+private:
+    struct ServiceRow {
+        std::shared_ptr<ServiceCall> call;
+        OrganisationId organisation;
+        bool is_repeatable { false };
+        /// Empty for a call without an idempotency key.
+        std::string nonce;
+        bool waits_for_claim { false };
+        Instant deadline;
+        Instant asked_at;
+        std::set<EngineId> failed_servers;
+        EngineId server;
+    };
+
+    void begin(std::shared_ptr<ServiceCall>);
+    void ask_for_claim(ServiceRow&);
+    void dispatch(ServiceRow&);
+    void refuse(ServiceRow const&, Error);
+    [[nodiscard]] Platform::BackendServerRecord const* choose_server(ServiceRow const&);
+    void release_claim(ServiceRow const&);
+
+    Node::Node& node;
+    Accounts& accounts;
+    std::atomic<size_t>& open_calls;
+    std::unordered_map<std::string, ServiceRow> calls;
+    std::map<EngineId, u32> calls_at_server;
+};
+
+}
--- a/Libraries/LibGateway/ServiceEdge.cpp
+++ b/Libraries/LibGateway/ServiceEdge.cpp
@@ -43,7 +43,7 @@
 
 void ServiceEdge::serve(std::shared_ptr<ServiceCall> const& call, Poco::Net::HTTPServerResponse& response)
 {
-    this->gateway.post_service_call(call);
+    this->gateway.services().post_call(call);
     std::optional<Delivery::DispatchRecord> record;
     while (true) {
         auto decision = call->decisions.take(longest_decision);
@@ -65,7 +65,7 @@
         auto was_turned_away = answer && answer.value().headers.contains(not_started_header);
         if (answer && !was_turned_away) {
             record->completed();
-            this->gateway.post_service_ended(
+            this->gateway.services().post_ended(
                 call, record->outcome(), "status " + std::to_string(answer.value().status));
             send_answer(response, answer.value());
             return;
@@ -73,7 +73,7 @@
         if (was_turned_away || answer.error().progress == Platform::CallProgress::NothingSent)
             record->confirmed_not_started();
         if (!record->may_dispatch()) {
-            this->gateway.post_service_ended(call, record->outcome(), answer.error().detail);
+            this->gateway.services().post_ended(call, record->outcome(), answer.error().detail);
             send_error(response,
                 { ErrorKind::BackendServerFailed,
                     "the server's answer did not come; the call may have run, look its result up before repeating it",
@@ -81,7 +81,7 @@
                 record->outcome());
             return;
         }
-        this->gateway.post_service_again(call, admitted.backend_server);
+        this->gateway.services().post_again(call, admitted.backend_server);
     }
 }
 
--- a/Libraries/LibHistory/History.cpp
+++ b/Libraries/LibHistory/History.cpp
@@ -16,7 +16,8 @@
 
 using Poco::JSON::Object;
 
-template<typename T> static std::vector<T> read_array(Object const& object, std::string const& key)
+template<typename T>
+static std::vector<T> read_array(Object const& object, std::string const& key)
 {
     std::vector<T> values;
     if (auto array = object.getArray(key)) {
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -34,7 +34,14 @@
     return events;
 }
 
-void MemberTable::receive_row(wire::MemberState const& state, Instant now, std::vector<MemberEvent>& events)
+/// Enough of an incarnation to tell two starts of one member apart; a mistake would only keep a dead one for a while.
+static u32 check_of(Incarnation incarnation)
+{
+    constexpr u64 check_mask = 0x3fff;
+    return static_cast<u32>(incarnation.value() & check_mask);
+}
+
+void MemberTable::receive_full(wire::MemberState const& state, Instant now, std::vector<MemberEvent>& events)
 {
     MemberId id(state.id());
     std::pair news { Incarnation(state.incarnation()), state.heartbeat() };
@@ -62,15 +69,30 @@
     this->lost.erase(id);
 }
 
+void MemberTable::receive_compact(wire::MemberState const& state, Revision sender_revision, Instant now)
+{
+    auto known = this->rows.find(MemberId(state.id()));
+    if (known == this->rows.end() || check_of(known->second.incarnation) != state.incarnation_check()
+        || state.heartbeat() <= known->second.heartbeat)
+        return;
+    known->second.heartbeat = state.heartbeat();
+    known->second.revision = sender_revision;
+    known->second.last_advance = now;
+}
+
 std::vector<MemberEvent> MemberTable::receive(wire::Gossip const& gossip, Instant now)
 {
     std::vector<MemberEvent> events;
-    for (auto const& state : gossip.members())
-        this->receive_row(state, now, events);
+    for (auto const& state : gossip.members()) {
+        if (state.address().empty())
+            this->receive_compact(state, Revision(gossip.members(0).revision()), now);
+        else
+            this->receive_full(state, now, events);
+    }
     return events;
 }
 
-static void write_state(MemberRow const& row, wire::MemberState& state)
+static void write_full(MemberRow const& row, wire::MemberState& state)
 {
     state.set_id(row.id.value());
     state.set_role(row.role);
@@ -81,13 +103,26 @@
     state.set_revision(row.revision.value());
 }
 
-wire::Gossip MemberTable::gossip(FailureDomainId const& domain) const
+static void write_compact(MemberRow const& row, wire::MemberState& state)
+{
+    state.set_id(row.id.value());
+    state.set_heartbeat(row.heartbeat);
+    state.set_incarnation_check(check_of(row.incarnation));
+}
+
+wire::Gossip MemberTable::gossip(FailureDomainId const& domain, GossipDetail detail) const
 {
     wire::Gossip gossip;
     gossip.set_failure_domain(domain.value());
-    write_state(this->self, *gossip.add_members());
-    for (auto const& [id, row] : this->rows)
-        write_state(row, *gossip.add_members());
+    write_full(this->self, *gossip.add_members());
+    for (auto const& [id, row] : this->rows) {
+        // What is unlike the rest must be said in full.
+        auto is_ordinary = row.revision == this->self.revision && !row.leaving;
+        if (detail == GossipDetail::Compact && is_ordinary)
+            write_compact(row, *gossip.add_members());
+        else
+            write_full(row, *gossip.add_members());
+    }
     return gossip;
 }
 
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -41,6 +41,14 @@
     Incarnation incarnation;
 };
 
+/// How much a view says of members other than its sender.
+enum class GossipDetail : u8 {
+    /// Who is alive and at which revision: what changes all the time.
+    Compact,
+    /// Role and address as well: what a member must be told once.
+    Full,
+};
+
 /// The members of one failure domain, kept by gossip: each beat a member raises its own heartbeat and sends what it
 /// knows of everyone to a few others (van Renesse et al., 1998). A member whose heartbeat has not grown for
 /// `silence_limit` counts as lost. Nothing is agreed: views may differ for a while, and nothing that must hold
@@ -54,7 +62,7 @@
     /// Takes in another member's view.
     std::vector<MemberEvent> receive(wire::Gossip const&, Instant now);
     /// This member's view, to be sent.
-    [[nodiscard]] wire::Gossip gossip(FailureDomainId const&) const;
+    [[nodiscard]] wire::Gossip gossip(FailureDomainId const&, GossipDetail) const;
 
     void set_own_revision(Revision revision) { this->self.revision = revision; }
     void set_own_leaving() { this->self.leaving = true; }
@@ -67,7 +75,8 @@
     [[nodiscard]] MemberRow const* owner_of(std::string const& key, wire::Role role) const;
 
 private:
-    void receive_row(wire::MemberState const&, Instant now, std::vector<MemberEvent>& events);
+    void receive_full(wire::MemberState const&, Instant now, std::vector<MemberEvent>& events);
+    void receive_compact(wire::MemberState const&, Revision sender_revision, Instant now);
 
     MemberRow self;
     Duration silence_limit;
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -15,6 +15,9 @@
 // Members other than the poller look at the table themselves this many times more seldom.
 static constexpr int follower_poll_factor = 10;
 static constexpr size_t gossip_fanout = 2;
+// Views go out in full for some beats after members came or went, and now and then in any case.
+static constexpr u64 full_gossip_beats_after_change = 4;
+static constexpr u64 full_gossip_period = 16;
 static constexpr u64 remote_digest_beats = 5;
 static constexpr Duration leaving_memory = 60s;
 static constexpr Duration stale_after = 30s;
@@ -26,7 +29,8 @@
 
 static i64 now_milliseconds() { return AK::to_milliseconds(now().time_since_epoch()); }
 
-template<typename T> static Result<void> without_value(Result<T> const& result)
+template<typename T>
+static Result<void> without_value(Result<T> const& result)
 {
     return result ? Result<void>(success()) : Result<void>(result.error());
 }
@@ -102,10 +106,10 @@
     return targets;
 }
 
-void Node::send_gossip(Address const& peer)
+void Node::send_gossip(Address const& peer, Membership::GossipDetail detail)
 {
     wire::Envelope envelope;
-    *envelope.mutable_gossip() = this->member_table.gossip(this->node_settings.failure_domain);
+    *envelope.mutable_gossip() = this->member_table.gossip(this->node_settings.failure_domain, detail);
     for (auto const& [id, since] : this->leaving_servers)
         envelope.mutable_gossip()->add_leaving_backend_servers(id.value());
     this->send(peer, std::move(envelope));
@@ -117,7 +121,7 @@
     if (remote.empty() || !this->is_poller() || this->beat_count % remote_digest_beats != 0)
         return;
     wire::Envelope envelope;
-    auto whole = this->member_table.gossip(this->node_settings.failure_domain);
+    auto whole = this->member_table.gossip(this->node_settings.failure_domain, Membership::GossipDetail::Compact);
     envelope.mutable_gossip()->set_failure_domain(this->node_settings.failure_domain.value());
     *envelope.mutable_gossip()->add_members() = whole.members(0);
     this->send(remote[this->beat_count / remote_digest_beats % remote.size()], std::move(envelope));
@@ -139,8 +143,10 @@
     ++this->beat_count;
     this->report(this->member_table.beat(now()));
     std::erase_if(this->leaving_servers, [](auto const& entry) { return now() - entry.second > leaving_memory; });
+    auto is_full = this->beat_count <= this->full_gossip_until_beat || this->beat_count % full_gossip_period == 0;
+    auto detail = is_full ? Membership::GossipDetail::Full : Membership::GossipDetail::Compact;
     for (auto const& target : this->gossip_targets())
-        this->send_gossip(target);
+        this->send_gossip(target, detail);
     this->send_remote_digest();
     this->metric_set.set("lilac_members", static_cast<double>(this->member_table.others().size() + 1));
     this->metric_set.set("lilac_configuration_revision", static_cast<double>(this->follower.revision().value()));
@@ -168,6 +174,7 @@
     }
     if (events.empty())
         return;
+    this->full_gossip_until_beat = this->beat_count + full_gossip_beats_after_change;
     for (auto const& handler : this->member_handlers)
         handler();
 }
@@ -416,7 +423,7 @@
 void Node::tell_everyone_of_leaving_servers()
 {
     for (auto const& member : this->member_table.others())
-        this->send_gossip(member.address);
+        this->send_gossip(member.address, Membership::GossipDetail::Full);
 }
 
 // Leaving and health
@@ -429,7 +436,7 @@
     this->member_table.set_own_leaving();
     (void)this->member_table.beat(now());
     for (auto const& member : this->member_table.others())
-        this->send_gossip(member.address);
+        this->send_gossip(member.address, Membership::GossipDetail::Full);
 }
 
 std::string Node::readiness_reason() const
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -85,7 +85,7 @@
     void report(std::vector<Membership::MemberEvent> const&);
     void beat();
     void note_readiness();
-    void send_gossip(Address const& peer);
+    void send_gossip(Address const& peer, Membership::GossipDetail);
     void send_remote_digest();
     [[nodiscard]] std::vector<Address> gossip_targets();
     void fetch_configuration_from(Address const& peer);
@@ -119,6 +119,8 @@
     std::vector<std::function<void()>> member_handlers;
     std::vector<std::function<void()>> backend_handlers;
     u64 beat_count { 0 };
+    /// Up to this beat views go out in full, because members have come or gone.
+    u64 full_gossip_until_beat { 0 };
     bool configuration_poll_runs { false };
     bool backend_poll_runs { false };
     Instant last_configuration_poll;
--- /dev/null
+++ b/Libraries/LibOperator/OperatorCalls.h
@@ -0,0 +1,186 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibOperator/OperatorLoop.h>
+
+/// The calls of the operators' RPC as objects that gRPC's completion queue hands back. Each deletes itself when it is
+/// over.
+namespace Operator {
+
+grpc::Status to_status(Error const&);
+
+/// Entries read from the log at once for a watcher.
+static constexpr size_t most_entries_at_once = 200;
+
+/// What the completion queue gives back. Only the loop touches it.
+class OperatorLoop::Tag {
+public:
+    virtual ~Tag() = default;
+    virtual void proceed(bool is_ok) = 0;
+};
+
+/// One call that is answered once.
+template<typename Request, typename Reply>
+class OperatorLoop::UnaryCall final : public Tag {
+public:
+    using Responder = grpc::ServerAsyncResponseWriter<Reply>;
+    using RequestFunction = void (wire::OperatorService::AsyncService::*)(
+        grpc::ServerContext*, Request*, Responder*, grpc::CompletionQueue*, grpc::ServerCompletionQueue*, void*);
+    using Done = std::function<void(Result<Reply>)>;
+    using Handler = std::function<void(Request const&, OperatorIdentity const&, Done)>;
+
+    UnaryCall(OperatorLoop& owner, RequestFunction request_function, OperatorRole needed, Handler handler)
+        : owner(owner)
+        , request_function(request_function)
+        , needed(needed)
+        , handler(std::move(handler))
+        , responder(&this->context)
+    {
+        (owner.service.*request_function)(&this->context, &this->request, &this->responder,
+            owner.completion_queue.get(), owner.completion_queue.get(), this);
+    }
+
+    void proceed(bool is_ok) override
+    {
+        if (!is_ok || this->is_answered) {
+            delete this;
+            return;
+        }
+        // The next call of this kind is awaited before this one is served.
+        if (!this->owner.is_stopping)
+            new UnaryCall(this->owner, this->request_function, this->needed, this->handler);
+        auto identity = this->owner.authenticate(this->context);
+        if (!identity)
+            this->answer(identity.error());
+        else if (identity.value().role < this->needed)
+            this->answer(Error {
+                ErrorKind::Forbidden, "operator '" + identity.value().name + "' may only look; ask an editor", {} });
+        else
+            this->handler(this->request, identity.value(), [this](Result<Reply> reply) { this->answer(reply); });
+    }
+
+private:
+    void answer(Result<Reply> const& reply)
+    {
+        this->is_answered = true;
+        if (reply)
+            this->responder.Finish(reply.value(), grpc::Status::OK, this);
+        else
+            this->responder.FinishWithError(to_status(reply.error()), this);
+    }
+
+    OperatorLoop& owner;
+    RequestFunction request_function;
+    OperatorRole needed;
+    Handler handler;
+    grpc::ServerContext context;
+    Request request;
+    Responder responder;
+    bool is_answered { false };
+};
+
+/// Streams log entries to one watcher until it goes away or the server stops.
+class OperatorLoop::WatchCall final : public Tag {
+public:
+    explicit WatchCall(OperatorLoop& owner)
+        : owner(owner)
+        , writer(&this->context)
+    {
+        owner.service.RequestWatch(&this->context, &this->request, &this->writer, owner.completion_queue.get(),
+            owner.completion_queue.get(), this);
+    }
+
+    void proceed(bool is_ok) override
+    {
+        if (!is_ok || this->is_finished) {
+            this->owner.watchers.remove(this);
+            delete this;
+            return;
+        }
+        if (!this->is_begun) {
+            this->begin();
+            return;
+        }
+        this->is_writing = false;
+        this->feed();
+    }
+
+    /// Sends what the watcher lacks, an entry at a time.
+    void feed()
+    {
+        if (this->is_writing || this->is_reading || this->is_finished)
+            return;
+        if (this->owner.is_stopping) {
+            this->finish(grpc::Status::OK);
+            return;
+        }
+        if (this->pending.empty()) {
+            this->read_more();
+            return;
+        }
+        this->is_writing = true;
+        this->sent_revision = Revision(this->pending.front().revision());
+        this->writer.Write(this->pending.front(), this);
+        this->pending.erase(this->pending.begin());
+    }
+
+private:
+    void begin()
+    {
+        this->is_begun = true;
+        if (!this->owner.is_stopping)
+            new WatchCall(this->owner);
+        auto identity = this->owner.authenticate(this->context);
+        if (!identity) {
+            this->finish(to_status(identity.error()));
+            return;
+        }
+        this->sent_revision = Revision(this->request.after_revision());
+        this->owner.watchers.push_back(this);
+        this->feed();
+    }
+
+    void read_more()
+    {
+        if (this->sent_revision >= this->owner.node.configuration().revision())
+            return;
+        this->is_reading = true;
+        auto& platform = this->owner.node.platform();
+        this->owner.node.background().submit(
+            [&platform, after = this->sent_revision] {
+                return Configuration::ConfigurationLog(platform).read_after(after, most_entries_at_once);
+            },
+            [this](Result<std::vector<wire::LogEntry>> entries) {
+                this->is_reading = false;
+                // When the platform is out, the next revision to come into force tries again.
+                if (entries && !entries.value().empty()) {
+                    this->pending = std::move(entries.value());
+                    this->feed();
+                }
+            });
+    }
+
+    void finish(grpc::Status const& status)
+    {
+        this->is_finished = true;
+        this->writer.Finish(status, this);
+    }
+
+    OperatorLoop& owner;
+    grpc::ServerContext context;
+    wire::WatchRequest request;
+    grpc::ServerAsyncWriter<wire::LogEntry> writer;
+    std::vector<wire::LogEntry> pending;
+    Revision sent_revision;
+    bool is_begun { false };
+    bool is_writing { false };
+    bool is_reading { false };
+    bool is_finished { false };
+};
+
+}
--- a/Libraries/LibOperator/OperatorLoop.cpp
+++ b/Libraries/LibOperator/OperatorLoop.cpp
@@ -5,7 +5,7 @@
  */
 
 #include <LibDelivery/ResumeToken.h>
-#include <LibOperator/OperatorLoop.h>
+#include <LibOperator/OperatorCalls.h>
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -17,7 +17,6 @@
 
 static constexpr Duration collection_patience = 1s;
 static constexpr size_t longest_change_id = 128;
-static constexpr size_t most_entries_at_once = 200;
 
 static grpc::StatusCode status_code(ErrorKind kind)
 {
@@ -39,174 +38,11 @@
     }
 }
 
-static grpc::Status to_status(Error const& error)
+grpc::Status to_status(Error const& error)
 {
     return { status_code(error.kind), std::string(to_string(error.kind)) + ": " + error.message };
 }
 
-/// What the completion queue gives back. Only the loop touches it.
-class OperatorLoop::Tag {
-public:
-    virtual ~Tag() = default;
-    virtual void proceed(bool is_ok) = 0;
-};
-
-template<typename Request, typename Reply> class OperatorLoop::UnaryCall final : public Tag {
-public:
-    using Responder = grpc::ServerAsyncResponseWriter<Reply>;
-    using RequestFunction = void (wire::OperatorService::AsyncService::*)(
-        grpc::ServerContext*, Request*, Responder*, grpc::CompletionQueue*, grpc::ServerCompletionQueue*, void*);
-    using Done = std::function<void(Result<Reply>)>;
-    using Handler = std::function<void(Request const&, OperatorIdentity const&, Done)>;
-
-    UnaryCall(OperatorLoop& owner, RequestFunction request_function, OperatorRole needed, Handler handler)
-        : owner(owner)
-        , request_function(request_function)
-        , needed(needed)
-        , handler(std::move(handler))
-        , responder(&this->context)
-    {
-        (owner.service.*request_function)(&this->context, &this->request, &this->responder,
-            owner.completion_queue.get(), owner.completion_queue.get(), this);
-    }
-
-    void proceed(bool is_ok) override
-    {
-        if (!is_ok || this->is_answered) {
-            delete this;
-            return;
-        }
-        // The next call of this kind is awaited before this one is served.
-        if (!this->owner.is_stopping)
-            new UnaryCall(this->owner, this->request_function, this->needed, this->handler);
-        auto identity = this->owner.authenticate(this->context);
-        if (!identity)
-            this->answer(identity.error());
-        else if (identity.value().role < this->needed)
-            this->answer(Error {
-                ErrorKind::Forbidden, "operator '" + identity.value().name + "' may only look; ask an editor", {} });
-        else
-            this->handler(this->request, identity.value(), [this](Result<Reply> reply) { this->answer(reply); });
-    }
-
-private:
-    void answer(Result<Reply> const& reply)
-    {
-        this->is_answered = true;
-        if (reply)
-            this->responder.Finish(reply.value(), grpc::Status::OK, this);
-        else
-            this->responder.FinishWithError(to_status(reply.error()), this);
-    }
-
-    OperatorLoop& owner;
-    RequestFunction request_function;
-    OperatorRole needed;
-    Handler handler;
-    grpc::ServerContext context;
-    Request request;
-    Responder responder;
-    bool is_answered { false };
-};
-
-class OperatorLoop::WatchCall final : public Tag {
-public:
-    explicit WatchCall(OperatorLoop& owner)
-        : owner(owner)
-        , writer(&this->context)
-    {
-        owner.service.RequestWatch(&this->context, &this->request, &this->writer, owner.completion_queue.get(),
-            owner.completion_queue.get(), this);
-    }
-
-    void proceed(bool is_ok) override
-    {
-        if (!is_ok || this->is_finished) {
-            this->owner.watchers.remove(this);
-            delete this;
-            return;
-        }
-        if (!this->is_begun) {
-            this->begin();
-            return;
-        }
-        this->is_writing = false;
-        this->feed();
-    }
-
-    /// Sends what the watcher lacks, an entry at a time.
-    void feed()
-    {
-        if (this->is_writing || this->is_reading || this->is_finished)
-            return;
-        if (this->owner.is_stopping) {
-            this->finish(grpc::Status::OK);
-            return;
-        }
-        if (this->pending.empty()) {
-            this->read_more();
-            return;
-        }
-        this->is_writing = true;
-        this->sent_revision = Revision(this->pending.front().revision());
-        this->writer.Write(this->pending.front(), this);
-        this->pending.erase(this->pending.begin());
-    }
-
-private:
-    void begin()
-    {
-        this->is_begun = true;
-        if (!this->owner.is_stopping)
-            new WatchCall(this->owner);
-        auto identity = this->owner.authenticate(this->context);
-        if (!identity) {
-            this->finish(to_status(identity.error()));
-            return;
-        }
-        this->sent_revision = Revision(this->request.after_revision());
-        this->owner.watchers.push_back(this);
-        this->feed();
-    }
-
-    void read_more()
-    {
-        if (this->sent_revision >= this->owner.node.configuration().revision())
-            return;
-        this->is_reading = true;
-        auto& platform = this->owner.node.platform();
-        this->owner.node.background().submit(
-            [&platform, after = this->sent_revision] {
-                return Configuration::ConfigurationLog(platform).read_after(after, most_entries_at_once);
-            },
-            [this](Result<std::vector<wire::LogEntry>> entries) {
-                this->is_reading = false;
-                // When the platform is out, the next revision to come into force tries again.
-                if (entries && !entries.value().empty()) {
-                    this->pending = std::move(entries.value());
-                    this->feed();
-                }
-            });
-    }
-
-    void finish(grpc::Status const& status)
-    {
-        this->is_finished = true;
-        this->writer.Finish(status, this);
-    }
-
-    OperatorLoop& owner;
-    grpc::ServerContext context;
-    wire::WatchRequest request;
-    grpc::ServerAsyncWriter<wire::LogEntry> writer;
-    std::vector<wire::LogEntry> pending;
-    Revision sent_revision;
-    bool is_begun { false };
-    bool is_writing { false };
-    bool is_reading { false };
-    bool is_finished { false };
-};
-
 OperatorLoop::OperatorLoop(Node::Node& node, OperatorSettings const& settings)
     : node(node)
     , settings(settings)
@@ -247,12 +83,11 @@
 {
     TRY(auto credentials, make_credentials(this->settings));
     grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(this->settings.listen.value(), credentials, &port);
+    builder.AddListeningPort(this->settings.listen.value(), credentials, &this->listening_port);
     builder.RegisterService(&this->service);
     this->completion_queue = builder.AddCompletionQueue();
     this->server = builder.BuildAndStart();
-    if (!this->server || port == 0)
+    if (!this->server || this->listening_port == 0)
         return Error { ErrorKind::InvalidSettings,
             "operator.listen: cannot listen on " + this->settings.listen.value() + "; name a free address", {} };
     this->accept_calls();
--- a/Libraries/LibOperator/OperatorLoop.h
+++ b/Libraries/LibOperator/OperatorLoop.h
@@ -27,11 +27,14 @@
     static Result<std::unique_ptr<OperatorLoop>> create(Node::Node&, OperatorSettings const&);
     ~OperatorLoop();
 
+    /// The port in use, for when the settings say 0.
+    [[nodiscard]] int port() const { return this->listening_port; }
     /// Ends Watch streams and accepts nothing new; calls under way are answered.
     void stop_accepting();
 
 private:
-    template<typename Request, typename Reply> class UnaryCall;
+    template<typename Request, typename Reply>
+    class UnaryCall;
     class WatchCall;
     class Tag;
 
@@ -67,6 +70,7 @@
     std::map<u64, Collection> collections;
     u64 next_correlation { 1 };
     std::list<WatchCall*> watchers;
+    int listening_port { 0 };
     bool is_stopping { false };
 };
 
--- a/Libraries/LibPlatform/ClaimBatch.h
+++ b/Libraries/LibPlatform/ClaimBatch.h
@@ -67,7 +67,8 @@
 
 /// Deletes claims whose lifetime is over among the `limit` rows after `after`, in one transaction, and returns the key
 /// to go on after; empty at the end. Best effort: what stays is found the next time.
-template<TableStore Store> std::string sweep_claims(Store& store, std::string const& after, size_t limit, u64 wall_now)
+template<TableStore Store>
+std::string sweep_claims(Store& store, std::string const& after, size_t limit, u64 wall_now)
 {
     auto rows = store.scan("claim/", after, limit);
     if (!rows || rows.value().empty())
@@ -86,7 +87,8 @@
 
 /// Makes many claims in few transactions, and says for each what came of it. Blocks. The answers are in the order of
 /// the claims. Claims with the same key in one batch are granted to at most one of them.
-template<TableStore Store> class ClaimBatch {
+template<TableStore Store>
+class ClaimBatch {
 public:
     ClaimBatch(Store& store, u64 wall_now)
         : store(store)
--- a/Libraries/LibPlatform/Lease.h
+++ b/Libraries/LibPlatform/Lease.h
@@ -149,7 +149,8 @@
 
 /// One round of keeping a lease: reads the row, proposes, commits, and settles a lost answer. Blocks. `clock` is asked
 /// again before each step, since any of them may take long.
-template<TableStore Store, typename Now> void keep_lease(Lease& lease, Store& store, Now now)
+template<TableStore Store, typename Now>
+void keep_lease(Lease& lease, Store& store, Now now)
 {
     auto asked_at = now();
     auto row = store.read(lease.row_key());
--- a/Libraries/LibPlatform/PlatformJson.cpp
+++ b/Libraries/LibPlatform/PlatformJson.cpp
@@ -24,7 +24,8 @@
 }
 
 /// Parses one JSON object and hands it to `read`; any exception of the parser becomes a typed error.
-template<typename T> static Result<T> parse_object(std::string const& json, std::function<T(Object const&)> const& read)
+template<typename T>
+static Result<T> parse_object(std::string const& json, std::function<T(Object const&)> const& read)
 {
     try {
         Poco::JSON::Parser parser;
--- a/Libraries/LibPolicyBench/Dispatcher.h
+++ b/Libraries/LibPolicyBench/Dispatcher.h
@@ -84,7 +84,8 @@
 };
 
 /// The scheduler that ships, or the same one with another admission policy.
-template<Scheduling::AdmissionPolicy Admission> class PoolDispatcher final : public Dispatcher {
+template<Scheduling::AdmissionPolicy Admission>
+class PoolDispatcher final : public Dispatcher {
 public:
     /// `make_admission` is given the constants, which live as long as the dispatcher.
     template<typename MakeAdmission>
@@ -245,7 +246,8 @@
 private:
     Dispatcher& owner(GenerationId const& id) { return *this->owners[this->owner_of.at(id)]; }
 
-    template<typename Ask> std::vector<Scheduling::Action> gather(Ask ask)
+    template<typename Ask>
+    std::vector<Scheduling::Action> gather(Ask ask)
     {
         std::vector<Scheduling::Action> all;
         for (auto& owner : this->owners) {
--- a/Libraries/LibRouter/RouterLoop.cpp
+++ b/Libraries/LibRouter/RouterLoop.cpp
@@ -36,8 +36,7 @@
 {
     auto& pool = this->pools[model];
     if (!pool) {
-        pool = std::make_unique<Pool>(Pool {
-            model, Scheduler(Scheduling::ForecastAdmission(this->constants), this->constants), {}, {}, false, {} });
+        pool = std::make_unique<Pool>(model, this->constants);
         this->update_engines(*pool);
         for (auto& [id, engine] : pool->engines)
             this->poll_engine(*pool, engine);
--- a/Libraries/LibRouter/RouterLoop.h
+++ b/Libraries/LibRouter/RouterLoop.h
@@ -40,6 +40,12 @@
     };
 
     struct Pool {
+        Pool(ModelId pool_model, Scheduling::PolicyConstants const& constants)
+            : model(std::move(pool_model))
+            , scheduler(Scheduling::ForecastAdmission(constants), constants)
+        {
+        }
+
         ModelId model;
         Scheduler scheduler;
         std::map<EngineId, EngineState> engines;
--- a/Libraries/LibScheduling/PoolScheduler.h
+++ b/Libraries/LibScheduling/PoolScheduler.h
@@ -6,7 +6,7 @@
 
 #pragma once
 
-#include <LibScheduling/Admission.h>
+#include <LibScheduling/EngineChooser.h>
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -50,14 +50,17 @@
 
 /// The decisions for one pool: which generation goes to which engine, when, and what is refused. Time comes in as an
 /// argument, and what is to be done goes out as actions, so that the daemon and the bench run the same code.
-template<AdmissionPolicy Admission> class PoolScheduler {
+template<AdmissionPolicy Admission>
+class PoolScheduler {
 public:
     PoolScheduler(Admission admission, PolicyConstants const& constants)
-        : admission(std::move(admission))
-        , constants(constants)
+        : constants(constants)
+        , chooser(std::move(admission), constants, this->tables)
     {
         this->tables.safety_deviations = constants.initial_safety;
     }
+    PoolScheduler(PoolScheduler const&) = delete;
+    PoolScheduler& operator=(PoolScheduler const&) = delete;
 
     void put_engine(EngineId const& id, Address const& address, double capacity, Instant now);
     /// Forgets an engine. Its generations are counted no more; their gateways report what became of them.
@@ -97,18 +100,6 @@
     void enqueue(GenerationIndex);
     void run_admission(Instant now);
     [[nodiscard]] std::optional<OrganisationIndex> next_organisation(std::vector<bool> const& passed_over) const;
-    struct Candidate {
-        EngineIndex engine;
-        double tightness;
-    };
-    [[nodiscard]] std::vector<Candidate> engines_with_room(GenerationRow const&);
-    /// Keeps the roomiest engine of a loaded pool for requests that need much room at once.
-    void spare_roomiest(std::vector<Candidate>&, GenerationRow const&) const;
-    [[nodiscard]] std::optional<EngineIndex> choose_engine(GenerationRow const&, std::string& reason);
-    [[nodiscard]] bool may_take(EngineRow const&, GenerationRow const&) const;
-    /// Lets the engine that will soonest have room for a blocked head of queue drain for it.
-    void reserve_engine_for(GenerationRow const&);
-    [[nodiscard]] double placement_cost(EngineRow const&, GenerationRow const&, double tightness) const;
     [[nodiscard]] int priority_of(GenerationRow const&) const;
     [[nodiscard]] bool has_waited_long(GenerationRow const&, Instant now) const;
     /// Places the first of an organisation's foremost requests that fits somewhere.
@@ -118,9 +109,9 @@
     void settle_charge(GenerationRow const&, double actual_cost);
     void raise_virtual_time(OrganisationRow&);
 
-    Admission admission;
     PolicyConstants const& constants;
     Tables tables;
+    EngineChooser<Admission> chooser;
 };
 
 template<AdmissionPolicy Admission>
@@ -141,7 +132,8 @@
     this->tables.engines.push_back(std::move(row));
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::remove_engine(EngineId const& id)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::remove_engine(EngineId const& id)
 {
     auto found = this->tables.engine_of_id.find(id);
     if (found == this->tables.engine_of_id.end())
@@ -164,7 +156,8 @@
     this->tables.engines.pop_back();
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::set_draining(EngineId const& id, bool draining)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::set_draining(EngineId const& id, bool draining)
 {
     if (auto* engine = find_engine(this->tables, id))
         engine->draining = draining;
@@ -189,18 +182,21 @@
     return false;
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::refuse_new(SubmitRequest const& request, Error error)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::refuse_new(SubmitRequest const& request, Error error)
 {
     this->tables.actions.push_back(RefuseAction { request.generation, request.attempt, std::move(error) });
 }
 
-template<AdmissionPolicy Admission> bool PoolScheduler<Admission>::is_large(double prompt) const
+template<AdmissionPolicy Admission>
+bool PoolScheduler<Admission>::is_large(double prompt) const
 {
     return std::ranges::any_of(this->tables.engines,
         [&](EngineRow const& engine) { return prompt >= engine.capacity * this->constants.large_share; });
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::raise_virtual_time(OrganisationRow& organisation)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::raise_virtual_time(OrganisationRow& organisation)
 {
     // An organisation that was away does not save up service: it starts level with the least served one that waits.
     if (!organisation.queue.empty() || organisation.running > 0)
@@ -229,7 +225,8 @@
     return true;
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::submit(SubmitRequest const& request, Instant now)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::submit(SubmitRequest const& request, Instant now)
 {
     if (auto known = find_generation(this->tables, request.generation)) {
         if (this->answer_repeat(request, *known))
@@ -277,7 +274,8 @@
     this->enqueue(add_generation(this->tables, std::move(row)));
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::enqueue(GenerationIndex index)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::enqueue(GenerationIndex index)
 {
     auto const& generation = this->tables.generations[index];
     auto& queue = this->tables.organisations[generation.organisation].queue;
@@ -288,7 +286,8 @@
     ++this->tables.queued_count;
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::first_token(GenerationId const& id, Instant now)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::first_token(GenerationId const& id, Instant now)
 {
     auto index = find_generation(this->tables, id);
     if (!index || this->tables.generations[*index].state != GenerationState::Dispatched)
@@ -304,7 +303,8 @@
     engine.demand_is_stale = true;
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::leave_engine(GenerationIndex index)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::leave_engine(GenerationIndex index)
 {
     auto const& generation = this->tables.generations[index];
     auto& engine = this->tables.engines[generation.engine];
@@ -394,18 +394,21 @@
         engine->cached_prefixes.erase(prefix_hash);
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::forget_prefixes(EngineId const& id)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::forget_prefixes(EngineId const& id)
 {
     if (auto* engine = find_engine(this->tables, id))
         engine->cached_prefixes.clear();
 }
 
-template<AdmissionPolicy Admission> bool PoolScheduler<Admission>::knows(GenerationId const& id) const
+template<AdmissionPolicy Admission>
+bool PoolScheduler<Admission>::knows(GenerationId const& id) const
 {
     return find_generation(this->tables, id).has_value();
 }
 
-template<AdmissionPolicy Admission> bool PoolScheduler<Admission>::is_queued(GenerationId const& id) const
+template<AdmissionPolicy Admission>
+bool PoolScheduler<Admission>::is_queued(GenerationId const& id) const
 {
     auto index = find_generation(this->tables, id);
     return index && this->tables.generations[*index].state == GenerationState::Queued;
@@ -475,87 +478,7 @@
 }
 
 template<AdmissionPolicy Admission>
-double PoolScheduler<Admission>::placement_cost(
-    EngineRow const& engine, GenerationRow const& generation, double tightness) const
-{
-    auto is_cached = generation.prefix_hash != 0 && engine.cached_prefixes.contains(generation.prefix_hash);
-    auto own_prefill = is_cached ? 0 : generation.prompt;
-    auto stall = (engine.prefill_backlog + own_prefill) * this->constants.prefill_seconds_per_token;
-    auto gap = static_cast<double>(engine.generations.size()) * this->constants.batch_seconds_per_generation;
-    // Tightness has no unit; scaled so that a full engine weighs like a stall of this many seconds.
-    constexpr double seconds_when_full = 0.05;
-    return generation.weights.stall * stall + generation.weights.token_gap * gap
-        + generation.weights.preemption * tightness * seconds_when_full;
-}
-
-template<AdmissionPolicy Admission>
-bool PoolScheduler<Admission>::may_take(EngineRow const& engine, GenerationRow const& generation) const
-{
-    auto const& excluded = generation.excluded_engines;
-    return takes_new_work(engine) && !engine.is_reserved && std::ranges::find(excluded, engine.id) == excluded.end();
-}
-
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::reserve_engine_for(GenerationRow const& generation)
-{
-    EngineRow* best = nullptr;
-    auto least = std::numeric_limits<double>::infinity();
-    for (auto& engine : this->tables.engines) {
-        if (!this->may_take(engine, generation))
-            continue;
-        auto tightness = this->admission.tightness(this->tables, engine, generation);
-        if (tightness < least) {
-            best = &engine;
-            least = tightness;
-        }
-    }
-    if (best)
-        best->is_reserved = true;
-}
-
-template<AdmissionPolicy Admission>
-std::vector<typename PoolScheduler<Admission>::Candidate> PoolScheduler<Admission>::engines_with_room(
-    GenerationRow const& generation)
-{
-    std::vector<Candidate> candidates;
-    for (EngineIndex i = 0; i < this->tables.engines.size(); ++i) {
-        auto& engine = this->tables.engines[i];
-        if (!this->may_take(engine, generation))
-            continue;
-        auto tightness = this->admission.tightness(this->tables, engine, generation);
-        // An empty engine takes what it is given: nothing will make more room there.
-        if (tightness <= 1 || engine.generations.empty())
-            candidates.push_back({ i, tightness });
-    }
-    return candidates;
-}
-
-template<AdmissionPolicy Admission>
-void PoolScheduler<Admission>::spare_roomiest(std::vector<Candidate>& candidates, GenerationRow const& generation) const
-{
-    if (candidates.size() < 2)
-        return;
-    auto roomiest = std::ranges::min_element(candidates, {}, &Candidate::tightness);
-    auto const& engine = this->tables.engines[roomiest->engine];
-    auto is_small = generation.prompt < engine.capacity * this->constants.large_share;
-    if (is_small && this->tables.last_large_request && roomiest->tightness > this->constants.spare_above)
-        candidates.erase(roomiest);
-}
-
-template<AdmissionPolicy Admission>
-std::optional<EngineIndex> PoolScheduler<Admission>::choose_engine(GenerationRow const& generation, std::string& reason)
-{
-    auto candidates = this->engines_with_room(generation);
-    this->spare_roomiest(candidates, generation);
-    if (candidates.empty())
-        return std::nullopt;
-    auto best = std::ranges::min_element(candidates, {}, [&](Candidate const& candidate) {
-        return this->placement_cost(this->tables.engines[candidate.engine], generation, candidate.tightness);
-    });
-    reason = "memory " + std::to_string(static_cast<int>(best->tightness * 100)) + "% of the safe limit";
-    return best->engine;
-}
-
-template<AdmissionPolicy Admission> int PoolScheduler<Admission>::priority_of(GenerationRow const& generation) const
+int PoolScheduler<Admission>::priority_of(GenerationRow const& generation) const
 {
     // When an engine runs out of memory it pauses the lowest priority first: routes that mind a pause least, and
     // organisations that have had more than others.
@@ -608,7 +531,7 @@
     for (size_t i = 0; i < depth; ++i) {
         auto index = queue[i];
         std::string reason;
-        auto engine = this->choose_engine(this->tables.generations[index], reason);
+        auto engine = this->chooser.choose(this->tables.generations[index], reason);
         if (engine) {
             this->place(index, *engine, std::move(reason), now);
             return true;
@@ -618,17 +541,17 @@
         if (this->has_waited_long(generation, now)) {
             if (!this->constants.reserves_engine)
                 return false;
-            this->reserve_engine_for(generation);
+            this->chooser.reserve_for(generation);
         }
     }
     return false;
 }
 
-template<AdmissionPolicy Admission> void PoolScheduler<Admission>::run_admission(Instant now)
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::run_admission(Instant now)
 {
     std::vector<bool> passed_over(this->tables.organisations.size(), false);
-    for (auto& engine : this->tables.engines)
-        engine.is_reserved = false;
+    this->chooser.drop_reservations();
     while (this->tables.queued_count > 0) {
         auto organisation = this->next_organisation(passed_over);
         if (!organisation)
@@ -643,13 +566,15 @@
     }
 }
 
-template<AdmissionPolicy Admission> std::vector<Action> PoolScheduler<Admission>::admit(Instant now)
+template<AdmissionPolicy Admission>
+std::vector<Action> PoolScheduler<Admission>::admit(Instant now)
 {
     this->run_admission(now);
     return std::exchange(this->tables.actions, {});
 }
 
-template<AdmissionPolicy Admission> std::vector<Action> PoolScheduler<Admission>::tick(Instant now)
+template<AdmissionPolicy Admission>
+std::vector<Action> PoolScheduler<Admission>::tick(Instant now)
 {
     constexpr size_t kept_usage_samples = 128;
     advance_progress(this->tables, now);
--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -9,6 +9,7 @@
 # shellcheck source=Meta/Fleet.sh
 source Meta/Fleet.sh
 trap fleet_stop_all EXIT
+trap "exit 1" INT TERM
 rm -rf "$run_directory"
 mkdir -p "$run_directory"
 ticks_per_second=$(getconf CLK_TCK)
@@ -86,6 +87,6 @@
 
 {
     "$(fleet_bin capacitybench)" 2>/dev/null
-    for count in 3 9 15 21; do measure_idle_domain "$count"; done
+    for count in 6 15 21; do measure_idle_domain "$count"; done
     for streams in 50 150 400; do measure_streams "$streams"; done
 } | tee "$run_directory/../capacity.jsonl"
--- a/Meta/drill.sh
+++ b/Meta/drill.sh
@@ -12,6 +12,7 @@
 # shellcheck source=Meta/Fleet.sh
 source Meta/Fleet.sh
 trap fleet_stop_all EXIT
+trap "exit 1" INT TERM
 rm -rf "$run_directory"
 RANDOM=$seed
 host_count=$((${#fleet_domains[@]} * fleet_hosts_per_domain))
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+using Membership::GossipDetail;
 using Membership::MemberChange;
 using Membership::MemberRow;
 using Membership::MemberTable;
@@ -33,13 +34,13 @@
     MemberTable other(row("router-2", 20), silence);
     (void)own.beat(at(0));
     (void)other.beat(at(0));
-    auto events = own.receive(other.gossip(domain), at(0));
+    auto events = own.receive(other.gossip(domain, GossipDetail::Full), at(0));
     REQUIRE(events.size() == 1);
     CHECK(events[0].change == MemberChange::Joined);
 
     WHEN("the same view comes again and nothing newer")
     {
-        auto old_view = other.gossip(domain);
+        auto old_view = other.gossip(domain, GossipDetail::Full);
         for (int second = 1; second <= 5; ++second) {
             CHECK(own.beat(at(second)).empty());
             CHECK(own.receive(old_view, at(second)).empty());
@@ -55,22 +56,25 @@
         THEN("a newer heartbeat does")
         {
             (void)other.beat(at(7));
-            CHECK(own.receive(other.gossip(domain), at(7)).size() == 1);
+            CHECK(own.receive(other.gossip(domain, GossipDetail::Full), at(7)).size() == 1);
         }
     }
     WHEN("the member starts again")
     {
         MemberTable restarted(row("router-2", 30), silence);
-        auto again = own.receive(restarted.gossip(domain), at(1));
+        auto again = own.receive(restarted.gossip(domain, GossipDetail::Full), at(1));
         REQUIRE(again.size() == 1);
         CHECK(again[0].change == MemberChange::Replaced);
-        THEN("the view of its earlier self is passed over") { CHECK(own.receive(other.gossip(domain), at(1)).empty()); }
+        THEN("the view of its earlier self is passed over")
+        {
+            CHECK(own.receive(other.gossip(domain, GossipDetail::Full), at(1)).empty());
+        }
     }
     WHEN("the member leaves")
     {
         other.set_own_leaving();
         (void)other.beat(at(1));
-        auto leaving = own.receive(other.gossip(domain), at(1));
+        auto leaving = own.receive(other.gossip(domain, GossipDetail::Full), at(1));
         REQUIRE(leaving.size() == 1);
         CHECK(leaving[0].change == MemberChange::Leaving);
         THEN("it owns nothing any more")
@@ -85,15 +89,47 @@
 {
     MemberTable before(row("router-1", 500), silence);
     MemberTable after(row("router-1", 100), silence);
-    (void)after.receive(before.gossip(domain), at(0));
+    (void)after.receive(before.gossip(domain, GossipDetail::Full), at(0));
     CHECK(after.own().incarnation > Incarnation(500));
 }
 
+SCENARIO("compact views keep known members alive and bring no unknown ones")
+{
+    MemberTable own(row("router-1", 10), silence);
+    MemberTable relay(row("router-2", 20), silence);
+    MemberTable third(row("router-3", 30), silence);
+    (void)relay.receive(third.gossip(domain, GossipDetail::Full), at(0));
+
+    (void)own.receive(relay.gossip(domain, GossipDetail::Compact), at(0));
+    CHECK(own.find(MemberId("router-2")));
+    CHECK_FALSE(own.find(MemberId("router-3")));
+
+    (void)own.receive(relay.gossip(domain, GossipDetail::Full), at(0));
+    REQUIRE(own.find(MemberId("router-3")));
+    for (int second = 1; second <= 10; ++second) {
+        (void)third.beat(at(second));
+        (void)relay.beat(at(second));
+        (void)relay.receive(third.gossip(domain, GossipDetail::Full), at(second));
+        CHECK(own.receive(relay.gossip(domain, GossipDetail::Compact), at(second)).empty());
+        CHECK(own.beat(at(second)).empty());
+    }
+    CHECK(own.find(MemberId("router-3"))->address == Address("127.0.0.1:1"));
+    WHEN("it starts again")
+    {
+        (void)relay.receive(MemberTable(row("router-3", 40), silence).gossip(domain, GossipDetail::Full), at(11));
+        CHECK(own.receive(relay.gossip(domain, GossipDetail::Compact), at(11)).empty());
+        auto events = own.receive(relay.gossip(domain, GossipDetail::Full), at(11));
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].change == MemberChange::Replaced);
+    }
+}
+
 SCENARIO("pools move only when their owner goes")
 {
     MemberTable table(row("router-0", 1), silence);
     for (int i = 1; i < 6; ++i)
-        (void)table.receive(MemberTable(row("router-" + std::to_string(i), 1), silence).gossip(domain), at(0));
+        (void)table.receive(
+            MemberTable(row("router-" + std::to_string(i), 1), silence).gossip(domain, GossipDetail::Full), at(0));
     std::map<std::string, MemberId> before;
     std::set<MemberId> owners;
     for (int i = 0; i < 300; ++i) {
@@ -105,7 +141,7 @@
     MemberTable leaver(row("router-3", 1), silence);
     leaver.set_own_leaving();
     (void)leaver.beat(at(0));
-    (void)table.receive(leaver.gossip(domain), at(0));
+    (void)table.receive(leaver.gossip(domain, GossipDetail::Full), at(0));
     for (auto const& [key, owner] : before) {
         auto now = table.owner_of(key, wire::ROLE_ROUTER)->id;
         CHECK(now != MemberId("router-3"));
--- a/Tests/Promises/TestWholeSession.cpp
+++ b/Tests/Promises/TestWholeSession.cpp
@@ -69,7 +69,7 @@
 
 static void operate(Session& session, TestFleet& fleet)
 {
-    auto address = fleet.operator_server->settings.listen.value();
+    auto address = fleet.operator_address().value();
     OperatorClient vesela(address, "editor-key", "");
     OperatorClient dimitar(address, "viewer-key", "");
     auto apply = [&](OperatorClient& client, std::string const& name, std::string const& json, std::string const& id,
@@ -104,7 +104,7 @@
 
 static void explain_first_generation(Session& session, TestFleet& fleet)
 {
-    OperatorClient vesela(fleet.operator_server->settings.listen.value(), "editor-key", "");
+    OperatorClient vesela(fleet.operator_address().value(), "editor-key", "");
     std::string generation;
     for (auto const& event : fleet.gateways[0]->daemon.node->events().latest(1000)) {
         if (event.number == Core::EventNumber::RequestReceived && generation.empty())
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -147,7 +147,12 @@
           });
 }
 
-void TestFleet::start_gateway(size_t number)
+static std::string test_file(std::string const& name)
+{
+    return std::string(LILAC_SOURCE_DIRECTORY) + "/Tests/Data/" + name;
+}
+
+void TestFleet::start_gateway(size_t number, bool is_secure)
 {
     Gateway::GatewaySettings settings;
     settings.node = this->node_settings(
@@ -155,14 +160,22 @@
     settings.listen = Address("127.0.0.1:0");
     settings.stall_limit = 700ms;
     settings.resume_grace = 500ms;
+    if (is_secure) {
+        settings.tls_certificate = test_file("test-only-certificate.pem");
+        settings.tls_private_key = test_file("test-only-key.pem");
+    }
     this->gateways[number] = std::make_unique<TestGateway>(settings);
 }
 
-void TestFleet::start_operator()
+void TestFleet::start_operator(bool is_secure)
 {
     Operator::OperatorSettings settings;
     settings.node = this->node_settings("operator-0", operator_port, wire::ROLE_OPERATOR);
-    settings.listen = own_address(operator_port + 1);
+    settings.listen = Address("127.0.0.1:0");
+    if (is_secure) {
+        settings.tls_certificate = test_file("test-only-certificate.pem");
+        settings.tls_private_key = test_file("test-only-key.pem");
+    }
     settings.operators[Delivery::sha256_hexadecimal("editor-key")] = { "vesela", Operator::OperatorRole::Editor };
     settings.operators[Delivery::sha256_hexadecimal("viewer-key")] = { "dimitar", Operator::OperatorRole::Viewer };
     this->operator_server
@@ -173,6 +186,11 @@
           });
 }
 
+Address TestFleet::operator_address() const
+{
+    return Address("127.0.0.1:" + std::to_string(this->operator_server->part->port()));
+}
+
 size_t TestFleet::owner()
 {
     auto& gateway = this->gateways[0]->daemon;
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -21,7 +21,8 @@
 #include <vector>
 
 /// One daemon's node with its loop on a thread of its own.
-template<typename Settings, typename Part> struct TestDaemon {
+template<typename Settings, typename Part>
+struct TestDaemon {
     TestDaemon(Settings daemon_settings, std::function<std::unique_ptr<Part>(Node::Node&, Settings const&)> make)
         : settings(std::move(daemon_settings))
         , node(std::make_unique<Node::Node>(this->settings.node))
@@ -38,7 +39,8 @@
     }
 
     /// Runs `ask` on the loop and returns its result.
-    template<typename Ask> auto on_loop(Ask ask)
+    template<typename Ask>
+    auto on_loop(Ask ask)
     {
         std::promise<decltype(ask())> promise;
         this->node->loop().post([&] { promise.set_value(ask()); });
@@ -78,9 +80,11 @@
     explicit TestFleet(Size);
     ~TestFleet();
 
-    void start_gateway(size_t number);
+    /// With TLS when `is_secure`, by the test-only certificate in Tests/Data.
+    void start_gateway(size_t number, bool is_secure = false);
     void start_router(size_t number);
-    void start_operator();
+    void start_operator(bool is_secure = false);
+    [[nodiscard]] Address operator_address() const;
     /// As a host that vanishes: the process is gone without a word.
     void kill_router(size_t number) { this->routers[number].reset(); }
     /// The router that owns the pool, by the view of the first gateway; the number of routers when there is none.
--- a/Utilities/capacitybench.cpp
+++ b/Utilities/capacitybench.cpp
@@ -12,11 +12,10 @@
 #include <LibScheduling/PoolScheduler.h>
 #include <LibWire/Messages.h>
 #include <ctime>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
-#include <unistd.h>
+#include <malloc.h>
 
 /// Slopes of the parts that can be measured within one process, as lines of JSON. Times are processor time.
 
@@ -27,17 +26,16 @@
     return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
 }
 
-static double resident_bytes()
+/// Bytes on the heap. Resident memory of whole processes is measured by Meta/capacity.sh.
+static double heap_bytes()
 {
-    std::ifstream file("/proc/self/statm");
-    double size = 0;
-    double resident = 0;
-    file >> size >> resident;
-    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+    auto information = mallinfo2();
+    return static_cast<double>(information.uordblks + information.hblkhd);
 }
 
 /// Processor microseconds of one call of `work`, over about a quarter of a second.
-template<typename Work> static double microseconds_of(Work work)
+template<typename Work>
+static double microseconds_of(Work work)
 {
     constexpr double enough_seconds = 0.25;
     auto begin = processor_seconds();
@@ -52,7 +50,7 @@
 static void measure_scheduler(size_t engine_count)
 {
     constexpr size_t generations_per_engine = 39;
-    auto before = resident_bytes();
+    auto before = heap_bytes();
     Scheduling::PolicyConstants constants;
     Scheduling::PoolScheduler scheduler(Scheduling::ForecastAdmission(constants), constants);
     Instant now = Instant() + 100s;
@@ -78,25 +76,33 @@
         (void)scheduler.admit(now);
         scheduler.first_token(submit.generation, now);
     }
-    auto memory = resident_bytes() - before;
-    auto tick = microseconds_of([&] {
-        now += 50ms;
-        // Reports keep the engines from counting as silent.
-        if (next++ % 100 == 0) {
-            for (size_t i = 0; i < engine_count; ++i)
-                scheduler.load_report(EngineId("engine-" + std::to_string(i)), {}, now);
-        }
+    now += 2s;
+    for (size_t i = 0; i < engine_count; ++i)
+        scheduler.load_report(EngineId("engine-" + std::to_string(i)), {}, now);
+    (void)scheduler.tick(now);
+    auto memory = heap_bytes() - before;
+    // Time creeps, so that the generations stay as they are: in the middle of their outputs.
+    auto creep = [&] {
+        now += 10us;
         (void)scheduler.tick(now);
-    });
-    auto decision = microseconds_of([&] {
+    };
+    auto decide = [&] {
         auto submit = request();
         scheduler.submit(submit, now);
         (void)scheduler.admit(now);
         scheduler.finished(submit.generation, AttemptNumber(1), Scheduling::EndReason::Completed, TokenCount(100), now);
+    };
+    auto tick = microseconds_of(creep);
+    auto decision = microseconds_of(decide);
+    // The first decision after a tick forecasts every engine anew.
+    auto tick_and_decision = microseconds_of([&] {
+        creep();
+        decide();
     });
     std::cout << R"({"part":"scheduler","engines":)" << engine_count << R"(,"generations":)"
               << engine_count * generations_per_engine << R"(,"tick_microseconds":)" << tick
-              << R"(,"decision_microseconds":)" << decision << R"(,"resident_bytes":)" << memory << "}\n";
+              << R"(,"decision_microseconds":)" << decision << R"(,"tick_and_decision_microseconds":)"
+              << tick_and_decision << R"(,"heap_bytes":)" << memory << "}\n";
 }
 
 static wire::LogEntry entry_of(u64 revision, wire::Change const& change)
@@ -111,7 +117,7 @@
 
 static void measure_configuration(size_t organisation_count)
 {
-    auto before = resident_bytes();
+    auto before = heap_bytes();
     std::vector<wire::LogEntry> log;
     auto add = [&](wire::Change const& change) { log.push_back(entry_of(log.size() + 1, change)); };
     for (int i = 0; i < 30; ++i) {
@@ -140,12 +146,12 @@
     auto entry_bytes = log.back().ByteSizeLong();
     log.clear();
     log.shrink_to_fit();
-    auto memory = resident_bytes() - before;
+    auto memory = heap_bytes() - before;
     std::string snapshot;
     auto snapshot_time = microseconds_of([&] { snapshot = follower.document().snapshot().SerializeAsString(); });
     std::cout << R"({"part":"configuration","organisations":)" << organisation_count << R"(,"entry_microseconds":)"
               << per_entry << R"(,"entry_bytes":)" << entry_bytes << R"(,"snapshot_bytes":)" << snapshot.size()
-              << R"(,"snapshot_microseconds":)" << snapshot_time << R"(,"resident_bytes":)" << memory << "}\n";
+              << R"(,"snapshot_microseconds":)" << snapshot_time << R"(,"heap_bytes":)" << memory << "}\n";
 }
 
 static void measure_membership(size_t member_count)
@@ -165,20 +171,20 @@
     for (auto& member : members) {
         (void)member.beat(now);
         for (auto& other : members)
-            (void)other.receive(member.gossip(domain), now);
+            (void)other.receive(member.gossip(domain, Membership::GossipDetail::Full), now);
     }
     size_t bytes = 0;
     auto time = microseconds_of([&] {
-        now += 1ms;
         (void)members[0].beat(now);
-        auto frame = members[0].gossip(domain).SerializeAsString();
+        auto frame = members[0].gossip(domain, Membership::GossipDetail::Compact).SerializeAsString();
         bytes = frame.size();
         wire::Gossip parsed;
         parsed.ParseFromString(frame);
         (void)members[1].receive(parsed, now);
     });
+    auto full_bytes = members[0].gossip(domain, Membership::GossipDetail::Full).ByteSizeLong();
     std::cout << R"({"part":"gossip","members":)" << member_count << R"(,"message_bytes":)" << bytes
-              << R"(,"send_and_receive_microseconds":)" << time << "}\n";
+              << R"(,"full_message_bytes":)" << full_bytes << R"(,"send_and_receive_microseconds":)" << time << "}\n";
 }
 
 static void measure_claims(size_t count)
@@ -197,15 +203,15 @@
 
 static void measure_events(size_t count)
 {
-    auto before = resident_bytes();
+    auto before = heap_bytes();
     Core::EventLog log(MemberId("gateway-1"));
     auto begin = processor_seconds();
     for (size_t i = 0; i < count; ++i)
         log.record(Core::EventNumber::GenerationPlaced, "gen-0123456789abcdef-" + std::to_string(i),
             "at engine-17, memory 57% of the safe limit", OrganisationId("organisation-1"));
     auto time = (processor_seconds() - begin) / static_cast<double>(count) * 1e6;
-    std::cout << R"({"part":"events","events":)" << count << R"(,"event_microseconds":)" << time
-              << R"(,"resident_bytes":)" << resident_bytes() - before << "}\n";
+    std::cout << R"({"part":"events","events":)" << count << R"(,"event_microseconds":)" << time << R"(,"heap_bytes":)"
+              << heap_bytes() - before << "}\n";
 }
 
 static void measure_messages()
