LibNode: Gossip to members drawn at random, and do not wait for it to ask another router

Cause: at 15 and 21 daemons in a domain, members were lost and joined again all the time (27 losses in 100 s in one router's log), although none had stopped. Each beat went to the next two members in order; daemons that start together keep step, so that all send to the same two at the same time, and each hears nothing for up to half as many beats as there are members. Ruled out: compact views (the loss came before them as well, at 0.5 messages a second and pair).

Also: a pool that is taken up after a while waits for its engines' reports instead of refusing for want of engines that it has not asked.

--- a/Libraries/LibGateway/GatewayLoop.cpp
+++ b/Libraries/LibGateway/GatewayLoop.cpp
@@ -16,6 +16,8 @@
 static constexpr Duration tick_period = 100ms;
 // A router answers at once or queues; after this long the question is asked again in case it was lost.
 static constexpr Duration ask_again_after = 1s;
+// A router that did not answer is passed over for so long; by then gossip knows whether it is gone.
+static constexpr Duration suspicion = 15s;
 static constexpr u32 default_deadline_milliseconds = 10'000;
 static constexpr u64 default_maximum_output_tokens = 65'536;
 static constexpr size_t most_excluded_engines = 8;
@@ -124,7 +126,10 @@
 {
     row.state = RowState::AskedRouter;
     row.asked_at = now();
-    auto const* owner = this->node.owner_of("pool/" + row.model.value());
+    row.is_queued = false;
+    auto const* owner = this->node.owner_of("pool/" + row.model.value(), this->suspects());
+    if (!owner)
+        owner = this->node.owner_of("pool/" + row.model.value());
     if (!owner) {
         this->refuse(
             row, { ErrorKind::PeerUnavailable, "no router is reachable from this host; try again at another one", 2s });
@@ -191,6 +196,10 @@
         return;
     }
     auto& row = found->second;
+    if (reply.queued()) {
+        row.is_queued = true;
+        return;
+    }
     if (reply.engine().empty()) {
         std::optional<Duration> retry_after;
         if (reply.retry_after_milliseconds() > 0)
@@ -248,6 +257,32 @@
     this->ask_router(row);
 }
 
+std::set<MemberId> GatewayLoop::suspects()
+{
+    std::erase_if(this->suspected_until, [](auto const& entry) { return entry.second <= now(); });
+    std::set<MemberId> current;
+    for (auto const& [id, until] : this->suspected_until)
+        current.insert(id);
+    return current;
+}
+
+void GatewayLoop::check_waiting(GenerationRow& row)
+{
+    auto const* owner = this->node.owner_of("pool/" + row.model.value(), this->suspects());
+    auto owner_moved = owner && owner->id != row.asked;
+    if (now() >= row.deadline) {
+        this->refuse(row,
+            { ErrorKind::DeadlineUnreachable, "no engine was found before the deadline; come back after the time given",
+                2s });
+        return;
+    }
+    auto is_overdue = now() - row.asked_at > ask_again_after;
+    if (is_overdue && !row.is_queued)
+        this->suspected_until[row.asked] = now() + suspicion;
+    if (owner_moved || is_overdue)
+        this->ask_router(row);
+}
+
 void GatewayLoop::tell_owner(GenerationRow const& row, wire::Envelope envelope)
 {
     auto const* owner = this->node.owner_of("pool/" + row.model.value());
@@ -360,15 +395,7 @@
         }
     }
     for (auto const& id : due) {
-        auto& row = this->generations[id];
-        auto const* owner = this->node.owner_of("pool/" + row.model.value());
-        auto owner_moved = !owner || owner->id != row.asked;
-        if (now() >= row.deadline)
-            this->refuse(row,
-                { ErrorKind::DeadlineUnreachable,
-                    "no engine was found before the deadline; come back after the time given", 2s });
-        else if (owner_moved || now() - row.asked_at > ask_again_after)
-            this->ask_router(row);
+        this->check_waiting(this->generations[id]);
     }
     this->service_desk.tick();
     this->node.metrics().set("lilac_open_generations", static_cast<double>(this->generations.size()));
--- a/Libraries/LibGateway/GatewayLoop.h
+++ b/Libraries/LibGateway/GatewayLoop.h
@@ -65,6 +65,8 @@
         EngineId engine;
         MemberId asked;
         Instant asked_at;
+        /// The router that was asked has said that it has the request in its queue.
+        bool is_queued { false };
         std::set<EngineId> excluded;
     };
 
@@ -76,6 +78,9 @@
     [[nodiscard]] wire::PlaceRequest place_request(GenerationRow const&) const;
     void refuse(GenerationRow const&, Error);
     void try_again(std::shared_ptr<EdgeCall> const&, EngineId const& failed_engine, StreamFailure);
+    void check_waiting(GenerationRow&);
+    /// Routers that did not answer of late. Nothing that must hold depends on it.
+    [[nodiscard]] std::set<MemberId> suspects();
     void tell_owner(GenerationRow const&, wire::Envelope);
     void members_changed();
     void tell_owners_of_live_generations();
@@ -90,6 +95,8 @@
     Accounts accounts;
     ServiceDesk service_desk;
     std::unordered_map<GenerationId, GenerationRow> generations;
+    /// Until when each router that did not answer is passed over.
+    std::map<MemberId, Instant> suspected_until;
     /// The owner of each model's pool as last told of the live generations.
     std::map<ModelId, MemberId> told_owners;
     std::string id_prefix;
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -92,7 +92,7 @@
     return events;
 }
 
-static void write_full(MemberRow const& row, wire::MemberState& state)
+void write_full(MemberRow const& row, wire::MemberState& state)
 {
     state.set_id(row.id.value());
     state.set_role(row.role);
@@ -147,12 +147,12 @@
     return XXH64(member.value().data(), member.value().size(), XXH64(key.data(), key.size(), 0));
 }
 
-MemberRow const* MemberTable::owner_of(std::string const& key, wire::Role role) const
+MemberRow const* MemberTable::owner_of(std::string const& key, wire::Role role, std::set<MemberId> const& except) const
 {
     MemberRow const* best = nullptr;
     u64 best_score = 0;
     auto consider = [&](MemberRow const& row) {
-        if (row.role != role || row.leaving)
+        if (row.role != role || row.leaving || except.contains(row.id))
             return;
         auto score = rendezvous_score(key, row.id);
         if (!best || score > best_score) {
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -9,6 +9,7 @@
 #include <AK/Identifiers.h>
 #include <LibWire/Messages.h>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
     Lost,
 };
 
+/// Writes all that is known of a member.
+void write_full(MemberRow const&, wire::MemberState&);
+
 struct MemberEvent {
     MemberId id;
     MemberChange change;
@@ -71,8 +75,9 @@
     [[nodiscard]] std::vector<MemberRow> others() const;
     [[nodiscard]] MemberRow const* find(MemberId const&) const;
     /// The live, not leaving member of `role` that owns `key`, by rendezvous hashing; the own row takes part. Nothing
-    /// when there is none.
-    [[nodiscard]] MemberRow const* owner_of(std::string const& key, wire::Role role) const;
+    /// when there is none but those in `except`.
+    [[nodiscard]] MemberRow const* owner_of(
+        std::string const& key, wire::Role role, std::set<MemberId> const& except = {}) const;
 
 private:
     void receive_full(wire::MemberState const&, Instant now, std::vector<MemberEvent>& events);
--- a/Libraries/LibNode/Daemon.cpp
+++ b/Libraries/LibNode/Daemon.cpp
@@ -4,12 +4,12 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibCore/StopSignal.h>
 #include <LibNode/Daemon.h>
-#include <csignal>
+#include <LibNode/StatusServer.h>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
-#include <thread>
 
 DEFINE_string(settings, "", "YAML settings file of this process; Base/ holds examples");
 DEFINE_bool(check_settings, false, "check the settings, say what is wrong with them, and exit");
@@ -35,31 +35,22 @@
     return 0;
 }
 
-static sigset_t stop_signals()
+Result<void> serve_until_stopped(NodeSettings const& settings, std::function<Result<BeginStop>(Node&)> const& make_part)
 {
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    return set;
-}
-
-StopSignal::StopSignal()
-{
-    auto set = stop_signals();
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    // A caller that closes its connection must not end the process.
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
-void StopSignal::watch(std::function<void()> on_stop)
-{
-    std::thread([on_stop = std::move(on_stop)] {
-        auto set = stop_signals();
-        int received = 0;
-        sigwait(&set, &received);
-        on_stop();
-    }).detach();
+    Core::StopSignal stop_signal;
+    try {
+        Node node(settings);
+        TRY(auto begin_stop, make_part(node));
+        StatusServer status(node);
+        node.start();
+        stop_signal.watch([&] { node.loop().post(begin_stop); });
+        node.loop().run();
+        node.events().record(Core::EventNumber::ProcessStopped, settings.member.value(), "planned stop is over");
+    } catch (std::exception const& exception) {
+        return Error { ErrorKind::InvalidSettings,
+            std::string("cannot start (") + exception.what() + "); check the addresses and files in the settings", {} };
+    }
+    return success();
 }
 
 }
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -7,6 +7,7 @@
 #include <LibNode/Node.h>
 #include <LibPlatform/PlatformJson.h>
 #include <algorithm>
+#include <iterator>
 
 namespace Node {
 
@@ -53,6 +54,7 @@
     , peer_transport(this->event_loop, this->event_log, this->metric_set, this->node_settings.peer_listen,
           this->node_settings.curve)
     , member_table(own_row(this->node_settings), this->node_settings.silence_limit)
+    , random(std::random_device {}())
     , last_platform_contact(now())
     , last_beat_milliseconds(now_milliseconds())
     , background_caller(this->event_loop, background_threads)
@@ -74,9 +76,9 @@
     });
 }
 
-Membership::MemberRow const* Node::owner_of(std::string const& key) const
+Membership::MemberRow const* Node::owner_of(std::string const& key, std::set<MemberId> const& except) const
 {
-    return this->member_table.owner_of(key, wire::ROLE_ROUTER);
+    return this->member_table.owner_of(key, wire::ROLE_ROUTER, except);
 }
 
 bool Node::is_poller() const
@@ -92,9 +94,10 @@
     std::vector<Address> known;
     for (auto const& member : this->member_table.others())
         known.push_back(member.address);
+    // Drawn, not in turn: members that took turns in the same order would all send to the same ones at the same time,
+    // and each would hear nothing for long in between.
     std::vector<Address> targets;
-    for (size_t i = 0; i < std::min(gossip_fanout, known.size()); ++i)
-        targets.push_back(known[(this->beat_count * gossip_fanout + i) % known.size()]);
+    std::ranges::sample(known, std::back_inserter(targets), static_cast<std::ptrdiff_t>(gossip_fanout), this->random);
     // One seed a beat that is not known as a member: it may have started since, or come back.
     std::vector<Address> unknown;
     for (auto const& seed : this->node_settings.peers) {
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -21,6 +21,8 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <random>
+#include <set>
 #include <vector>
 
 namespace Node {
@@ -44,8 +46,10 @@
     void on_backend_servers(std::function<void()> handler) { this->backend_handlers.push_back(std::move(handler)); }
 
     void send(Address const& peer, wire::Envelope envelope) { this->peer_transport.send(peer, std::move(envelope)); }
-    /// The router that owns `key` by this process's view. It may be this very process.
-    [[nodiscard]] Membership::MemberRow const* owner_of(std::string const& key) const;
+    /// The router that owns `key` by this process's view, or would if those in `except` were gone. It may be this very
+    /// process.
+    [[nodiscard]] Membership::MemberRow const* owner_of(
+        std::string const& key, std::set<MemberId> const& except = {}) const;
 
     [[nodiscard]] Configuration::Document const& configuration() const { return this->follower.document(); }
     /// Entries accepted by this process itself, and entries read from the table, go to every other member at once.
@@ -119,6 +123,7 @@
     std::vector<std::function<void()>> member_handlers;
     std::vector<std::function<void()>> backend_handlers;
     u64 beat_count { 0 };
+    std::mt19937 random;
     /// Up to this beat views go out in full, because members have come or gone.
     u64 full_gossip_until_beat { 0 };
     bool configuration_poll_runs { false };
--- a/Libraries/LibNode/NodeSettings.h
+++ b/Libraries/LibNode/NodeSettings.h
@@ -31,7 +31,7 @@
     /// Health, metrics and events over HTTP.
     Address status_listen;
     Duration heartbeat_period { 1s };
-    Duration silence_limit { 5s };
+    Duration silence_limit { 8s };
     Duration configuration_poll_period { 1s };
     Duration backend_list_poll_period { 2s };
     std::optional<Wire::CurveKeys> curve;
--- a/Libraries/LibOperator/OperatorLoop.cpp
+++ b/Libraries/LibOperator/OperatorLoop.cpp
@@ -218,23 +218,12 @@
         });
 }
 
-static void write_member(Membership::MemberRow const& row, wire::MemberState& state)
-{
-    state.set_id(row.id.value());
-    state.set_role(row.role);
-    state.set_address(row.address.value());
-    state.set_incarnation(row.incarnation.value());
-    state.set_heartbeat(row.heartbeat);
-    state.set_leaving(row.leaving);
-    state.set_revision(row.revision.value());
-}
-
 wire::MembersReply OperatorLoop::members() const
 {
     wire::MembersReply reply;
-    write_member(this->node.members().own(), *reply.add_members());
+    Membership::write_full(this->node.members().own(), *reply.add_members());
     for (auto const& member : this->node.members().others())
-        write_member(member, *reply.add_members());
+        Membership::write_full(member, *reply.add_members());
     return reply;
 }
 
--- a/Libraries/LibRouter/RouterLoop.cpp
+++ b/Libraries/LibRouter/RouterLoop.cpp
@@ -94,17 +94,27 @@
         auto is_own = owner && owner->id == this->node.settings().member;
         if (is_own == pool->is_own)
             continue;
+        if (is_own && !is_in_use(*pool))
+            this->take_up(*pool);
         pool->is_own = is_own;
         this->node.events().record(
             is_own ? EventNumber::OwnershipTaken : EventNumber::OwnershipGivenUp, model.value(), "pool of this domain");
     }
 }
 
+bool RouterLoop::is_in_use(Pool const& pool) { return pool.is_own || now() - pool.last_asked < asked_pool_memory; }
+
+void RouterLoop::take_up(Pool& pool)
+{
+    pool.scheduler.expect_reports(now());
+    for (auto& [id, engine] : pool.engines)
+        this->poll_engine(pool, engine);
+}
+
 void RouterLoop::poll_engines()
 {
     for (auto& [model, pool] : this->pools) {
-        auto is_in_use = pool->is_own || now() - pool->last_asked < asked_pool_memory;
-        if (!is_in_use)
+        if (!is_in_use(*pool))
             continue;
         for (auto& [id, engine] : pool->engines)
             this->poll_engine(*pool, engine);
@@ -221,6 +231,8 @@
         return;
     }
     auto& pool = this->pool_of(ModelId(route->model()));
+    if (!is_in_use(pool))
+        this->take_up(pool);
     pool.last_asked = now();
     Scheduling::SubmitRequest submit;
     submit.generation = GenerationId(request.generation());
@@ -239,11 +251,19 @@
     pool.askers[submit.generation] = sender;
     this->pool_of_generation[submit.generation] = pool.model;
     this->node.metrics().add("lilac_place_requests_total");
+    auto was_known = pool.scheduler.knows(submit.generation);
     pool.scheduler.submit(submit, now());
     this->carry_out(pool, pool.scheduler.admit(now()));
-    if (pool.scheduler.is_queued(submit.generation))
+    if (!pool.scheduler.is_queued(submit.generation))
+        return;
+    if (!was_known)
         this->node.events().record(
             EventNumber::GenerationQueued, request.generation(), "no engine has room yet", organisation_id);
+    wire::Envelope envelope;
+    envelope.mutable_place_reply()->set_generation(request.generation());
+    envelope.mutable_place_reply()->set_attempt(request.attempt());
+    envelope.mutable_place_reply()->set_queued(true);
+    this->node.send(sender, std::move(envelope));
 }
 
 static Scheduling::EndReason to_end_reason(wire::FinishReason reason)
--- a/Libraries/LibScheduling/PoolScheduler.h
+++ b/Libraries/LibScheduling/PoolScheduler.h
@@ -72,6 +72,9 @@
     void first_token(GenerationId const&, Instant now);
     void finished(GenerationId const&, AttemptNumber, EndReason, TokenCount output, Instant now);
     void load_report(EngineId const&, LoadReport const&, Instant now);
+    /// Takes it that the engines are there until the reports that are being asked for say more: for a pool of which no
+    /// reports were asked for a while.
+    void expect_reports(Instant now);
     void prefix_cached(EngineId const&, u64 prefix_hash, bool is_present);
     /// Forgets what is believed of an engine's prefix cache, because events of it were lost.
     void forget_prefixes(EngineId const&);
@@ -237,6 +240,12 @@
     auto organisation_number = organisation_index(this->tables, request.forecast_key.organisation);
     auto& organisation = this->tables.organisations[organisation_number];
     organisation.weight = request.organisation_weight > 0 ? request.organisation_weight : 1;
+    if (std::ranges::none_of(this->tables.engines, may_soon_take_work)) {
+        this->refuse_new(request,
+            { ErrorKind::NoBackendServer, "no engine of this model takes work here; come back after the time given",
+                2s });
+        return;
+    }
     if (this->is_over_limits(request, organisation, now)) {
         this->refuse_new(request,
             { ErrorKind::OverLimit, "the organisation is at its limit of requests here; come back after the time given",
@@ -382,6 +391,16 @@
     engine->demand_is_stale = true;
 }
 
+template<AdmissionPolicy Admission>
+void PoolScheduler<Admission>::expect_reports(Instant now)
+{
+    for (auto& engine : this->tables.engines) {
+        engine.report_received = now;
+        engine.report.reset();
+        engine.silent = false;
+    }
+}
+
 template<AdmissionPolicy Admission>
 void PoolScheduler<Admission>::prefix_cached(EngineId const& id, u64 prefix_hash, bool is_present)
 {
--- a/Libraries/LibScheduling/Systems.cpp
+++ b/Libraries/LibScheduling/Systems.cpp
@@ -15,10 +15,12 @@
 // Memory is never full on average: prompts do not fit exactly and a margin is kept.
 static constexpr double usable_memory_share = 0.8;
 
+bool may_soon_take_work(EngineRow const& engine) { return !engine.draining && !engine.silent; }
+
 bool takes_new_work(EngineRow const& engine)
 {
     // Before its first report nothing is known of what others have placed on it.
-    return !engine.draining && !engine.silent && engine.report;
+    return may_soon_take_work(engine) && engine.report;
 }
 
 static void advance_generation(Tables& tables, GenerationRow& generation, double engine_steps)
@@ -180,7 +182,7 @@
 {
     double capacity = 0;
     for (auto const& engine : tables.engines) {
-        if (takes_new_work(engine))
+        if (may_soon_take_work(engine))
             capacity += engine.capacity * usable_memory_share;
     }
     if (capacity <= 0)
--- a/Libraries/LibScheduling/Systems.h
+++ b/Libraries/LibScheduling/Systems.h
@@ -95,6 +95,10 @@
 /// The reckoned wait, corrected by what waits have been.
 Duration corrected_wait(Tables const&, Duration reckoned);
 
+/// Whether an engine takes work now, or will as soon as it has been heard of.
+bool may_soon_take_work(EngineRow const&);
+
+/// Whether work may be placed on an engine now.
 bool takes_new_work(EngineRow const&);
 
 }
--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -85,8 +85,51 @@
     fleet_stop_all
 }
 
+now_milliseconds() { date +%s%3N; }
+all_events() {
+    "$(fleet_bin timeline)" --servers=127.0.0.1:7001,127.0.0.1:7003,127.0.0.1:7005 --key="$fleet_operator_key" --maximum=4000
+}
+
+# The whole fleet: from a change's acceptance until it is in force in the last process; from an engine's word that it
+# leaves until the last placement there; from an owner's death until its successor places.
+measure_reactions() {
+    local number at owner last first
+    fleet_domains=(hall-a hall-b hall-c)
+    fleet_hosts_per_domain=2
+    fleet_engines_per_domain=2
+    fleet_start_everything >/dev/null
+    for ((number = 1; number <= 20; ++number)); do
+        echo "{\"putModel\":{\"id\":\"spread-$number\"}}" >"$run_directory/spread.json"
+        fleet_ctl apply "$run_directory/spread.json" >/dev/null
+        sleep 0.3
+    done
+    fleet_wait_for "the last change" fleet_revision_is 8401 27
+    sleep 12
+    all_events | awk '$3 == "E1202" { accepted[$NF] = int($1) } $3 == "E1201" && int($1) > last[$5] { last[$5] = int($1) }
+        END { for (revision in accepted) if (revision > 7) { delay = last[revision] - accepted[revision]; sum += delay; ++count; if (delay > worst) worst = delay }
+            printf "{\"part\":\"spread\",\"changes\":%d,\"processes\":18,\"mean_milliseconds\":%.0f,\"worst_milliseconds\":%d}\n", count, sum / count, worst }'
+    "$(fleet_bin loadgen)" --gateways=127.0.0.1:8001,127.0.0.1:8002 --keys="$fleet_toll_key" --rate=40 --requests=1200 \
+        --median_output=30 >"$run_directory/load.json" &
+    sleep 5
+    at=$(now_milliseconds)
+    curl -sf http://127.0.0.1:9100/control/leave >/dev/null
+    sleep 6
+    last=$(all_events | awk '$3 == "E2102" && $7 == "engine-0-0," { last = int($1) } END { print last + 0 }')
+    echo "{\"part\":\"leaving\",\"last_placement_after_milliseconds\":$((last - at))}"
+    curl -sf http://127.0.0.1:9100/control/stay >/dev/null
+    sleep 3
+    owner=$(all_events | awk '$3 == "E2304" && ($2 == "router-0" || $2 == "router-1") { owner = $2 } END { print owner }')
+    at=$(now_milliseconds)
+    fleet_kill "$owner"
+    sleep 12
+    first=$(all_events | awk -v at="$at" -v dead="$owner" '$3 == "E2102" && int($1) > at && $2 != dead && ($2 == "router-0" || $2 == "router-1") { print int($1); exit }')
+    echo "{\"part\":\"owner_death\",\"next_placement_after_milliseconds\":$((first - at))}"
+    fleet_stop_all
+}
+
 {
     "$(fleet_bin capacitybench)" 2>/dev/null
     for count in 6 15 21; do measure_idle_domain "$count"; done
     for streams in 50 150 400; do measure_streams "$streams"; done
+    measure_reactions
 } | tee "$run_directory/../capacity.jsonl"
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -56,7 +56,7 @@
 guard "leaving is heeded" TestPromises "Scenario: a backend server that is leaving gets no new work, and what it runs runs to its end" \
     Libraries/LibScheduling/Systems.cpp "return !engine.draining && !engine.silent" "return !engine.silent"
 guard "a queue is handed on" TestPromises "Scenario: a router that leaves hands its queue on" \
-    Libraries/LibGateway/GatewayLoop.cpp "else if (owner_moved || now() - row.asked_at > ask_again_after)" "else if (false)"
+    Libraries/LibGateway/GatewayLoop.cpp "if (owner_moved || is_overdue)" "if (false)"
 guard "the head is compared" TestLibConfiguration "operators, lost answers and outages leave one gapless log" \
     Libraries/LibConfiguration/ConfigurationLog.h "{ { head_key, head_row.version }, { change_key(change_id), 0 } }" "{ }"
 guard "forward only" TestLibConfiguration "in whatever order news comes, a process only moves forward" \
--- a/Services/GatewayServer/main.cpp
+++ b/Services/GatewayServer/main.cpp
@@ -6,20 +6,29 @@
 
 #include <LibGateway/CallerFrontend.h>
 #include <LibNode/Daemon.h>
-#include <LibNode/StatusServer.h>
 
 static constexpr Duration drain_check_period = 50ms;
 
+struct GatewayPart {
+    GatewayPart(Node::Node& node, Gateway::GatewaySettings const& settings)
+        : gateway(node, settings)
+        , frontend(this->gateway, settings)
+    {
+    }
+
+    Gateway::GatewayLoop gateway;
+    Gateway::CallerFrontend frontend;
+};
+
 /// A planned stop: not ready at once, then no new connections once the balancer has noticed, then the end of every
 /// open request, then the end of the process.
-static void stop_when_drained(Node::Node& node, Gateway::GatewayLoop& gateway, Gateway::CallerFrontend& frontend,
-    Gateway::GatewaySettings const& settings)
+static void stop_when_drained(Node::Node& node, GatewayPart& part, Gateway::GatewaySettings const& settings)
 {
     node.begin_leaving();
-    node.loop().after(settings.balancer_lag, [&] {
-        frontend.stop_accepting();
-        node.loop().every(drain_check_period, [&] {
-            if (gateway.open_count() == 0)
+    node.loop().after(settings.balancer_lag, [&node, &part] {
+        part.frontend.stop_accepting();
+        node.loop().every(drain_check_period, [&node, &part] {
+            if (part.gateway.open_count() == 0)
                 node.loop().stop();
         });
     });
@@ -31,21 +40,10 @@
     TRYV(reader.finish());
     if (only_check)
         return success();
-    Node::StopSignal stop_signal;
-    try {
-        Node::Node node(settings.node);
-        Gateway::GatewayLoop gateway(node, settings);
-        Gateway::CallerFrontend frontend(gateway, settings);
-        Node::StatusServer status(node);
-        node.start();
-        stop_signal.watch([&] { node.loop().post([&] { stop_when_drained(node, gateway, frontend, settings); }); });
-        node.loop().run();
-        node.events().record(Core::EventNumber::ProcessStopped, node.settings().member.value(), "drained");
-    } catch (std::exception const& exception) {
-        return Error { ErrorKind::InvalidSettings,
-            std::string("cannot start (") + exception.what() + "); check the addresses and files in the settings", {} };
-    }
-    return success();
+    return Node::serve_until_stopped(settings.node, [&](Node::Node& node) -> Result<Node::BeginStop> {
+        auto part = std::make_shared<GatewayPart>(node, settings);
+        return Node::BeginStop([&node, &settings, part] { stop_when_drained(node, *part, settings); });
+    });
 }
 
 int main(int argc, char** argv)
--- a/Services/OperatorServer/main.cpp
+++ b/Services/OperatorServer/main.cpp
@@ -5,7 +5,6 @@
  */
 
 #include <LibNode/Daemon.h>
-#include <LibNode/StatusServer.h>
 #include <LibOperator/OperatorLoop.h>
 
 // Time for the calls under way to be answered.
@@ -17,26 +16,15 @@
     TRYV(reader.finish());
     if (only_check)
         return success();
-    Node::StopSignal stop_signal;
-    try {
-        Node::Node node(settings.node);
-        TRY(auto operators, Operator::OperatorLoop::create(node, settings));
-        Node::StatusServer status(node);
-        node.start();
-        stop_signal.watch([&] {
-            node.loop().post([&] {
-                node.begin_leaving();
-                operators->stop_accepting();
-                node.loop().after(stop_time, [&] { node.loop().stop(); });
-            });
+    return Node::serve_until_stopped(settings.node, [&](Node::Node& node) -> Result<Node::BeginStop> {
+        TRY(auto created, Operator::OperatorLoop::create(node, settings));
+        std::shared_ptr<Operator::OperatorLoop> operators(std::move(created));
+        return Node::BeginStop([&node, operators] {
+            node.begin_leaving();
+            operators->stop_accepting();
+            node.loop().after(stop_time, [&node] { node.loop().stop(); });
         });
-        node.loop().run();
-        node.events().record(Core::EventNumber::ProcessStopped, node.settings().member.value(), "stopped");
-    } catch (std::exception const& exception) {
-        return Error { ErrorKind::InvalidSettings,
-            std::string("cannot start (") + exception.what() + "); check the addresses in the settings", {} };
-    }
-    return success();
+    });
 }
 
 int main(int argc, char** argv)
--- a/Services/RouteServer/main.cpp
+++ b/Services/RouteServer/main.cpp
@@ -5,7 +5,6 @@
  */
 
 #include <LibNode/Daemon.h>
-#include <LibNode/StatusServer.h>
 #include <LibRouter/RouterLoop.h>
 
 // Long enough for gateways to have heard that this router leaves, so that they ask its successor.
@@ -17,25 +16,13 @@
     TRYV(reader.finish());
     if (only_check)
         return success();
-    Node::StopSignal stop_signal;
-    try {
-        Node::Node node(settings.node);
-        Router::RouterLoop router(node, settings);
-        Node::StatusServer status(node);
-        node.start();
-        stop_signal.watch([&] {
-            node.loop().post([&] {
-                node.begin_leaving();
-                node.loop().after(handover_time, [&] { node.loop().stop(); });
-            });
+    return Node::serve_until_stopped(settings.node, [&](Node::Node& node) -> Result<Node::BeginStop> {
+        auto router = std::make_shared<Router::RouterLoop>(node, settings);
+        return Node::BeginStop([&node, router] {
+            node.begin_leaving();
+            node.loop().after(handover_time, [&node] { node.loop().stop(); });
         });
-        node.loop().run();
-        node.events().record(Core::EventNumber::ProcessStopped, node.settings().member.value(), "handed over");
-    } catch (std::exception const& exception) {
-        return Error { ErrorKind::InvalidSettings,
-            std::string("cannot start (") + exception.what() + "); check the addresses in the settings", {} };
-    }
-    return success();
+    });
 }
 
 int main(int argc, char** argv)
--- a/StandIns/Common/StandInMain.h
+++ b/StandIns/Common/StandInMain.h
@@ -6,13 +6,12 @@
 
 #pragma once
 
+#include <LibCore/StopSignal.h>
 #include <string>
 
 namespace StandIns {
 
-/// Flags and signals of a stand-in's main().
-void prepare(int argc, char** argv, std::string const& usage);
-/// Returns when the process is told to stop.
-void wait_for_stop();
+/// Flags and signals of a stand-in's main(). wait() on the result returns when the process is told to stop.
+Core::StopSignal prepare(int argc, char** argv, std::string const& usage);
 
 }
--- a/StandIns/FakeEngine/main.cpp
+++ b/StandIns/FakeEngine/main.cpp
@@ -19,7 +19,7 @@
 
 int main(int argc, char** argv)
 {
-    StandIns::prepare(argc, argv, "Stand-in for a model engine.");
+    auto stop_signal = StandIns::prepare(argc, argv, "Stand-in for a model engine.");
     StandIns::FakeEngineOptions options;
     options.name = FLAGS_name;
     options.model = FLAGS_model;
@@ -29,5 +29,5 @@
     options.history_path = FLAGS_history;
     options.checks_epochs = FLAGS_checks_epochs;
     StandIns::FakeEngine engine(Address(FLAGS_listen), options);
-    StandIns::wait_for_stop();
+    stop_signal.wait();
 }
--- a/StandIns/FakePlatform/main.cpp
+++ b/StandIns/FakePlatform/main.cpp
@@ -14,11 +14,12 @@
 
 int main(int argc, char** argv)
 {
-    StandIns::prepare(argc, argv, "Stand-in for the platform's table service, object store and host list.");
+    auto stop_signal
+        = StandIns::prepare(argc, argv, "Stand-in for the platform's table service, object store and host list.");
     std::vector<Address> addresses;
     std::istringstream list(FLAGS_listen);
     for (std::string address; std::getline(list, address, ',');)
         addresses.emplace_back(address);
     StandIns::FakePlatform platform(addresses, std::chrono::milliseconds(FLAGS_host_list_lag_milliseconds));
-    StandIns::wait_for_stop();
+    stop_signal.wait();
 }
--- a/StandIns/FakeService/main.cpp
+++ b/StandIns/FakeService/main.cpp
@@ -14,7 +14,7 @@
 
 int main(int argc, char** argv)
 {
-    StandIns::prepare(argc, argv, "Stand-in for a plain service.");
+    auto stop_signal = StandIns::prepare(argc, argv, "Stand-in for a plain service.");
     StandIns::FakeService service(Address(FLAGS_listen), FLAGS_name, FLAGS_history);
-    StandIns::wait_for_stop();
+    stop_signal.wait();
 }
--- a/Tests/LibScheduling/TestPoolScheduler.cpp
+++ b/Tests/LibScheduling/TestPoolScheduler.cpp
@@ -157,6 +157,21 @@
     }
 }
 
+SCENARIO("a pool without an engine refuses at once, and one that is about to hear of its engines waits")
+{
+    Pool pool;
+    auto later = start + pool.constants.silence_limit + 1s;
+    (void)pool.scheduler.tick(later);
+    auto const error = refused(pool.submit(pool.request("g1"), later));
+    CHECK(error.kind == ErrorKind::NoBackendServer);
+    CHECK(error.retry_after);
+
+    pool.scheduler.expect_reports(later);
+    CHECK(pool.submit(pool.request("g2"), later).empty());
+    pool.scheduler.load_report(engine_b, {}, later);
+    CHECK(placed(pool.scheduler.admit(later)).engine == engine_b);
+}
+
 SCENARIO("a rate limit lets through its rate")
 {
     Pool pool(1'000'000);
--- a/Utilities/loadgen.cpp
+++ b/Utilities/loadgen.cpp
@@ -5,6 +5,7 @@
  */
 
 #include "CallerClient.h"
+#include "CommaList.h"
 #include <LibCore/Metrics.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -34,15 +35,6 @@
 DEFINE_string(history, "", "file to write what every caller saw, for historycheck");
 DEFINE_string(prompt, "", "make one request with this prompt, print its words as they come, and exit");
 
-static std::vector<std::string> split(std::string const& text)
-{
-    std::vector<std::string> parts;
-    std::istringstream stream(text);
-    for (std::string part; std::getline(stream, part, ',');)
-        parts.push_back(part);
-    return parts;
-}
-
 static std::string to_line(Poco::JSON::Object const& object)
 {
     std::ostringstream out;
@@ -217,9 +209,9 @@
                             "  loadgen --gateways A,B --keys K --rate 10 --requests 100 [--history FILE]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::vector<Address> gateways;
-    for (auto const& gateway : split(FLAGS_gateways))
+    for (auto const& gateway : split_at_commas(FLAGS_gateways))
         gateways.emplace_back(gateway);
-    auto keys = split(FLAGS_keys);
+    auto keys = split_at_commas(FLAGS_keys);
     if (keys.empty() || gateways.empty()) {
         std::cerr << "name --gateways and --keys" << std::endl;
         return 2;
--- a/Utilities/timeline.cpp
+++ b/Utilities/timeline.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include "CommaList.h"
 #include "EventText.h"
 #include "OperatorClient.h"
 #include <Poco/JSON/Array.h>
@@ -26,8 +27,7 @@
     auto const* from_environment = std::getenv("LILAC_OPERATOR_KEY");
     auto key = FLAGS_key.empty() && from_environment ? from_environment : FLAGS_key;
     std::vector<wire::EventRecord> events;
-    std::istringstream servers(FLAGS_servers);
-    for (std::string server; std::getline(servers, server, ',');) {
+    for (auto const& server : split_at_commas(FLAGS_servers)) {
         auto batch = OperatorClient(server, key, FLAGS_root_certificate).events(FLAGS_maximum);
         if (!batch) {
             std::cerr << server << ": " << batch.error().message << "; its domain is left out" << std::endl;
