LibGateway: Close the callers' socket when a planned stop stops accepting

The listening socket stayed open after accepting ended, so the kernel went on taking connections that nobody served. Closed, it refuses them. The load generator now asks /health/ready before it chooses a gateway, as the platform's balancer does.

--- a/Libraries/LibGateway/CallerFrontend.cpp
+++ b/Libraries/LibGateway/CallerFrontend.cpp
@@ -270,6 +270,7 @@
 
 CallerFrontend::CallerFrontend(GatewayLoop& gateway, GatewaySettings const& settings)
     : threads(2, static_cast<int>(settings.largest_open_calls) + spare_threads, 60, thread_stack_bytes)
+    , socket(make_socket(settings))
 {
     auto* parameters = new Poco::Net::HTTPServerParams;
     parameters->setMaxThreads(static_cast<int>(settings.largest_open_calls) + spare_threads);
@@ -277,7 +278,7 @@
     parameters->setTimeout(Poco::Timespan(caller_timeout_seconds, 0));
     parameters->setKeepAliveTimeout(Poco::Timespan(caller_timeout_seconds, 0));
     this->server = std::make_unique<Poco::Net::HTTPServer>(
-        new CallerHandlerFactory({ gateway, settings }), this->threads, make_socket(settings), parameters);
+        new CallerHandlerFactory({ gateway, settings }), this->threads, this->socket, parameters);
     this->server->start();
 }
 
@@ -287,6 +288,11 @@
     this->threads.joinAll();
 }
 
-void CallerFrontend::stop_accepting() { this->server->stop(); }
+void CallerFrontend::stop_accepting()
+{
+    this->server->stop();
+    // Open but not served, it would go on taking connections that nobody answers; closed, it refuses them.
+    this->socket.close();
+}
 
 }
--- a/Libraries/LibGateway/CallerFrontend.h
+++ b/Libraries/LibGateway/CallerFrontend.h
@@ -9,6 +9,7 @@
 #include <LibGateway/GatewayLoop.h>
 #include <LibGateway/GatewaySettings.h>
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 #include <memory>
 
@@ -28,6 +29,7 @@
 
 private:
     Poco::ThreadPool threads;
+    Poco::Net::ServerSocket socket;
     std::unique_ptr<Poco::Net::HTTPServer> server;
 };
 
--- a/Libraries/LibPolicyBench/Cells.cpp
+++ b/Libraries/LibPolicyBench/Cells.cpp
@@ -166,6 +166,7 @@
     std::vector<std::string> shapes;
     for (auto const& cell : cells)
         capacities.emplace(cell.scenario.name.substr(0, cell.scenario.name.find('+')), 0);
+    shapes.reserve(capacities.size());
     for (auto const& [shape, capacity] : capacities)
         shapes.push_back(shape);
     run_in_parallel(shapes.size(), [&](size_t number) {
--- a/Utilities/CallerClient.cpp
+++ b/Utilities/CallerClient.cpp
@@ -18,6 +18,7 @@
 using Poco::JSON::Object;
 
 static constexpr Duration patience = 30s;
+static constexpr Duration readiness_patience = 1s;
 static constexpr u32 most_resumes = 20;
 static constexpr Duration pause_before_resume = 100ms;
 
@@ -34,6 +35,17 @@
     return out.str();
 }
 
+size_t CallerClient::ready_gateway(size_t first) const
+{
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+        auto const& gateway = this->gateways[(first + i) % this->gateways.size()];
+        auto answer = Platform::call_http(gateway, { "GET", "/health/ready", {}, {} }, readiness_patience);
+        if (answer && answer.value().status == Poco::Net::HTTPResponse::HTTP_OK)
+            return first + i;
+    }
+    return first;
+}
+
 bool CallerClient::read_event(Progress& progress, std::string const& data, OnToken const& on_token)
 {
     Poco::JSON::Parser parser;
@@ -110,8 +122,9 @@
     body.set("prompt", prompt);
     body.set("stream", true);
     Progress progress;
-    progress.asked_at = std::chrono::steady_clock::now();
+    first_gateway = this->ready_gateway(first_gateway);
     auto const& first = this->gateways[first_gateway % this->gateways.size()];
+    progress.asked_at = std::chrono::steady_clock::now();
     if (this->connect_and_read(progress, first, "POST", "/v1/completions", to_text(body), deadline, on_token))
         return progress.result;
     // The connection broke. Without a resume token nothing was delivered and nothing can be resumed.
@@ -132,7 +145,8 @@
     Platform::HttpQuestion question { method, path, body, { { "Authorization", "Bearer " + this->api_key } } };
     if (!idempotency_key.empty())
         question.headers["Idempotency-Key"] = idempotency_key;
-    auto answer = Platform::call_http(this->gateways[gateway % this->gateways.size()], question, patience);
+    auto const& chosen = this->gateways[this->ready_gateway(gateway) % this->gateways.size()];
+    auto answer = Platform::call_http(chosen, question, patience);
     if (!answer)
         return {};
     auto header = [&](char const* name) {
--- a/Utilities/CallerClient.h
+++ b/Utilities/CallerClient.h
@@ -53,6 +53,9 @@
         Instant last_token_at;
     };
 
+    /// The first gateway from `first` on that says that it is ready, as the platform's balancer would choose; `first`
+    /// when none does.
+    size_t ready_gateway(size_t first) const;
     /// Reads one connection to its end. Says whether a final answer came.
     bool read_stream(Progress&, std::istream&, OnToken const&);
     bool read_event(Progress&, std::string const& data, OnToken const&);
