Tests: Show that a change is accepted only from the head it was checked against

The guard that compares the head could be taken out unnoticed, since operators in the property test take turns. Two calls now cross between reading and writing.

--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -62,7 +62,7 @@
     Libraries/LibScheduling/Systems.cpp "return !engine.draining && !engine.silent" "return !engine.silent"
 guard "a queue is handed on" TestPromises "Scenario: a router that leaves hands its queue on" \
     Libraries/LibGateway/GatewayLoop.cpp "if (owner_moved || is_overdue)" "if (false)"
-guard "the head is compared" TestLibConfiguration "operators, lost answers and outages leave one gapless log" \
+guard "the head is compared" TestLibConfiguration "Scenario: two operators whose calls cross get a revision each" \
     Libraries/LibConfiguration/ConfigurationLog.h "{ { head_key, head_row.version }, { change_key(change_id), 0 } }" "{ }"
 guard "forward only" TestLibConfiguration "in whatever order news comes, a process only moves forward" \
     Libraries/LibConfiguration/ConfigurationFollower.cpp "if (Revision(snapshot.revision()) <= this->current.revision())
--- a/Tests/LibConfiguration/TestConfigurationLog.cpp
+++ b/Tests/LibConfiguration/TestConfigurationLog.cpp
@@ -7,6 +7,7 @@
 #include <LibConfiguration/ConfigurationLog.h>
 #include <LibPlatform/FaultyTable.h>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <rapidcheck/catch.h>
 
@@ -89,6 +90,39 @@
     }
 }
 
+/// A view of a table in which something happens between a caller's reads and its commit.
+struct CrossingTable {
+    Result<Platform::Row> read(std::string const& key) { return this->table.read(key); }
+    Result<std::vector<Platform::Row>> scan(std::string const& prefix, std::string const& after, size_t limit)
+    {
+        return this->table.scan(prefix, after, limit);
+    }
+    Result<Platform::CommitResult> commit(Platform::Transaction const& transaction)
+    {
+        if (auto happening = std::exchange(this->before_commit, nullptr))
+            happening();
+        return this->table.commit(transaction);
+    }
+
+    MemoryTable& table;
+    std::function<void()> before_commit;
+};
+
+SCENARIO("two operators whose calls cross get a revision each")
+{
+    MemoryTable table;
+    OperatorAtWork dimitar(table);
+    CrossingTable view { table, [&] { REQUIRE(dimitar.append("d", put_model("b")).has_value()); } };
+    ConfigurationLog log(view);
+    Document document;
+    auto accepted = log.append(document, put_model("a"), "v", "vesela", {});
+    CHECK(accepted.value().revision == Revision(2));
+    auto entries = log.read_after(Revision(0)).value();
+    REQUIRE(entries.size() == 2);
+    CHECK(entries[0].change_id() == "d");
+    CHECK(entries[1].change_id() == "v");
+}
+
 SCENARIO("a process that starts reads a snapshot and what follows it")
 {
     MemoryTable table;
