LibNode: Be ready as a gateway only once a router is known

One request of 565 was refused as not run by a gateway that had a configuration but had not heard of a router yet.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -132,8 +132,14 @@
     this->send(remote[this->beat_count / remote_digest_beats % remote.size()], std::move(envelope));
 }
 
+void Node::look_for_router()
+{
+    this->router_known = this->node_settings.role != wire::ROLE_GATEWAY || this->owner_of(reader_key);
+}
+
 void Node::note_readiness()
 {
+    this->look_for_router();
     if (this->readiness_noted || !this->is_ready())
         return;
     this->readiness_noted = true;
@@ -180,6 +186,7 @@
     if (events.empty())
         return;
     this->full_gossip_until_beat = this->beat_count + full_gossip_beats_after_change;
+    this->look_for_router();
     for (auto const& handler : this->member_handlers)
         handler();
 }
@@ -465,6 +472,8 @@
         return "leaving";
     if (!this->configuration_known)
         return "no configuration yet: neither the platform nor a peer has answered";
+    if (!this->router_known)
+        return "no router of this failure domain is known yet";
     return "ready";
 }
 
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -65,8 +65,9 @@
     /// Not ready to the balancer from now on. Members stop giving this one new work.
     void begin_leaving();
     [[nodiscard]] bool is_leaving_itself() const { return this->leaving; }
-    /// Whether the daemon can serve: it knows some configuration, from the platform or from peers. Any thread.
-    [[nodiscard]] bool is_ready() const { return this->configuration_known && !this->leaving; }
+    /// Whether the daemon can serve: it knows some configuration, from the platform or from peers, and a gateway knows
+    /// a router. Any thread.
+    [[nodiscard]] bool is_ready() const { return this->configuration_known && this->router_known && !this->leaving; }
     /// Why not, for the readiness page. Any thread.
     [[nodiscard]] std::string readiness_reason() const;
     /// Whether the loop has turned lately. Any thread.
@@ -89,6 +90,7 @@
     void report(std::vector<Membership::MemberEvent> const&);
     void beat();
     void note_readiness();
+    void look_for_router();
     void send_gossip(Address const& peer, Membership::GossipDetail);
     void send_remote_digest();
     [[nodiscard]] std::vector<Address> gossip_targets();
@@ -136,6 +138,8 @@
     bool staleness_reported { false };
     bool readiness_noted { false };
     std::atomic<bool> configuration_known { false };
+    /// Of use to gateways only; true for the others from the start.
+    std::atomic<bool> router_known { false };
     std::atomic<bool> leaving { false };
     std::atomic<i64> last_beat_milliseconds;
     // Last, so that its threads end before anything they use.
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -19,7 +19,7 @@
         awk -F'|' -v shape=" $shape " -v column="$column" '$2 == shape && ($4 ~ /forecast|clairvoyant|prompt_only|two_choices/) {
             gsub(/ /, ""); print $4, $3, $column }' "$output/table.md" | sort -s -k1,1 |
             awk '$1 != last { if (NR > 1) print "\n"; print "\"" $1 "\""; last = $1 } { print $2, $3 }' >"$data"
-        gnuplot -e "set terminal png size 900,540; set output '$output/$shape-${measure#*:}.png'; set logscale y;
+        gnuplot -e "set terminal png noenhanced size 900,540; set output '$output/$shape-${measure#*:}.png'; set logscale y;
             set title '$shape: ${measure#*:}'; set xlabel 'load, as a share of capacity'; set key left top;
             plot for [i=0:3] '$data' index i using 1:2 with linespoints title columnheader(1)" 2>/dev/null || true
     done
