LibScheduling: Keep what does not depend on the admission policy out of the template

What a pool has heard and done is now PoolBook, an ordinary class; PoolScheduler adds the run of admission.

--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -63,7 +63,7 @@
 guard "gossip goes to drawn members" TestLibMembership "Scenario: members that start together do not lose each other" \
     Libraries/LibMembership/MemberTable.cpp \
     "std::ranges::sample(known, std::back_inserter(targets), static_cast<std::ptrdiff_t>(count), random);" \
-    "for (size_t i = 0; i < count; ++i) targets.push_back(known[(this->self.heartbeat * count + i) % known.size()]);"
+    "for (size_t i = 0; i < std::min(count, known.size()); ++i) targets.push_back(known[(this->self.heartbeat * count + i) % known.size()]);"
 guard "the callers' socket is closed" TestPromises "Scenario: a gateway that stops accepting refuses connections and serves what is open" \
     Libraries/LibGateway/CallerFrontend.cpp "this->socket.close();" ""
 guard "a gateway needs a router" TestPromises "Scenario: a gateway that knows no router is not ready" \
@@ -87,7 +87,7 @@
     Libraries/LibConfiguration/Configuration.cpp "return find_in(this->routes, RouteKey(organisation, name));" \
     "for (auto const& [key, route] : this->routes) { if (key.second == name) return &route; } return nullptr;"
 guard "refused at once" TestLibScheduling "Scenario: a request that cannot be served in time is refused at once, with when to come back" \
-    Libraries/LibScheduling/PoolScheduler.h "this->constants.refuses_by_forecast && wait > longest_wait" "false"
+    Libraries/LibScheduling/PoolBook.cpp "this->constants.refuses_by_forecast && wait > longest_wait" "false"
 guard "the lease's own clock" TestLibPlatform "pauses, lost answers and outages never make two holders, and epochs only grow" \
     Libraries/LibPlatform/Lease.h "return this->held_until && now < *this->held_until - this->margin;" \
     "return this->held_until.has_value();"
