Tests: Wait to be told of a change instead of looking every five milliseconds

wait_until() slept between looks. Event logs, membership, revisions, lists of servers and the engine stand-in now tell a signal, and the condition is looked at again when something has happened; the only time in it is the minute after which a test gives up.

--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -37,13 +37,17 @@
 
 void EventLog::record(EventNumber number, std::string subject, std::string text, OrganisationId organisation)
 {
-    std::lock_guard lock(this->mutex);
-    auto stamp = this->clock.tick(SystemClock().wall_milliseconds());
-    if (this->events.size() == this->capacity)
-        this->events.pop_front();
-    this->events.push_back(
-        { stamp, this->member, number, std::move(subject), std::move(organisation), std::move(text) });
-    write_to_log(this->events.back());
+    {
+        std::lock_guard lock(this->mutex);
+        auto stamp = this->clock.tick(SystemClock().wall_milliseconds());
+        if (this->events.size() == this->capacity)
+            this->events.pop_front();
+        this->events.push_back(
+            { stamp, this->member, number, std::move(subject), std::move(organisation), std::move(text) });
+        write_to_log(this->events.back());
+    }
+    if (this->observer)
+        this->observer();
 }
 
 std::vector<Event> EventLog::latest(size_t maximum, std::string const& subject) const
--- a/Libraries/LibCore/EventLog.h
+++ b/Libraries/LibCore/EventLog.h
@@ -10,6 +10,7 @@
 #include <LibCore/EventCatalogue.h>
 #include <LibCore/HybridClock.h>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -36,6 +37,8 @@
     explicit EventLog(MemberId member, size_t capacity = default_capacity);
 
     void record(EventNumber number, std::string subject, std::string text, OrganisationId organisation = {});
+    /// Called after each event, on the thread that records it. Set it before other threads record.
+    void on_record(std::function<void()> observer) { this->observer = std::move(observer); }
     /// The newest `maximum` events, oldest first; with a subject, only those about it.
     [[nodiscard]] std::vector<Event> latest(size_t maximum, std::string const& subject = {}) const;
     [[nodiscard]] HybridStamp stamp_outgoing();
@@ -48,6 +51,7 @@
     mutable std::mutex mutex;
     HybridClock clock;
     std::deque<Event> events;
+    std::function<void()> observer;
 };
 
 /// "stamp member E1001 process_started subject text", the form of one line of a time line.
--- a/StandIns/FakeEngine/FakeEngine.h
+++ b/StandIns/FakeEngine/FakeEngine.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -29,6 +30,8 @@
     Duration report_age { 0 };
     /// Whether orders with an epoch or revision lower than one seen are refused.
     bool checks_epochs { true };
+    /// Called after anything changed that a test may wait for. Any thread.
+    std::function<void()> on_change {};
     /// Each execution is appended to this file as it begins, with all the tokens it would give if it ran to its end, so
     /// that the history outlives the process.
     std::string history_path {};
@@ -83,6 +86,8 @@
     void take_events(std::vector<EngineModel::StepEvent> const&);
     void stop_orphans();
     /// The token at `offset`, which differs between executions, so that mixed outputs show.
+    /// Wakes the streams that wait, and whoever watches the stand-in.
+    void tell_of_change();
     void write_plan(Execution const&, i64 output_tokens);
     [[nodiscard]] std::string word(u64 key, size_t offset) const;
     void wait_while_frozen();
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -26,13 +26,44 @@
 
 static Address own_address(int port) { return Address(own_host() + ':' + std::to_string(port)); }
 
+ChangeSignal& ChangeSignal::instance()
+{
+    static ChangeSignal signal;
+    return signal;
+}
+
+void ChangeSignal::tell()
+{
+    {
+        std::lock_guard lock(this->mutex);
+        ++this->changes;
+    }
+    this->changed.notify_all();
+}
+
+u64 ChangeSignal::count()
+{
+    std::lock_guard lock(this->mutex);
+    return this->changes;
+}
+
+bool ChangeSignal::wait_beyond(u64 seen, Instant give_up_at)
+{
+    std::unique_lock lock(this->mutex);
+    return this->changed.wait_until(lock, give_up_at, [&] { return this->changes != seen; });
+}
+
 void wait_until(std::string const& what, std::function<bool()> const& condition)
 {
+    auto& signal = ChangeSignal::instance();
     auto give_up_at = std::chrono::steady_clock::now() + 60s;
-    while (!condition()) {
+    while (true) {
+        // Counted before looking, so that nothing that happens in between is missed.
+        auto seen = signal.count();
+        if (condition())
+            return;
         INFO("waiting for " << what);
-        REQUIRE(std::chrono::steady_clock::now() < give_up_at);
-        std::this_thread::sleep_for(5ms);
+        REQUIRE(signal.wait_beyond(seen, give_up_at));
     }
 }
 
@@ -68,6 +99,7 @@
         options.name = "engine-" + std::to_string(i);
         options.parameters.capacity_tokens = size.engine_capacity;
         options.time_scale = 0.25;
+        options.on_change = [] { ChangeSignal::instance().tell(); };
         this->engines.push_back(std::make_unique<StandIns::FakeEngine>(any_port, options));
     }
     for (size_t i = 0; i < size.services; ++i)
--- a/Tests/Support/TestFleet.h
+++ b/Tests/Support/TestFleet.h
@@ -14,12 +14,29 @@
 #include <StandIns/FakePlatform/FakePlatform.h>
 #include <StandIns/FakeService/FakeService.h>
 #include <Utilities/CallerClient.h>
+#include <condition_variable>
 #include <functional>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
+/// Tells the tests' threads that something has happened: an event, a member, a revision, a token. Only ever grows.
+class ChangeSignal {
+public:
+    static ChangeSignal& instance();
+    void tell();
+    [[nodiscard]] u64 count();
+    /// Waits until count() differs from `seen`. Says whether it did before `give_up_at`.
+    bool wait_beyond(u64 seen, Instant give_up_at);
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    u64 changes { 0 };
+};
+
 /// One daemon's node with its loop on a thread of its own.
 template<typename Settings, typename Part>
 struct TestDaemon {
@@ -28,6 +45,11 @@
         , node(std::make_unique<Node::Node>(this->settings.node))
         , part(make(*this->node, this->settings))
     {
+        auto tell = [] { ChangeSignal::instance().tell(); };
+        this->node->events().on_record(tell);
+        this->node->on_members(tell);
+        this->node->on_revision(tell);
+        this->node->on_backend_servers(tell);
         this->node->start();
         this->thread = std::thread([this] { this->node->loop().run(); });
     }
@@ -113,6 +135,7 @@
     Size size;
 };
 
-/// Waits until `condition` holds; fails the test after a minute.
+/// Waits until `condition` holds, looking again each time ChangeSignal tells of something; fails the test when it does
+/// not hold within a minute.
 void wait_until(std::string const& what, std::function<bool()> const& condition);
 std::string describe(std::vector<History::Violation> const&);
