LibServing: Settle a move once its generation has gone on

Cause: processes ended with code 139 on both sites. Also found by reading: a cancel from inside an observer destroyed the observer while it ran, and three timers could act on a later exchange when they fired in the turn in which the answer came. Ruled out: the connection of the caller (the trace ends in the move's timer).

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -66,7 +66,7 @@
     this->request_written = false;
     this->answer_allows_reuse = false;
     this->request = std::move(new_request);
-    this->observer = std::move(new_observer);
+    this->observer = std::make_shared<ExchangeObserver>(std::move(new_observer));
     ++this->exchange_number;
     if (this->connected)
         return this->send();
@@ -78,7 +78,7 @@
     auto number = this->exchange_number;
     this->connect_timer.expires_after(patience);
     this->connect_timer.async_wait([self = shared_from_this(), number](beast::error_code error) {
-        if (!error && number == self->exchange_number && !self->connected)
+        if (!error && number == self->exchange_number && self->in_exchange && !self->connected)
             self->fail(ExchangeEnd::NotConnected, asio::error::timed_out);
     });
     this->socket.async_connect(
@@ -131,7 +131,8 @@
         return this->fail(is_malformed ? ExchangeEnd::Malformed : ExchangeEnd::NoAnswer, error);
     }
     auto number = this->exchange_number;
-    this->skipping = this->observer.head(this->parser->get()) == HeadVerdict::Skip;
+    auto current = this->observer;
+    this->skipping = current->head(this->parser->get()) == HeadVerdict::Skip;
     if (number != this->exchange_number || !this->in_exchange)
         return;
     this->note_idle_limit(this->parser->get());
@@ -182,8 +183,9 @@
     if (body.empty())
         return;
     auto piece = std::exchange(body, {});
+    auto current = this->observer;
     if (!this->skipping)
-        this->observer.body(piece);
+        current->body(piece);
 }
 
 void BackendConnection::answer_complete()
@@ -209,9 +211,8 @@
     if (!this->answer_allows_reuse)
         this->close();
     // The observer may hold what keeps this connection alive.
-    auto ended = std::move(this->observer.ended);
-    this->observer = {};
-    ended(end, reason);
+    auto last = std::exchange(this->observer, nullptr);
+    last->ended(end, reason);
 }
 
 void BackendConnection::cancel()
@@ -220,7 +221,7 @@
     this->in_exchange = false;
     this->answer_allows_reuse = false;
     this->close();
-    this->observer = {};
+    this->observer = nullptr;
 }
 
 void BackendConnection::close()
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -83,7 +83,8 @@
     Request request;
     std::optional<beast::http::serializer<true, beast::http::string_body>> serializer;
     std::optional<Parser> parser;
-    ExchangeObserver observer;
+    /// Shared, so that an observer that cancels the exchange outlives its own call.
+    std::shared_ptr<ExchangeObserver> observer;
     u64 finished_exchanges { 0 };
     bool connected { false };
     bool in_exchange { false };
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -62,8 +62,10 @@
         auto connection = this->context.connections.acquire(backend->endpoint);
         auto body = std::make_shared<std::string>();
         auto patience = std::make_shared<Http::asio::steady_timer>(this->context.loop, answer_patience);
-        patience->async_wait([connection, backend](boost::system::error_code error) {
-            if (error)
+        auto is_answered = std::make_shared<bool>(false);
+        patience->async_wait([connection, backend, is_answered](boost::system::error_code error) {
+            // The answer may have come in the same turn of the loop, and the connection be in use again.
+            if (error || *is_answered)
                 return;
             connection->cancel();
             backend->engine.report_under_way = false;
@@ -71,7 +73,8 @@
         Http::ExchangeObserver observer {
             [](Http::ResponseHead const&) { return Http::HeadVerdict::Take; },
             [body](std::string_view piece) { *body += piece; },
-            [this, backend, body, patience, connection](Http::ExchangeEnd end, std::string const& reason) {
+            [this, backend, body, patience, is_answered, connection](Http::ExchangeEnd end, std::string const& reason) {
+                *is_answered = true;
                 patience->cancel();
                 backend->engine.report_under_way = false;
                 this->context.connections.release(connection);
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -99,6 +99,7 @@
             return Http::HeadVerdict::Skip;
         this->answer_head = head;
         this->answer = decoded;
+        this->answer_is_framed = head.count(Http::Name::transfer_encoding) > 0 || head.count(Http::Name::content_length) > 0;
         this->note_load(*this->backend, decoded);
         if (!this->is_relayed_answer())
             return Http::HeadVerdict::Take;
@@ -278,22 +279,13 @@
     {
         if (this->continuing)
             return false;
-        if (end == Http::ExchangeEnd::Complete && !this->reader.has_partial_event()
-            && this->move->phase() != Phase::HandingOver) {
+        // Without framing the end of a run cannot be told from its being stopped.
+        bool const is_whole = end == Http::ExchangeEnd::Complete && this->answer_is_framed && this->is_relayed_answer();
+        if (is_whole)
             return false;
-        }
-        switch (this->move->phase()) {
-        case Phase::HandingOver:
-        case Phase::HandedOver:
-        case Phase::Copying:
-            return true;
-        case Phase::Copied:
+        if (this->move->phase() == Phase::Copied)
             this->continue_at_target();
-            return true;
-        case Phase::Failed:
-            return false;
-        }
-        VERIFY(false);
+        return true;
     }
 
     void continue_at_target()
@@ -304,6 +296,7 @@
         if (this->connection)
             this->connection->cancel();
         this->continuing = true;
+        this->move->settle();
         auto target = this->move->target();
         auto held = this->claim->held_tokens();
         this->claim.emplace(target, held, 0);
@@ -320,7 +313,6 @@
             .with("events", this->order.count())
             .with("paused_ms", now - this->last_event_at)
             .with("took_ms", now - this->move->started_at());
-        this->move->withdraw_reservation();
         this->move = nullptr;
         this->continuing = false;
         this->consider_move();
@@ -402,6 +394,7 @@
     std::vector<EngineId> tried;
     std::optional<Http::ResponseHead> answer_head;
     AnswerHead answer;
+    bool answer_is_framed { false };
     std::string answer_body;
     Delivery::EventStreamReader reader;
     Delivery::EventOrder order;
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -47,18 +47,23 @@
 
     /// The generation has ended before it was handed over: frees the copy.
     void withdraw()
+    {
+        bool const frees_copy = this->copy && !this->is_settled;
+        this->settle();
+        if (frees_copy)
+            this->drop_copy();
+    }
+
+    /// The generation goes on from the copy: nothing more is asked of the source, and nothing more is told.
+    void settle()
     {
         this->phase_changed = nullptr;
         this->timer.cancel();
         this->reservation.reset();
         this->drop_connection();
-        if (this->copy)
-            this->drop_copy();
+        this->is_settled = true;
     }
 
-    /// The generation runs at the target and takes its room there itself.
-    void withdraw_reservation() { this->reservation.reset(); }
-
     [[nodiscard]] Phase phase() const { return this->current; }
     [[nodiscard]] bool has_copy() const { return this->copy.has_value(); }
     [[nodiscard]] BackendPointer const& target() const { return this->chosen; }
@@ -150,7 +155,7 @@
     {
         this->timer.expires_after(busy_retry_delay);
         this->timer.async_wait([self = this->shared_from_this(), is_last](boost::system::error_code error) {
-            if (!error)
+            if (!error && !self->is_settled)
                 self->ask_for_copy(is_last);
         });
     }
@@ -161,7 +166,7 @@
         auto ends_at = source.ends_at.value_or(source.available_since + this->context.settings.drain_time);
         this->timer.expires_at(ends_at - handover_margin);
         this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-            if (error)
+            if (error || self->is_settled)
                 return;
             self->enter(Phase::HandingOver);
             self->ask_for_copy(true);
@@ -171,10 +176,11 @@
     void enter(Phase phase)
     {
         this->current = phase;
-        // The observer may let go of this object.
+        // The observer may let go of this object, and withdraw() of the observer.
         auto self = this->shared_from_this();
-        if (this->phase_changed)
-            this->phase_changed();
+        auto observer = this->phase_changed;
+        if (observer)
+            observer();
     }
 
     void fail(std::string const& reason)
@@ -228,6 +234,7 @@
     unsigned answer_status { 0 };
     std::string answer_body;
     std::optional<MemoryCopy> copy;
+    bool is_settled { false };
 };
 
 }
--- /dev/null
+++ b/Tests/LibHttp/ScriptedPeer.h
@@ -0,0 +1,132 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibHttp/BackendConnection.h>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <list>
+
+namespace Http::Test {
+
+/// Runs the loop until `done`, and fails the test if that does not come about.
+template<typename Done>
+void run_until(asio::io_context& loop, Done done)
+{
+    auto give_up_at = std::chrono::steady_clock::now() + 10s;
+    while (!done()) {
+        loop.restart();
+        loop.run_one_for(10ms);
+        REQUIRE(std::chrono::steady_clock::now() < give_up_at);
+    }
+}
+
+/// A peer on loopback that answers each request with bytes written ahead, on the test's own loop.
+class ScriptedPeer {
+public:
+    enum class Then : u8 {
+        KeepOpen,
+        Close,
+        Reset,
+    };
+
+    explicit ScriptedPeer(asio::io_context& loop)
+        : acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        this->accept();
+    }
+
+    [[nodiscard]] tcp::endpoint endpoint() const { return this->local; }
+    void script(std::string bytes, Then then = Then::KeepOpen)
+    {
+        this->answer = std::move(bytes);
+        this->then = then;
+    }
+    void close_connections() { this->connections.clear(); }
+    void stop()
+    {
+        this->acceptor.close();
+        this->connections.clear();
+    }
+    /// All bytes that have come, over all connections.
+    std::string received;
+
+private:
+    struct Connection {
+        explicit Connection(tcp::socket socket)
+            : socket(std::move(socket))
+        {
+        }
+        tcp::socket socket;
+        std::array<char, 4096> buffer {};
+    };
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            this->connections.push_back(std::make_shared<Connection>(std::move(socket)));
+            this->serve(this->connections.back());
+            this->accept();
+        });
+    }
+
+    void serve(std::shared_ptr<Connection> const& connection)
+    {
+        connection->socket.async_read_some(
+            asio::buffer(connection->buffer), [this, connection](boost::system::error_code error, size_t count) {
+                if (error)
+                    return;
+                this->received.append(connection->buffer.data(), count);
+                asio::write(connection->socket, asio::buffer(this->answer), error);
+                this->finish(*connection);
+                if (connection->socket.is_open())
+                    this->serve(connection);
+            });
+    }
+
+    void finish(Connection& connection)
+    {
+        if (this->then == Then::KeepOpen)
+            return;
+        if (this->then == Then::Reset)
+            connection.socket.set_option(asio::socket_base::linger(true, 0));
+        connection.socket.close();
+    }
+
+    tcp::acceptor acceptor;
+    tcp::endpoint local { acceptor.local_endpoint() };
+    std::string answer;
+    Then then { Then::KeepOpen };
+    std::list<std::shared_ptr<Connection>> connections;
+};
+
+/// What one exchange brought.
+struct Collected {
+    ExchangeObserver observer()
+    {
+        return {
+            [this](ResponseHead const& head) {
+                if (!this->skip_unless.empty() && head["X-For"] != this->skip_unless)
+                    return HeadVerdict::Skip;
+                this->status = head.result_int();
+                return HeadVerdict::Take;
+            },
+            [this](std::string_view piece) { this->body += piece; },
+            [this](ExchangeEnd how, std::string const&) { this->end = how; },
+        };
+    }
+
+    std::string skip_unless;
+    unsigned status { 0 };
+    std::string body;
+    std::optional<ExchangeEnd> end;
+};
+
+}
--- /dev/null
+++ b/Tests/LibHttp/TestBackendConnection.cpp
@@ -0,0 +1,160 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibHttp/ConnectionPool.h>
+#include <Tests/LibHttp/ScriptedPeer.h>
+#include <catch2/catch.hpp>
+
+using Http::ExchangeEnd;
+using Http::HeadVerdict;
+using Http::Test::Collected;
+using Http::Test::ScriptedPeer;
+
+static Http::Request post(std::string body = "question")
+{
+    Http::Request request(Http::Verb::post, "/ask", 11);
+    request.set(Http::Name::host, "example");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
+}
+
+SCENARIO("what a backend server answers is told from what it does not")
+{
+    Http::asio::io_context loop;
+    ScriptedPeer peer(loop);
+    Http::ConnectionPool pool(loop);
+    Collected collected;
+
+    auto ask = [&](std::shared_ptr<Http::BackendConnection> const& connection) {
+        connection->exchange(post(), collected.observer(), 1s, 5s);
+        Http::Test::run_until(loop, [&] { return collected.end.has_value(); });
+    };
+
+    GIVEN("an answer with a length")
+    {
+        peer.script("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        auto connection = pool.acquire(peer.endpoint());
+        ask(connection);
+        CHECK(collected.end == ExchangeEnd::Complete);
+        CHECK(collected.body == "hello");
+        THEN("the connection can be used again")
+        {
+            CHECK(connection->is_reusable());
+        }
+    }
+    GIVEN("bytes behind a whole answer")
+    {
+        peer.script("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd");
+        auto connection = pool.acquire(peer.endpoint());
+        ask(connection);
+        CHECK(collected.end == ExchangeEnd::Complete);
+        CHECK(collected.body == "hello");
+        THEN("the connection is not used again")
+        {
+            CHECK_FALSE(connection->is_reusable());
+        }
+    }
+    GIVEN("an answer to an earlier request in front of its own")
+    {
+        peer.script("HTTP/1.1 200 OK\r\nX-For: earlier\r\nContent-Length: 3\r\n\r\nodd"
+                    "HTTP/1.1 200 OK\r\nX-For: this\r\nContent-Length: 5\r\n\r\nhello");
+        collected.skip_unless = "this";
+        ask(pool.acquire(peer.endpoint()));
+        CHECK(collected.end == ExchangeEnd::Complete);
+        CHECK(collected.body == "hello");
+    }
+    GIVEN("an answer without a length that ends with its connection")
+    {
+        peer.script("HTTP/1.1 200 OK\r\n\r\nhello", ScriptedPeer::Then::Close);
+        auto connection = pool.acquire(peer.endpoint());
+        ask(connection);
+        CHECK(collected.end == ExchangeEnd::Complete);
+        CHECK(collected.body == "hello");
+        CHECK_FALSE(connection->is_reusable());
+    }
+    GIVEN("an answer without a length that is reset")
+    {
+        peer.script("HTTP/1.1 200 OK\r\n\r\nhello", ScriptedPeer::Then::Reset);
+        ask(pool.acquire(peer.endpoint()));
+        CHECK(collected.end != ExchangeEnd::Complete);
+    }
+    GIVEN("an answer that breaks off")
+    {
+        peer.script("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", ScriptedPeer::Then::Close);
+        ask(pool.acquire(peer.endpoint()));
+        CHECK(collected.end == ExchangeEnd::Truncated);
+    }
+    GIVEN("bytes that are no answer")
+    {
+        peer.script("no answer at all\r\n\r\n");
+        ask(pool.acquire(peer.endpoint()));
+        CHECK(collected.end == ExchangeEnd::Malformed);
+    }
+    GIVEN("a close without a word")
+    {
+        peer.script("", ScriptedPeer::Then::Close);
+        ask(pool.acquire(peer.endpoint()));
+        CHECK(collected.end == ExchangeEnd::NoAnswer);
+    }
+    GIVEN("nobody at the address")
+    {
+        auto endpoint = peer.endpoint();
+        peer.stop();
+        ask(pool.acquire(endpoint));
+        CHECK(collected.end == ExchangeEnd::NotConnected);
+    }
+    GIVEN("an observer that cancels in the middle of its own call and held the last reference to itself")
+    {
+        peer.script("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello");
+        auto connection = pool.acquire(peer.endpoint());
+        auto owner = std::make_shared<std::string>("alive");
+        bool was_alive_after_cancel = false;
+        std::weak_ptr<std::string> watch = owner;
+        Http::ExchangeObserver observer {
+            [](Http::ResponseHead const&) { return HeadVerdict::Take; },
+            [owner, connection, &watch, &was_alive_after_cancel](std::string_view) {
+                // Taken out of the closure first, which must not be looked at if it has gone.
+                auto& still_watched = watch;
+                auto& verdict = was_alive_after_cancel;
+                auto kept = connection;
+                kept->cancel();
+                verdict = !still_watched.expired();
+            },
+            [](ExchangeEnd, std::string const&) { FAIL("a cancelled exchange tells nothing"); },
+        };
+        owner = nullptr;
+        connection->exchange(post(), std::move(observer), 1s, 5s);
+        Http::Test::run_until(loop, [&] { return watch.expired(); });
+        CHECK(was_alive_after_cancel);
+        CHECK(watch.expired());
+    }
+}
+
+SCENARIO("the pool hands out kept connections only while they are good")
+{
+    Http::asio::io_context loop;
+    ScriptedPeer peer(loop);
+    Http::ConnectionPool pool(loop);
+    Collected collected;
+    peer.script("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+    auto first = pool.acquire(peer.endpoint());
+    first->exchange(post(), collected.observer(), 1s, 5s);
+    Http::Test::run_until(loop, [&] { return collected.end.has_value(); });
+    REQUIRE(collected.end == ExchangeEnd::Complete);
+    pool.release(first);
+
+    WHEN("nothing has happened since")
+    {
+        CHECK(pool.acquire(peer.endpoint()) == first);
+    }
+    WHEN("the peer has closed it")
+    {
+        peer.close_connections();
+        Http::Test::run_until(loop, [&] { return !first->is_reusable(); });
+        CHECK(pool.acquire(peer.endpoint()) != first);
+    }
+}
