LibServing: Tell the other entry hosts of every placement at once

Hosts now find each other through a table of the platform, read once at the start, and tell each other over ZeroMQ what they have running where: changes 2 ms after they happen, the whole each second.

--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -44,6 +44,13 @@
     source.changes(table, version, duration, duration, on_changes);
 };
 
+/// Asynchronous writes of single rows. Answers once, within `patience`.
+template<typename T>
+concept RowWriter = requires(T& store, std::string const& text, Duration patience, std::function<void(Result<void>)> on_done)
+{
+    store.put(text, text, text, patience, on_done);
+};
+
 struct FollowerTiming {
     /// How long the platform may hold a call that waits for changes. It bounds how long a lost answer goes unnoticed.
     Duration wait { 2s };
--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -9,9 +9,9 @@
 
 namespace Serving {
 
-BackendList::BackendList(ServingContext& context, std::function<void(BackendPointer const&)> on_leaving)
+BackendList::BackendList(ServingContext& context, Observer observer)
     : context(context)
-    , on_leaving(std::move(on_leaving))
+    , observer(std::move(observer))
 {
 }
 
@@ -40,6 +40,8 @@
     auto backend = this->context.backends.update(server, now);
     if (!backend)
         return;
+    if (!before)
+        this->observer.appeared(backend);
     this->context.log.event(Core::EventNumber::BackendServerChanged, server.id.value())
         .with("state", to_string(backend->availability))
         .with("service", server.service)
@@ -48,7 +50,7 @@
         .with("slots", server.slots);
     if (backend->availability == Availability::Leaving && (was_serving || !before)) {
         backend->available_since = now;
-        this->on_leaving(backend);
+        this->observer.leaves(backend);
     }
 }
 
@@ -72,7 +74,7 @@
     // It may go on running for as long as one that says that it leaves; what runs there is moved all the same.
     if (!backend->ends_at)
         backend->available_since = now;
-    this->on_leaving(backend);
+    this->observer.leaves(backend);
 }
 
 void BackendList::platform_regained()
--- a/Libraries/LibServing/BackendList.h
+++ b/Libraries/LibServing/BackendList.h
@@ -16,7 +16,13 @@
 /// heard in that time is therefore held until it is over.
 class BackendList {
 public:
-    BackendList(ServingContext& context, std::function<void(BackendPointer const&)> on_leaving);
+    struct Observer {
+        std::function<void(BackendPointer const&)> appeared;
+        /// It says that it leaves, or is off the list.
+        std::function<void(BackendPointer const&)> leaves;
+    };
+
+    BackendList(ServingContext& context, Observer observer);
 
     /// The whole list, at one moment.
     void listed(std::vector<BackendServer> const&);
@@ -31,7 +37,7 @@
     void remove_now(EngineId const&);
 
     ServingContext& context;
-    std::function<void(BackendPointer const&)> on_leaving;
+    Observer observer;
     Instant recovery_over_at {};
     std::map<EngineId, Instant> held_removals;
 };
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -68,6 +68,7 @@
             .with("left_ms", this->time_left());
         auto prompt = this->demand().prompt.value();
         this->claim.emplace(chosen, prompt, prompt);
+        this->context.use_changed();
         this->dispatch_to(chosen, {});
     }
 
@@ -157,6 +158,7 @@
     {
         this->last_event_at = now;
         this->claim->prompt_read();
+        this->context.use_changed();
         auto waited = now - this->exchange().received_at();
         this->context.metrics.observe("first_event_seconds", waited);
         this->context.log.event(Core::EventNumber::FirstTokenDelivered, this->attempt())
@@ -227,6 +229,7 @@
             .with("from", this->backend->server.id)
             .with("reason", reason);
         this->claim.reset();
+        this->context.use_changed();
         bool const may_try = this->tried.size() < most_handovers
             && (is_free || this->context.budget.take(this->call.service->name, ServingContext::now()));
         if (may_try)
@@ -300,6 +303,7 @@
         auto target = this->move->target();
         auto held = this->claim->held_tokens();
         this->claim.emplace(target, held, 0);
+        this->context.use_changed();
         this->dispatch_to(target, Continuation { this->move->copy_name(), this->order.last() });
     }
 
@@ -386,6 +390,7 @@
             this->move->withdraw();
         this->move = nullptr;
         this->claim.reset();
+        this->context.use_changed();
     }
 
     BackendPointer backend;
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -9,6 +9,8 @@
 #include <LibHttp/CallerServer.h>
 #include <LibServing/BackendList.h>
 #include <LibServing/EngineReporter.h>
+#include <LibServing/HostDirectory.h>
+#include <LibServing/PeerLink.h>
 #include <LibServing/RequestDesk.h>
 #include <boost/asio/signal_set.hpp>
 
@@ -18,7 +20,7 @@
 /// written there, and how callers and backend servers are spoken to.
 template<typename T>
 concept HostPlatform = Dialect<typename T::Dialect> && Platform::ChangeSource<typename T::Store>
-    && requires(Platform::Row const& row)
+    && Platform::RowWriter<typename T::Store> && requires(Platform::Row const& row)
 {
     {
         T::configuration_table
@@ -51,7 +53,13 @@
         , context(loop, this->settings, log)
         , desk(this->context)
         , reporter(this->context)
-        , backends(this->context, [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); })
+        , peers(this->context, this->settings.peer_listen)
+        , backends(this->context,
+              { [this](BackendPointer const& backend) { this->peers.backend_appeared(*backend); },
+                  [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); } })
+        , directory_store(loop, this->settings.platform.value())
+        , directory(loop, this->directory_store, this->settings.host, this->settings.peer_listen,
+              [this](Address const& peer) { this->peers.learn(peer); })
         , configuration_store(loop, this->settings.platform.value())
         , backend_store(loop, this->settings.platform.value())
         , configuration_follower(loop, this->configuration_store, std::string(P::configuration_table),
@@ -84,6 +92,8 @@
         this->configuration_follower.start();
         this->backend_follower.start();
         this->reporter.start();
+        this->peers.start();
+        this->directory.start();
         this->await_signal();
         this->tick();
     }
@@ -321,7 +331,10 @@
     ServingContext context;
     RequestDesk<typename P::Dialect> desk;
     EngineReporter<typename P::Dialect> reporter;
+    PeerLink peers;
     BackendList backends;
+    typename P::Store directory_store;
+    HostDirectory<typename P::Store> directory;
     typename P::Store configuration_store;
     typename P::Store backend_store;
     Platform::ChangeFollower<typename P::Store> configuration_follower;
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -32,6 +32,7 @@
     settings.readiness_listen = Address(reader.address("host.readiness_listen"));
     if (auto metrics = reader.text_or("host.metrics_listen", ""); !metrics.empty())
         settings.metrics_listen = Address(reader.address("host.metrics_listen"));
+    settings.peer_listen = Address(reader.address("host.peer_listen"));
     settings.platform = Address(reader.address("host.platform"));
     settings.stop_grace = reader.duration_or("host.stop_grace", settings.stop_grace);
     settings.drain_time = reader.duration_or("backends.drain_time", settings.drain_time);
--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -21,6 +21,8 @@
     /// Empty: no metrics are served.
     std::optional<Address> metrics_listen;
     Address platform;
+    /// Where the other entry hosts reach this one.
+    Address peer_listen;
     /// Time between the signal to stop and the end of the process.
     Duration stop_grace { 8s };
     /// How long a backend server goes on after it has said that it leaves.
--- /dev/null
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -0,0 +1,127 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/PeerUse.h>
+#include <set>
+
+namespace Serving {
+
+/// Tokens that running generations gain are told with the next whole message, unless they add up to this much.
+static constexpr i64 notable_token_change = 1000;
+
+void PeerUse::add(Backend& backend, Use const& use, int sign)
+{
+    auto& engine = backend.engine;
+    engine.peer_generations += static_cast<u32>(sign) * use.generations;
+    engine.peer_tokens += sign * use.tokens;
+    engine.peer_unread_tokens += sign * use.unread_tokens;
+}
+
+void PeerUse::replace(std::map<EngineId, Use>& engines, EngineId const& id, Use const& use, BackendTable& table)
+{
+    auto& known = engines[id];
+    if (auto backend = table.find(id)) {
+        add(*backend, known, -1);
+        add(*backend, use, 1);
+    }
+    known = use;
+    if (use == Use {})
+        engines.erase(id);
+}
+
+void PeerUse::heard(MemberId const& name, wire::HostUse const& message, BackendTable& table, Instant now)
+{
+    auto& host = this->hosts[name];
+    host.heard_at = now;
+    std::set<EngineId> named;
+    for (auto const& engine : message.engines()) {
+        EngineId const id(engine.engine());
+        named.insert(id);
+        replace(host.engines, id, { engine.generations(), engine.tokens(), engine.unread_tokens() }, table);
+    }
+    if (!message.is_whole())
+        return;
+    auto engines = host.engines;
+    for (auto const& [id, use] : engines) {
+        if (!named.contains(id))
+            replace(host.engines, id, {}, table);
+    }
+}
+
+std::vector<MemberId> PeerUse::forget_silent(BackendTable& table, Instant now)
+{
+    std::vector<MemberId> forgotten;
+    for (auto& [name, host] : this->hosts) {
+        if (now - host.heard_at <= silence_limit)
+            continue;
+        auto engines = host.engines;
+        for (auto const& [id, use] : engines)
+            replace(host.engines, id, {}, table);
+        forgotten.push_back(name);
+    }
+    for (auto const& name : forgotten)
+        this->hosts.erase(name);
+    return forgotten;
+}
+
+void PeerUse::apply_to(Backend& backend) const
+{
+    for (auto const& [name, host] : this->hosts) {
+        auto found = host.engines.find(backend.server.id);
+        if (found != host.engines.end())
+            add(backend, found->second, 1);
+    }
+}
+
+PeerUse::Use OwnUse::use_of(Backend const& backend)
+{
+    auto const& engine = backend.engine;
+    return { engine.own_generations, engine.own_tokens + engine.expected_copy_tokens, engine.own_unread_tokens };
+}
+
+void OwnUse::append(wire::HostUse& message, EngineId const& id, PeerUse::Use const& use)
+{
+    auto& engine = *message.add_engines();
+    engine.set_engine(id.value());
+    engine.set_generations(use.generations);
+    engine.set_tokens(use.tokens);
+    engine.set_unread_tokens(use.unread_tokens);
+}
+
+wire::HostUse OwnUse::whole(BackendTable const& table)
+{
+    wire::HostUse message;
+    message.set_is_whole(true);
+    this->told.clear();
+    for (auto const& [id, backend] : table.all()) {
+        auto use = use_of(*backend);
+        if (use == PeerUse::Use {})
+            continue;
+        append(message, id, use);
+        this->told[id] = use;
+    }
+    return message;
+}
+
+std::optional<wire::HostUse> OwnUse::changes(BackendTable const& table)
+{
+    wire::HostUse message;
+    for (auto const& [id, backend] : table.all()) {
+        auto use = use_of(*backend);
+        auto& before = this->told[id];
+        bool const has_changed = use.generations != before.generations || use.unread_tokens != before.unread_tokens
+            || std::abs(use.tokens - before.tokens) >= notable_token_change;
+        if (!has_changed)
+            continue;
+        append(message, id, use);
+        before = use;
+    }
+    if (message.engines_size() == 0)
+        return {};
+    return message;
+}
+
+}
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -39,6 +39,8 @@
     /// Null until a configuration is known.
     std::shared_ptr<RoutingTable const> routing;
     bool leaving { false };
+    /// To be called when what this host has running at engines has changed.
+    std::function<void()> use_changed { [] {} };
 
     [[nodiscard]] static Instant now() { return std::chrono::steady_clock::now(); }
     [[nodiscard]] ChoiceInputs choice_inputs() const { return { this->settings.failure_domain, now() }; }
--- a/Libraries/LibWire/PeerTransport.cpp
+++ b/Libraries/LibWire/PeerTransport.cpp
@@ -14,8 +14,17 @@
 static constexpr int queue_limit_per_peer = 1000;
 static constexpr i64 largest_frame_bytes = 4 * 1024 * 1024;
 static constexpr size_t frames_per_wake = 256;
+static constexpr int peer_silence_limit_milliseconds = 3000;
 
 PeerTransport::PeerTransport(Core::EventLoop& loop, Core::EventLog& event_log, Core::Metrics& metrics, Address listen,
+    std::optional<CurveKeys> curve)
+    : PeerTransport(
+        [&loop](zmq::socket_ref socket, std::function<void()> on_readable) { loop.watch(socket, std::move(on_readable)); },
+        event_log, metrics, std::move(listen), std::move(curve))
+{
+}
+
+PeerTransport::PeerTransport(Watch const& watch, Core::EventLog& event_log, Core::Metrics& metrics, Address listen,
     std::optional<CurveKeys> curve)
     : event_log(event_log)
     , metrics(metrics)
@@ -28,13 +37,13 @@
     if (this->curve) {
         // ZeroMQ asks this address, and no other, whether a client's key is welcome (RFC 27, ZAP).
         this->authentication_socket.bind("inproc://zeromq.zap.01");
-        loop.watch(this->authentication_socket, [this] { this->answer_authentication(); });
+        watch(this->authentication_socket, [this] { this->answer_authentication(); });
         this->secure(this->inbound, true);
     }
     this->inbound.set(zmq::sockopt::linger, 0);
     this->inbound.set(zmq::sockopt::maxmsgsize, largest_frame_bytes);
     this->inbound.bind("tcp://" + this->listen.value());
-    loop.watch(this->inbound, [this] { this->receive_all(); });
+    watch(this->inbound, [this] { this->receive_all(); });
 }
 
 void PeerTransport::secure(zmq::socket_t& socket, bool is_server)
@@ -98,6 +107,8 @@
     zmq::socket_t socket(this->context, zmq::socket_type::dealer);
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, queue_limit_per_peer);
+    // A peer that is cut off acknowledges nothing; without a bound its connection would hang for minutes.
+    socket.set(zmq::sockopt::tcp_maxrt, peer_silence_limit_milliseconds);
     socket.set(zmq::sockopt::reconnect_ivl, 100);
     socket.set(zmq::sockopt::reconnect_ivl_max, 2000);
     this->secure(socket, false);
--- a/Libraries/LibWire/PeerTransport.h
+++ b/Libraries/LibWire/PeerTransport.h
@@ -33,7 +33,11 @@
 public:
     using Handler = std::function<void(wire::Envelope const&)>;
 
+    /// Calls a function on the loop whenever a socket has messages.
+    using Watch = std::function<void(zmq::socket_ref, std::function<void()>)>;
+
     PeerTransport(Core::EventLoop&, Core::EventLog&, Core::Metrics&, Address listen, std::optional<CurveKeys>);
+    PeerTransport(Watch const&, Core::EventLog&, Core::Metrics&, Address listen, std::optional<CurveKeys>);
 
     void on_message(Handler handler) { this->handler = std::move(handler); }
     /// Sends, or drops when the peer's queue is full: every exchange tolerates loss.
