LibServing: Hear of leaving backend servers from other hosts and from themselves

Hosts now pass such news on; a host that the platform does not answer, or that hears no other host, asks the engines that run its generations; reports are not asked for otherwise. Domains whose hosts are all silent are avoided.

--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -17,6 +17,8 @@
 /// Costs are in parts of a backend server's capacity. Crossing failure domains costs bytes between them and a
 /// millisecond or two; worth it only for a clearly emptier backend server.
 static constexpr double other_domain_cost = 0.08;
+/// A domain whose hosts are all silent is most likely cut off: a connection there would only cost its time-out.
+static constexpr double silent_domain_cost = 50;
 /// Chosen only when all others are avoided as well.
 static constexpr double avoided_cost = 100;
 /// A backend server that fails every request counts as four times full.
@@ -36,6 +38,8 @@
     double cost = noise(random) + backend.health.failure_share * failure_cost;
     if (backend.server.failure_domain != inputs.own_failure_domain)
         cost += other_domain_cost;
+    if (std::ranges::find(inputs.silent_domains, backend.server.failure_domain) != inputs.silent_domains.end())
+        cost += silent_domain_cost;
     if (backend.is_avoided(inputs.now))
         cost += avoided_cost;
     return cost;
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -14,6 +14,8 @@
 
 struct ChoiceInputs {
     FailureDomainId own_failure_domain;
+    /// Other failure domains that seem to be cut off from this one.
+    std::vector<FailureDomainId> silent_domains;
     Instant now;
 };
 
--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -54,6 +54,21 @@
     }
 }
 
+void BackendList::leaving(EngineId const& id, std::optional<Instant> ends_at)
+{
+    auto backend = this->context.backends.find(id);
+    if (!backend || backend->availability != Availability::Serving)
+        return;
+    backend->availability = Availability::Leaving;
+    backend->available_since = ServingContext::now();
+    if (ends_at)
+        backend->ends_at = ends_at;
+    this->context.log.event(Core::EventNumber::BackendServerChanged, id.value())
+        .with("state", to_string(backend->availability))
+        .with("heard_from", "another host or itself");
+    this->observer.leaves(backend);
+}
+
 void BackendList::removed(EngineId const& id)
 {
     auto now = ServingContext::now();
--- a/Libraries/LibServing/BackendList.h
+++ b/Libraries/LibServing/BackendList.h
@@ -28,6 +28,8 @@
     void listed(std::vector<BackendServer> const&);
     void changed(BackendServer const&);
     void removed(EngineId const&);
+    /// Another host, or the backend server itself, says that it takes no new work.
+    void leaving(EngineId const&, std::optional<Instant> ends_at);
     /// The platform answers again.
     void platform_regained();
     /// Carries out removals whose time has come.
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -21,6 +21,8 @@
     }
 
     void start() { this->schedule(); }
+    /// Called when an engine's report says that it is leaving.
+    void on_leaving(std::function<void(Backend const&)> observer) { this->leaving_reported = std::move(observer); }
 
     void engine_leaves(BackendPointer const& backend)
     {
@@ -29,8 +31,11 @@
     }
 
 private:
-    /// Each question costs the engine something, and the answer is half a second old.
-    static constexpr Duration period = 1s;
+    /// Each question costs the engine something, and the answer is half a second old. So engines are only asked while
+    /// what the platform and the other hosts say may be incomplete.
+    static constexpr Duration period = 300ms;
+    /// Of every so many rounds one asks all engines, the others only those that run generations of this host.
+    static constexpr u32 rounds_to_ask_all = 4;
     static constexpr Duration answer_patience = 1s;
 
     [[nodiscard]] bool is_engine(Backend const& backend) const
@@ -47,14 +52,25 @@
         this->timer.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
-            for (auto const& [id, backend] : this->context.backends.all()) {
-                if (backend->availability == Availability::Serving && this->is_engine(*backend))
-                    this->ask(backend);
-            }
+            this->ask_round();
             this->schedule();
         });
     }
 
+    void ask_round()
+    {
+        auto now = ServingContext::now();
+        bool const is_cut_off = this->context.reach.is_cut_off(now);
+        bool const asks_all = ++this->rounds % rounds_to_ask_all == 0
+            && (is_cut_off || this->context.reach.misses_hosts(now));
+        for (auto const& [id, backend] : this->context.backends.all()) {
+            if (backend->availability != Availability::Serving || !this->is_engine(*backend))
+                continue;
+            if (asks_all || (is_cut_off && backend->engine.own_generations > 0))
+                this->ask(backend);
+        }
+    }
+
     void ask(BackendPointer const& backend)
     {
         if (std::exchange(backend->engine.report_under_way, true))
@@ -102,17 +118,24 @@
         }
         backend.engine.report = report.value();
         backend.engine.report_heard_at = now;
-        if (!report.value().ends_in)
-            return;
-        backend.ends_at = now + *report.value().ends_in;
+        if (report.value().ends_in)
+            this->note_end(backend, *report.value().ends_in);
+        if (report.value().is_leaving && backend.availability == Availability::Serving)
+            this->leaving_reported(backend);
+    }
+
+    void note_end(Backend& backend, Duration ends_in)
+    {
+        backend.ends_at = ServingContext::now() + ends_in;
         this->context.log.event(Core::EventNumber::EngineLeaving, backend.server.id.value())
-            .with("ends_in_ms", *report.value().ends_in)
-            .with("running", report.value().running)
+            .with("ends_in_ms", ends_in)
             .with("own_generations", backend.engine.own_generations);
     }
 
     ServingContext& context;
     Http::asio::steady_timer timer;
+    std::function<void(Backend const&)> leaving_reported { [](Backend const&) {} };
+    u32 rounds { 0 };
 };
 
 }
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -56,7 +56,7 @@
         , peers(this->context, this->settings.peer_listen)
         , backends(this->context,
               { [this](BackendPointer const& backend) { this->peers.backend_appeared(*backend); },
-                  [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); } })
+                  [this](BackendPointer const& backend) { this->backend_leaves(backend); } })
         , directory_store(loop, this->settings.platform.value())
         , directory(loop, this->directory_store, this->settings.host, this->settings.peer_listen,
               [this](Address const& peer) { this->peers.learn(peer); })
@@ -92,6 +92,12 @@
         this->configuration_follower.start();
         this->backend_follower.start();
         this->reporter.start();
+        this->peers.on_leaving(
+            [this](EngineId const& id, std::optional<Instant> ends_at) { this->backends.leaving(id, ends_at); });
+        this->reporter.on_leaving([this](Backend const& backend) {
+            this->backends.leaving(backend.server.id, backend.ends_at);
+            this->peers.tell_leaving(backend);
+        });
         this->peers.start();
         this->directory.start();
         this->await_signal();
@@ -179,7 +185,12 @@
     Platform::FollowerObserver make_backend_observer()
     {
         auto observer = this->make_observer(P::backend_table);
+        observer.lost = [this, log_loss = std::move(observer.lost)](Error const& error) {
+            this->context.reach.platform_is_lost();
+            log_loss(error);
+        };
         observer.regained = [this] {
+            this->context.reach.platform_answers();
             this->log.event(Core::EventNumber::PlatformAvailable, P::backend_table);
             this->backends.platform_regained();
         };
@@ -240,6 +251,12 @@
         this->backends.changed(decoded.value());
     }
 
+    void backend_leaves(BackendPointer const& backend)
+    {
+        this->reporter.engine_leaves(backend);
+        this->peers.tell_leaving(*backend);
+    }
+
     void reject_row(Platform::Row const& row, Error const& error)
     {
         this->context.metrics.add("platform_rows_rejected_total");
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -43,6 +43,23 @@
 
     void backend_appeared(Backend& backend) { this->use.apply_to(backend); }
 
+    /// Tells the others that a backend server is leaving; some may not hear it from the platform.
+    void tell_leaving(Backend const& backend)
+    {
+        wire::HostUse message;
+        auto& leaving = *message.add_leaving();
+        leaving.set_backend(backend.server.id.value());
+        leaving.set_ends_in_milliseconds(
+            backend.ends_at ? AK::to_milliseconds(*backend.ends_at - ServingContext::now()) : -1);
+        this->broadcast(message);
+    }
+
+    /// Called when another host says that a backend server is leaving.
+    void on_leaving(std::function<void(EngineId const&, std::optional<Instant> ends_at)> observer)
+    {
+        this->leaving_heard = std::move(observer);
+    }
+
 private:
     struct Peer {
         Instant heard_at {};
@@ -50,13 +67,22 @@
 
     /// Changes of one moment go out together; the others know of a placement within this time and their distance.
     static constexpr Duration change_delay = 2ms;
-    static constexpr Duration whole_message_period = 1s;
+    /// Whole messages are some hundred bytes to each peer; this keeps all of them near 1.5 KB a second.
+    static constexpr Duration whole_message_period_for_each_peer = 60ms;
+    static constexpr Duration shortest_whole_message_period = 300ms;
+    static constexpr Duration longest_whole_message_period = 2s;
+    /// Whole messages that may be missed before a host counts as silent, and the time that one may be late.
+    static constexpr int tolerated_missing_messages = 2;
+    static constexpr Duration tolerated_lateness = 200ms;
     /// Hosts that are silent are still told now and then, in case they come back.
     static constexpr u32 whole_messages_between_calls_to_silent = 4;
 
     void schedule()
     {
-        this->timer.expires_after(whole_message_period);
+        auto period = std::clamp<Duration>(static_cast<i64>(this->peers.size()) * whole_message_period_for_each_peer,
+            shortest_whole_message_period, longest_whole_message_period);
+        this->context.reach.set_silence_limit(tolerated_missing_messages * period + tolerated_lateness);
+        this->timer.expires_after(period);
         this->timer.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
@@ -85,7 +111,9 @@
         auto now = ServingContext::now();
         for (auto const& name : this->use.forget_silent(this->context.backends, now))
             this->context.log.event(Core::EventNumber::MemberLost, name.value());
-        this->broadcast(this->own.whole(this->context.backends));
+        auto message = this->own.whole(this->context.backends);
+        message.set_failure_domain(this->context.settings.failure_domain.value());
+        this->broadcast(message);
         if (this->whole_messages % whole_messages_between_calls_to_silent != 0)
             return;
         for (auto const& [address, peer] : this->peers) {
@@ -107,6 +135,7 @@
     {
         auto message = this->own.whole(this->context.backends);
         message.set_wants_answer(wants_answer);
+        message.set_failure_domain(this->context.settings.failure_domain.value());
         this->send(peer, message);
     }
 
@@ -127,8 +156,19 @@
         if (now - peer.heard_at > PeerUse::silence_limit)
             this->context.log.event(Core::EventNumber::MemberJoined, envelope.sender()).with("address", sender);
         peer.heard_at = now;
-        this->use.heard(MemberId(envelope.sender()), envelope.host_use(), this->context.backends, now);
-        if (envelope.host_use().wants_answer())
+        auto const& message = envelope.host_use();
+        this->use.heard(MemberId(envelope.sender()), message, this->context.backends, now);
+        if (!message.failure_domain().empty())
+            this->context.reach.heard(sender, FailureDomainId(message.failure_domain()), now);
+        else
+            this->context.reach.heard(sender, now);
+        for (auto const& leaving : message.leaving()) {
+            std::optional<Instant> ends_at;
+            if (leaving.ends_in_milliseconds() >= 0)
+                ends_at = now + std::chrono::milliseconds(leaving.ends_in_milliseconds());
+            this->leaving_heard(EngineId(leaving.backend()), ends_at);
+        }
+        if (message.wants_answer())
             this->send_whole(sender, false);
     }
 
@@ -140,6 +180,7 @@
     std::map<Address, Peer> peers;
     PeerUse use;
     OwnUse own;
+    std::function<void(EngineId const&, std::optional<Instant>)> leaving_heard { [](auto const&, auto) {} };
     u32 whole_messages { 0 };
     bool changes_wait { false };
 };
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -11,6 +11,7 @@
 #include <LibHttp/ConnectionPool.h>
 #include <LibServing/BackendChooser.h>
 #include <LibServing/HostSettings.h>
+#include <LibServing/Reach.h>
 #include <LibServing/RetryBudget.h>
 #include <LibServing/RoutingTable.h>
 
@@ -24,6 +25,7 @@
         , log(log)
         , connections(loop)
         , budget(settings.retry_budget)
+        , reach(settings.failure_domain)
         , random(settings.random_seed)
     {
     }
@@ -35,6 +37,7 @@
     Http::ConnectionPool connections;
     BackendTable backends;
     RetryBudget budget;
+    Reach reach;
     boost::random::mt19937 random;
     /// Null until a configuration is known.
     std::shared_ptr<RoutingTable const> routing;
@@ -43,7 +46,10 @@
     std::function<void()> use_changed { [] {} };
 
     [[nodiscard]] static Instant now() { return std::chrono::steady_clock::now(); }
-    [[nodiscard]] ChoiceInputs choice_inputs() const { return { this->settings.failure_domain, now() }; }
+    [[nodiscard]] ChoiceInputs choice_inputs() const
+    {
+        return { this->settings.failure_domain, this->reach.silent_domains(now()), now() };
+    }
 };
 
 }
