LibServing: Keep generations in their failure domain, and ask engines on behalf of all

One host, chosen by rendezvous among those heard, asks each engine in use every 350 ms for all; a generation leaves its domain, and a copy its engine's, only for a clearly emptier engine. Ruled out: time-outs of connections (the last copies took 358 to 412 ms by the log).

--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -14,9 +14,7 @@
 static constexpr Duration load_report_lifetime = 1s;
 /// Reports of engines are asked for each second and are half a second old when they come.
 static constexpr Duration engine_report_lifetime = 3s;
-/// Costs are in parts of a backend server's capacity. Crossing failure domains costs bytes between them and a
-/// millisecond or two; worth it only for a clearly emptier backend server.
-static constexpr double other_domain_cost = 0.08;
+/// Costs are in parts of a backend server's capacity.
 /// A domain whose hosts are all silent is most likely cut off: a connection there would only cost its time-out.
 static constexpr double silent_domain_cost = 50;
 /// Chosen only when all others are avoided as well.
@@ -37,7 +35,7 @@
     boost::random::uniform_real_distribution<double> noise(0, tie_breaking_noise);
     double cost = noise(random) + backend.health.failure_share * failure_cost;
     if (backend.server.failure_domain != inputs.own_failure_domain)
-        cost += other_domain_cost;
+        cost += inputs.other_domain_cost;
     if (std::ranges::find(inputs.silent_domains, backend.server.failure_domain) != inputs.silent_domains.end())
         cost += silent_domain_cost;
     if (backend.is_avoided(inputs.now))
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -17,6 +17,8 @@
     /// Other failure domains that seem to be cut off from this one.
     std::vector<FailureDomainId> silent_domains;
     Instant now;
+    /// What it costs, in parts of a backend server's capacity, to choose one in another failure domain.
+    double other_domain_cost { 0 };
 };
 
 /// A backend server for a call to a plain service: the least busy by what this host has there and by what it last said
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -31,9 +31,10 @@
     }
 
 private:
-    /// Each question costs the engine something, and the answer is half a second old. So engines are only asked while
-    /// what the platform and the other hosts say may be incomplete.
-    static constexpr Duration period = 300ms;
+    /// Each question costs the engine something, so one host asks for all, and tells the others of an engine that is
+    /// leaving: the platform may be away just then, and notice is as short as a second and a half. A host that is cut
+    /// off asks for itself.
+    static constexpr Duration period = 350ms;
     /// Of every so many rounds one asks all engines, the others only those that run generations of this host.
     static constexpr u32 rounds_to_ask_all = 4;
     static constexpr Duration answer_patience = 1s;
@@ -66,7 +67,10 @@
         for (auto const& [id, backend] : this->context.backends.all()) {
             if (backend->availability != Availability::Serving || !this->is_engine(*backend))
                 continue;
-            if (asks_all || (is_cut_off && backend->engine.own_generations > 0))
+            bool const is_in_use = backend->engine.generations() > 0;
+            bool const looks_after
+                = is_in_use && this->context.reach.looks_after(this->context.settings.peer_listen, id.value(), now);
+            if (asks_all || looks_after || (is_cut_off && backend->engine.own_generations > 0))
                 this->ask(backend);
         }
     }
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -35,6 +35,8 @@
     using Phase = typename Move::Phase;
 
     static constexpr u32 most_handovers = 4;
+    /// A generation runs for seconds, and is lost when its engine's domain is cut off from this host's.
+    static constexpr double other_domain_cost = 0.3;
 
     // --- placing
 
@@ -52,7 +54,7 @@
     {
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
         auto chosen = choose_for_generation(candidates, this->tried, this->need(), this->traits().memory,
-            this->context.choice_inputs(), this->context.random);
+            this->context.choice_inputs(other_domain_cost), this->context.random);
         if (!chosen)
             return this->refuse("no engine of the service is known to serve");
         this->tried.push_back(chosen->server.id);
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -74,17 +74,27 @@
 
 private:
     static constexpr u32 most_targets = 3;
+    /// A copy to another domain takes twice as long, and all copies from an engine that is leaving share its link and
+    /// the little time that is left.
+    static constexpr double other_domain_cost = 0.5;
     /// Time before the end of the source at which the run is stopped. The last copies of all generations there share
     /// its link: about ten generations with some megabytes each, at some hundred megabytes a second.
     static constexpr Duration handover_margin = 450ms;
     static constexpr Duration busy_retry_delay = 60ms;
 
+    [[nodiscard]] ChoiceInputs choice_inputs() const
+    {
+        auto inputs = this->context.choice_inputs(other_domain_cost);
+        inputs.own_failure_domain = this->inputs.source->server.failure_domain;
+        return inputs;
+    }
+
     void copy_to_next_target()
     {
         auto const& candidates = this->context.backends.of_service(this->inputs.source->server.service);
         GenerationNeed const need { this->inputs.held, TokenCount(0) };
         this->chosen = choose_for_generation(
-            candidates, this->tried, need, this->inputs.memory, this->context.choice_inputs(), this->context.random);
+            candidates, this->tried, need, this->inputs.memory, this->choice_inputs(), this->context.random);
         if (!this->chosen || this->tried.size() >= most_targets)
             return this->fail("no engine has the room");
         this->tried.push_back(this->chosen->server.id);
--- a/Libraries/LibServing/Reach.cpp
+++ b/Libraries/LibServing/Reach.cpp
@@ -7,6 +7,7 @@
 #include <LibServing/Reach.h>
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace Serving {
 
@@ -39,6 +40,21 @@
     });
 }
 
+static u64 rank(Address const& host, std::string_view subject)
+{
+    auto text = host.value() + '/';
+    text += subject;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+bool Reach::looks_after(Address const& own_address, std::string_view subject, Instant now) const
+{
+    auto own_rank = rank(own_address, subject);
+    return std::ranges::none_of(this->hosts, [&](auto const& entry) {
+        return !this->is_silent(entry.second, now) && rank(entry.first, subject) > own_rank;
+    });
+}
+
 std::vector<FailureDomainId> Reach::silent_domains(Instant now) const
 {
     std::set<FailureDomainId> silent;
--- a/Libraries/LibServing/Reach.h
+++ b/Libraries/LibServing/Reach.h
@@ -31,6 +31,9 @@
     [[nodiscard]] bool is_cut_off(Instant now) const;
     /// Whether some host that was there lately is silent, so that its work at engines is not known.
     [[nodiscard]] bool misses_hosts(Instant now) const;
+    /// Whether this host is the one among those that it hears which looks after `subject`. Hosts that hear the same
+    /// others agree on it (rendezvous hashing).
+    [[nodiscard]] bool looks_after(Address const& own_address, std::string_view subject, Instant now) const;
     /// Other domains all of whose hosts have fallen silent.
     [[nodiscard]] std::vector<FailureDomainId> silent_domains(Instant now) const;
 
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -32,12 +32,14 @@
 private:
     /// Handovers that failed before anything was run do not count as runs, but there must be an end to them.
     static constexpr u32 most_handovers = 4;
+    /// A call is short: a millisecond or two and some bytes between domains, for a clearly emptier backend server.
+    static constexpr double other_domain_cost = 0.08;
 
     void dispatch()
     {
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
         this->backend
-            = choose_for_call(candidates, this->tried, this->context.choice_inputs(), this->context.random);
+            = choose_for_call(candidates, this->tried, this->context.choice_inputs(other_domain_cost), this->context.random);
         if (!this->backend)
             return this->no_backend();
         this->tried.push_back(this->backend->server.id);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -46,9 +46,9 @@
     std::function<void()> use_changed { [] {} };
 
     [[nodiscard]] static Instant now() { return std::chrono::steady_clock::now(); }
-    [[nodiscard]] ChoiceInputs choice_inputs() const
+    [[nodiscard]] ChoiceInputs choice_inputs(double other_domain_cost) const
     {
-        return { this->settings.failure_domain, this->reach.silent_domains(now()), now() };
+        return { this->settings.failure_domain, this->reach.silent_domains(now()), now(), other_domain_cost };
     }
 };
 
