--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -3,7 +3,7 @@
 # Checks formatting, lint and names. BUILD_DIRECTORY
 set -euo pipefail
 build_directory=$1
-[[ -f $build_directory/compile_commands.json ]] || cmake -G Ninja -B "$build_directory" -S . >/dev/null
+cmake -G Ninja -B "$build_directory" -S . >/dev/null
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v '/Generated/')
 clang-format --dry-run --Werror "${files[@]}"
 for file in "${files[@]}"; do
