LibServing: Read the platform's tables once for a domain, and pass the changes on

Now one host of a small domain and two of a large one follow the tables, by rendezvous among those that the platform answers, and pass changes on; progress in the whole messages shows what was missed. Only who learns of leaving from the engine itself tells the others. Hosts of other domains are told as often as their number allows. Ruled out: the loop itself (no turn over 120 ms), prompts beside streams (112 tokens a step on both sites).

--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -62,17 +62,27 @@
     Duration longest_retry { 400ms };
 };
 
+/// Changes of a table, as one process tells them to others that do not read it themselves.
+struct TableNews {
+    /// Version of the newest change before these.
+    u64 previous_change { 0 };
+    ChangePage page;
+};
+
 /// What a follower tells. All on the loop.
 struct FollowerObserver {
     /// The table as a whole, at the start and whenever changes may have been missed.
     std::function<void(std::vector<Row>, u64 version)> listed;
     std::function<void(std::vector<RowChange>, u64 version)> changed;
+    /// Changes that the platform itself has told, for others. After `changed`.
+    std::function<void(TableNews const&)> told { [](TableNews const&) {} };
     /// The first failed call after a good one, and the first good one after a failure.
     std::function<void(Error const&)> lost;
     std::function<void()> regained;
 };
 
 /// Keeps up with one table: reads it as a whole, then follows its changes, and reads it again when history was lost.
+/// A follower that does not follow takes changes from elsewhere, and asks the platform only for what it has missed.
 template<ChangeSource Source>
 class ChangeFollower {
 public:
@@ -87,7 +97,45 @@
     {
     }
 
-    void start() { this->list_from({}); }
+    void start()
+    {
+        this->is_calling = true;
+        this->list_from({});
+    }
+
+    /// Whether the platform is asked for changes all the time.
+    void set_following(bool now_following)
+    {
+        this->is_following = now_following;
+        if (now_following && !this->is_calling)
+            this->follow(this->timing.wait);
+    }
+
+    /// Changes from elsewhere.
+    void hear(TableNews news)
+    {
+        if (this->known_version == 0 || news.page.version <= this->known_version)
+            return;
+        if (news.previous_change > this->known_version)
+            return this->catch_up(news.page.version);
+        std::erase_if(
+            news.page.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
+        this->known_version = news.page.version;
+        this->note_last_change(news.page);
+        if (!news.page.changes.empty())
+            this->observer.changed(std::move(news.page.changes), this->known_version);
+    }
+
+    /// A change of this version is known to exist.
+    void catch_up(u64 version)
+    {
+        this->wanted_version = std::max(this->wanted_version, version);
+        if (this->known_version != 0 && this->wanted_version > this->known_version && !this->is_calling)
+            this->follow(0s);
+    }
+
+    /// Version of the newest change that is known; 0 before the table has been read.
+    [[nodiscard]] u64 last_change() const { return this->newest_change; }
     [[nodiscard]] u64 version() const { return this->known_version; }
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
 
@@ -115,17 +163,31 @@
         if (this->listing_version < this->known_version)
             return this->retry(stale_answer(), [this] { this->list_from({}); });
         this->known_version = this->listing_version;
+        this->newest_change = 0;
+        for (auto const& row : this->listing)
+            this->newest_change = std::max(this->newest_change, row.version);
         this->observer.listed(std::exchange(this->listing, {}), this->known_version);
-        this->follow();
+        this->call_again();
     }
 
-    void follow()
+    void follow(Duration wait)
     {
-        this->source.changes(this->table, this->known_version, this->timing.wait,
-            this->timing.wait + this->timing.answer_patience,
+        this->is_calling = true;
+        this->version_of_call = this->known_version;
+        this->source.changes(this->table, this->known_version, wait, wait + this->timing.answer_patience,
             [this](Result<ChangePage> page) { this->changes_arrived(std::move(page)); });
     }
 
+    /// After a call that went well: the next one, if there is a reason for it.
+    void call_again()
+    {
+        if (this->is_following)
+            return this->follow(this->timing.wait);
+        if (this->wanted_version > this->known_version)
+            return this->follow(0s);
+        this->is_calling = false;
+    }
+
     void changes_arrived(Result<ChangePage> page)
     {
         if (!page && page.error().kind == ErrorKind::HistoryLost) {
@@ -133,15 +195,32 @@
             return this->list_from({});
         }
         if (!page)
-            return this->retry(page.error(), [this] { this->follow(); });
+            return this->retry(page.error(), [this] { this->follow(this->timing.wait); });
         this->note_success();
         auto& value = page.value();
-        if (value.version < this->known_version)
-            return this->retry(stale_answer(), [this] { this->follow(); });
-        this->known_version = value.version;
+        if (value.version < this->version_of_call)
+            return this->retry(stale_answer(), [this] { this->follow(this->timing.wait); });
+        // Some of it may have been heard from elsewhere while the call was under way.
+        std::erase_if(
+            value.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
+        this->known_version = std::max(this->known_version, value.version);
         if (!value.changes.empty())
-            this->observer.changed(std::move(value.changes), this->known_version);
-        this->follow();
+            this->take(std::move(value));
+        this->call_again();
+    }
+
+    void take(ChangePage page)
+    {
+        TableNews const news { this->newest_change, page };
+        this->note_last_change(page);
+        this->observer.changed(std::move(page.changes), this->known_version);
+        this->observer.told(news);
+    }
+
+    void note_last_change(ChangePage const& page)
+    {
+        for (auto const& change : page.changes)
+            this->newest_change = std::max(this->newest_change, change.row.version);
     }
 
     static Error stale_answer()
@@ -178,6 +257,11 @@
     std::vector<Row> listing;
     u64 listing_version { 0 };
     u64 known_version { 0 };
+    u64 version_of_call { 0 };
+    u64 newest_change { 0 };
+    u64 wanted_version { 0 };
+    bool is_following { true };
+    bool is_calling { false };
     bool reachable { true };
 };
 
--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -92,9 +92,14 @@
     this->observer.leaves(backend);
 }
 
-void BackendList::platform_regained()
+void BackendList::platform_regained(Duration recovery)
 {
-    this->recovery_over_at = this->context.now() + this->context.settings.list_recovery_time;
+    this->recovery_over_at = std::max(this->recovery_over_at, this->context.now() + recovery);
+}
+
+Duration BackendList::recovery_left() const
+{
+    return std::max<Duration>(0s, this->recovery_over_at - this->context.now());
 }
 
 void BackendList::tick()
--- a/Libraries/LibServing/BackendList.h
+++ b/Libraries/LibServing/BackendList.h
@@ -30,8 +30,9 @@
     void removed(EngineId const&);
     /// Another host, or the backend server itself, says that it takes no new work.
     void leaving(EngineId const&, std::optional<Instant> ends_at);
-    /// The platform answers again.
-    void platform_regained();
+    /// The platform answers again; entries that lapsed may come back within `recovery`.
+    void platform_regained(Duration recovery);
+    [[nodiscard]] Duration recovery_left() const;
     /// Carries out removals whose time has come.
     void tick();
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -53,13 +53,14 @@
         , context(loop, this->settings, log)
         , desk(this->context)
         , reporter(this->context)
-        , peers(this->context, this->settings.peer_listen)
+        , peers(this->context, this->settings.peer_listen, this->make_peer_observer())
         , backends(this->context,
               { [this](BackendPointer const& backend) { this->peers.backend_appeared(*backend); },
-                  [this](BackendPointer const& backend) { this->backend_leaves(backend); } })
+                  [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); } })
         , directory_store(loop, this->settings.platform.value())
         , directory(loop, this->directory_store, this->settings.host, this->settings.peer_listen,
-              [this](Address const& peer) { this->peers.learn(peer); })
+              this->settings.failure_domain,
+              [this](Address const& peer, FailureDomainId const& domain) { this->peers.learn(peer, domain); })
         , configuration_store(loop, this->settings.platform.value())
         , backend_store(loop, this->settings.platform.value())
         , configuration_follower(loop, this->configuration_store, std::string(P::configuration_table),
@@ -92,8 +93,6 @@
         this->configuration_follower.start();
         this->backend_follower.start();
         this->reporter.start();
-        this->peers.on_leaving(
-            [this](EngineId const& id, std::optional<Instant> ends_at) { this->backends.leaving(id, ends_at); });
         this->reporter.on_leaving([this](Backend const& backend) {
             this->backends.leaving(backend.server.id, backend.ends_at);
             this->peers.tell_leaving(backend);
@@ -166,9 +165,13 @@
     {
         Platform::FollowerObserver observer;
         observer.lost = [this, table](Error const& error) {
+            this->context.reach.platform_is_lost();
             this->log.event(Core::EventNumber::PlatformUnavailable, table).with("reason", error.message);
         };
-        observer.regained = [this, table] { this->log.event(Core::EventNumber::PlatformAvailable, table); };
+        observer.regained = [this, table] {
+            this->context.reach.platform_answers();
+            this->log.event(Core::EventNumber::PlatformAvailable, table);
+        };
         return observer;
     }
 
@@ -186,20 +189,19 @@
                     this->take_configuration(change.row);
             }
         };
+        // A configuration is large, and a host's link may be small: the others are told that there is one, and read it.
+        observer.told
+            = [this](Platform::TableNews const& news) { this->pass_on_news(P::configuration_table, news, false); };
         return observer;
     }
 
     Platform::FollowerObserver make_backend_observer()
     {
         auto observer = this->make_observer(P::backend_table);
-        observer.lost = [this, log_loss = std::move(observer.lost)](Error const& error) {
-            this->context.reach.platform_is_lost();
-            log_loss(error);
-        };
         observer.regained = [this] {
             this->context.reach.platform_answers();
             this->log.event(Core::EventNumber::PlatformAvailable, P::backend_table);
-            this->backends.platform_regained();
+            this->backends.platform_regained(this->settings.list_recovery_time);
         };
         observer.listed = [this](std::vector<Platform::Row> const& rows, u64 version) {
             this->note_listed(P::backend_table, rows.size(), version);
@@ -210,9 +212,86 @@
             for (auto const& change : changes)
                 this->take_backend(change);
         };
+        observer.told = [this](Platform::TableNews const& news) { this->pass_on_news(P::backend_table, news, true); };
         return observer;
     }
 
+    // --- what hosts tell each other of the platform
+
+    PeerLink::Observer make_peer_observer()
+    {
+        PeerLink::Observer observer;
+        observer.backend_leaves
+            = [this](EngineId const& id, std::optional<Instant> ends_at) { this->backends.leaving(id, ends_at); };
+        observer.news
+            = [this](wire::PlatformNews const& news, bool is_from_near) { this->hear_news(news, is_from_near); };
+        observer.progress = [this](std::string const& table, u64 last_change) {
+            if (auto* follower = this->follower_of(table))
+                follower->catch_up(last_change);
+        };
+        observer.own_progress = [this] {
+            return std::vector<std::pair<std::string, u64>> {
+                { std::string(P::configuration_table), this->configuration_follower.last_change() },
+                { std::string(P::backend_table), this->backend_follower.last_change() },
+            };
+        };
+        return observer;
+    }
+
+    Platform::ChangeFollower<typename P::Store>* follower_of(std::string_view table)
+    {
+        if (table == P::configuration_table)
+            return &this->configuration_follower;
+        return table == P::backend_table ? &this->backend_follower : nullptr;
+    }
+
+    void pass_on_news(std::string_view table, Platform::TableNews const& news, bool with_rows)
+    {
+        wire::PlatformNews message;
+        message.set_table(std::string(table));
+        message.set_previous_change(news.previous_change);
+        message.set_version(with_rows ? news.page.version : this->follower_of(table)->last_change());
+        message.set_has_rows(with_rows);
+        message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
+        for (auto const& change : news.page.changes) {
+            if (!with_rows)
+                break;
+            auto& row = *message.add_rows();
+            row.set_key(change.row.key);
+            row.set_value(change.row.value);
+            row.set_version(change.row.version);
+            row.set_removed(change.removed);
+        }
+        this->peers.pass_on(std::move(message), true);
+    }
+
+    void hear_news(wire::PlatformNews const& message, bool is_from_near)
+    {
+        auto* follower = this->follower_of(message.table());
+        if (!follower || message.version() <= follower->version())
+            return;
+        // What came from another domain is news to this one.
+        if (!is_from_near)
+            this->peers.pass_on(message, false);
+        if (!message.has_rows())
+            return follower->catch_up(message.version());
+        if (message.recovery_left_milliseconds() > 0)
+            this->backends.platform_regained(std::chrono::milliseconds(message.recovery_left_milliseconds()));
+        Platform::TableNews news;
+        news.previous_change = message.previous_change();
+        news.page.version = message.version();
+        for (auto const& row : message.rows())
+            news.page.changes.push_back({ { row.key(), row.value(), row.version() }, row.removed() });
+        follower->hear(std::move(news));
+    }
+
+    void choose_reader()
+    {
+        bool const reads = this->context.reach.reads_platform(this->peers.address(), this->context.now());
+        this->configuration_follower.set_following(reads);
+        this->backend_follower.set_following(reads);
+    }
+
     void note_listed(std::string_view table, size_t count, u64 version)
     {
         this->log.event(Core::EventNumber::TableListed, table).with("rows", count).with("version", version);
@@ -258,12 +337,6 @@
         this->backends.changed(decoded.value());
     }
 
-    void backend_leaves(BackendPointer const& backend)
-    {
-        this->reporter.engine_leaves(backend);
-        this->peers.tell_leaving(*backend);
-    }
-
     void reject_row(Platform::Row const& row, Error const& error)
     {
         this->context.metrics.add("platform_rows_rejected_total");
@@ -275,6 +348,7 @@
     void tick()
     {
         this->backends.tick();
+        this->choose_reader();
         this->context.connections.drop_unusable();
         this->log.flush();
         this->tick_timer.expires_after(tick_period);
--- a/Libraries/LibServing/HostDirectory.h
+++ b/Libraries/LibServing/HostDirectory.h
@@ -8,6 +8,7 @@
 
 #include <AK/Identifiers.h>
 #include <LibPlatform/ChangeFollower.h>
+#include <LibWire/Messages.h>
 
 namespace Serving {
 
@@ -18,20 +19,23 @@
 public:
     static constexpr auto table = "lilactiller_hosts";
 
-    HostDirectory(boost::asio::io_context& loop, Store& store, MemberId host, Address own_address,
-        std::function<void(Address const&)> on_host)
+    using OnHost = std::function<void(Address const&, FailureDomainId const&)>;
+
+    HostDirectory(boost::asio::io_context& loop, Store& store, MemberId host, Address const& own_address,
+        FailureDomainId const& own_domain, OnHost on_host)
         : store(store)
         , host(std::move(host))
-        , own_address(std::move(own_address))
         , on_host(std::move(on_host))
         , timer(loop)
     {
+        this->own_row.set_address(own_address.value());
+        this->own_row.set_failure_domain(own_domain.value());
     }
 
     void start()
     {
         this->store.put(
-            table, this->host.value(), this->own_address.value(), answer_patience, [this](Result<void> done) {
+            table, this->host.value(), this->own_row.SerializeAsString(), answer_patience, [this](Result<void> done) {
                 if (!done)
                     return this->again([this] { this->start(); });
                 this->read();
@@ -48,8 +52,12 @@
         this->store.list(table, {}, answer_patience, [this](Result<Platform::RowPage> page) {
             if (!page)
                 return this->again([this] { this->read(); });
-            for (auto const& row : page.value().rows)
-                this->on_host(Address(row.value));
+            for (auto const& row : page.value().rows) {
+                wire::HostAddress host_address;
+                // A row that is no address is of a version to come; its host will call by itself.
+                if (host_address.ParseFromString(row.value))
+                    this->on_host(Address(host_address.address()), FailureDomainId(host_address.failure_domain()));
+            }
         });
     }
 
@@ -65,8 +73,8 @@
 
     Store& store;
     MemberId host;
-    Address own_address;
-    std::function<void(Address const&)> on_host;
+    wire::HostAddress own_row;
+    OnHost on_host;
     boost::asio::steady_timer timer;
 };
 
--- /dev/null
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -0,0 +1,238 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/PeerLink.h>
+#include <LibWire/AsioWatch.h>
+#include <algorithm>
+
+namespace Serving {
+
+/// Changes of one moment go out together; near hosts know of a placement within this time and their distance.
+static constexpr Duration near_change_delay = 2ms;
+/// Few hosts of other domains are told as fast. Each one more slows that down, so that the bytes stay the same.
+static constexpr i64 far_hosts_told_at_once = 12;
+static constexpr Duration far_change_delay_for_each_more = 10ms;
+/// A whole message is some hundred bytes to each peer; this keeps all of them near 1.5 KB a second each way.
+static constexpr Duration period_for_each_peer = 60ms;
+static constexpr Duration shortest_period = 300ms;
+static constexpr Duration longest_near_period = 1s;
+static constexpr Duration longest_far_period = 10s;
+/// Hosts that are silent are still called now and then, in case they come back.
+static constexpr u32 rounds_between_calls_to_silent = 4;
+
+PeerLink::PeerLink(ServingContext& context, Address listen, Observer observer)
+    : context(context)
+    , observer(std::move(observer))
+    , events(context.settings.host)
+    , transport(Wire::watch_on(context.loop), this->events, context.metrics, std::move(listen), {})
+    , near_timer(context.loop)
+    , far_timer(context.loop)
+    , near_change_timer(context.loop)
+    , far_change_timer(context.loop)
+{
+    this->context.use_changed = [this] { this->tell_changes_soon(); };
+    this->transport.on_message([this](wire::Envelope const& envelope) { this->heard(envelope); });
+}
+
+void PeerLink::start()
+{
+    this->schedule_near();
+    this->schedule_far();
+}
+
+void PeerLink::learn(Address const& peer, FailureDomainId const& domain)
+{
+    if (peer == this->address() || !this->peers.insert(peer).second)
+        return;
+    this->context.reach.learn(peer, domain);
+    this->send_whole(peer, true);
+}
+
+void PeerLink::tell_leaving(Backend const& backend)
+{
+    wire::HostUse message;
+    auto& leaving = *message.add_leaving();
+    leaving.set_backend(backend.server.id.value());
+    leaving.set_ends_in_milliseconds(
+        backend.ends_at ? AK::to_milliseconds(*backend.ends_at - this->context.now()) : -1);
+    this->broadcast(message, true);
+    this->broadcast(message, false);
+}
+
+void PeerLink::pass_on(wire::PlatformNews news, bool was_read_here)
+{
+    auto now = this->context.now();
+    news.set_failure_domain(this->context.settings.failure_domain.value());
+    wire::Envelope envelope;
+    *envelope.mutable_platform_news() = std::move(news);
+    for (auto const& address : this->peers) {
+        if (this->context.reach.is_near(address) && this->context.reach.is_heard(address, now))
+            this->transport.send(address, envelope);
+    }
+    if (!was_read_here)
+        return;
+    for (auto const& reader : this->context.reach.readers_elsewhere(now))
+        this->transport.send(reader, envelope);
+}
+
+size_t PeerLink::count(bool near) const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        this->peers, [&](Address const& peer) { return this->context.reach.is_near(peer) == near; }));
+}
+
+Duration PeerLink::period(bool near) const
+{
+    auto wanted = static_cast<i64>(this->count(near)) * period_for_each_peer;
+    return std::clamp<Duration>(wanted, shortest_period, near ? longest_near_period : longest_far_period);
+}
+
+void PeerLink::schedule_near()
+{
+    this->near_timer.expires_after(this->period(true));
+    this->near_timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        for (auto const& name : this->use.forget_silent(this->context.backends, this->context.now()))
+            this->context.log.event(Core::EventNumber::MemberLost, name.value());
+        this->tell_whole(true);
+        if (++this->near_rounds % rounds_between_calls_to_silent == 0)
+            this->call_silent_peers();
+        this->schedule_near();
+    });
+}
+
+void PeerLink::schedule_far()
+{
+    this->far_timer.expires_after(this->period(false));
+    this->far_timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        this->tell_whole(false);
+        this->schedule_far();
+    });
+}
+
+void PeerLink::call_silent_peers()
+{
+    auto now = this->context.now();
+    for (auto const& address : this->peers) {
+        if (!this->context.reach.is_heard(address, now))
+            this->send_whole(address, true);
+    }
+}
+
+void PeerLink::tell_changes_soon()
+{
+    if (!std::exchange(this->near_changes_wait, true)) {
+        this->near_change_timer.expires_after(near_change_delay);
+        this->near_change_timer.async_wait([this](boost::system::error_code error) {
+            this->near_changes_wait = false;
+            if (!error)
+                this->tell_changes(true);
+        });
+    }
+    if (!std::exchange(this->far_changes_wait, true)) {
+        auto more = std::max<i64>(0, static_cast<i64>(this->count(false)) - far_hosts_told_at_once);
+        this->far_change_timer.expires_after(near_change_delay + more * far_change_delay_for_each_more);
+        this->far_change_timer.async_wait([this](boost::system::error_code error) {
+            this->far_changes_wait = false;
+            if (!error)
+                this->tell_changes(false);
+        });
+    }
+}
+
+void PeerLink::tell_changes(bool to_near)
+{
+    auto& told = to_near ? this->told_near : this->told_far;
+    if (auto changes = told.changes(this->context.backends))
+        this->broadcast(*changes, to_near);
+}
+
+wire::HostUse PeerLink::whole_message(Duration period)
+{
+    auto message = OwnUse().whole(this->context.backends);
+    message.set_failure_domain(this->context.settings.failure_domain.value());
+    message.set_period_milliseconds(static_cast<u32>(AK::to_milliseconds(period)));
+    message.set_platform_is_lost(this->context.reach.platform_lost_here());
+    for (auto const& [table, last_change] : this->observer.own_progress()) {
+        auto& progress = *message.add_tables();
+        progress.set_table(table);
+        progress.set_last_change(last_change);
+    }
+    return message;
+}
+
+void PeerLink::tell_whole(bool to_near)
+{
+    auto& told = to_near ? this->told_near : this->told_far;
+    (void)told.whole(this->context.backends);
+    this->broadcast(this->whole_message(this->period(to_near)), to_near);
+}
+
+void PeerLink::broadcast(wire::HostUse const& message, bool to_near)
+{
+    auto now = this->context.now();
+    for (auto const& address : this->peers) {
+        if (this->context.reach.is_near(address) == to_near && this->context.reach.is_heard(address, now))
+            this->send(address, message);
+    }
+}
+
+void PeerLink::send_whole(Address const& peer, bool wants_answer)
+{
+    auto message = this->whole_message(this->period(this->context.reach.is_near(peer)));
+    message.set_wants_answer(wants_answer);
+    this->send(peer, message);
+}
+
+void PeerLink::send(Address const& peer, wire::HostUse const& message)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_host_use() = message;
+    this->transport.send(peer, std::move(envelope));
+}
+
+void PeerLink::heard(wire::Envelope const& envelope)
+{
+    Address const sender(envelope.sender_address());
+    if (envelope.has_host_use())
+        return this->heard_use(sender, envelope.sender(), envelope.host_use());
+    if (!envelope.has_platform_news())
+        return;
+    auto const& news = envelope.platform_news();
+    this->context.reach.heard(sender, this->context.now());
+    this->observer.news(news, FailureDomainId(news.failure_domain()) == this->context.settings.failure_domain);
+}
+
+void PeerLink::heard_use(Address const& sender, std::string const& name, wire::HostUse const& message)
+{
+    auto now = this->context.now();
+    if (!this->context.reach.is_heard(sender, now))
+        this->context.log.event(Core::EventNumber::MemberJoined, name).with("address", sender);
+    this->peers.insert(sender);
+    if (message.is_whole()) {
+        auto period = std::chrono::milliseconds(message.period_milliseconds());
+        this->context.reach.heard(
+            sender, { FailureDomainId(message.failure_domain()), period, message.platform_is_lost() }, now);
+    } else {
+        this->context.reach.heard(sender, now);
+    }
+    this->use.heard(MemberId(name), message, this->context.backends, now);
+    for (auto const& leaving : message.leaving()) {
+        std::optional<Instant> ends_at;
+        if (leaving.ends_in_milliseconds() >= 0)
+            ends_at = now + std::chrono::milliseconds(leaving.ends_in_milliseconds());
+        this->observer.backend_leaves(EngineId(leaving.backend()), ends_at);
+    }
+    for (auto const& progress : message.tables())
+        this->observer.progress(progress.table(), progress.last_change());
+    if (message.wants_answer())
+        this->send_whole(sender, false);
+}
+
+}
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -44,6 +44,8 @@
     }
     if (!message.is_whole())
         return;
+    host.silence_limit
+        = std::max<Duration>(shortest_silence, 3 * std::chrono::milliseconds(message.period_milliseconds()));
     auto engines = host.engines;
     for (auto const& [id, use] : engines) {
         if (!named.contains(id))
@@ -55,7 +57,7 @@
 {
     std::vector<MemberId> forgotten;
     for (auto& [name, host] : this->hosts) {
-        if (now - host.heard_at <= silence_limit)
+        if (now - host.heard_at <= host.silence_limit)
             continue;
         auto engines = host.engines;
         for (auto const& [id, use] : engines)
--- a/Libraries/LibServing/PeerUse.h
+++ b/Libraries/LibServing/PeerUse.h
@@ -16,9 +16,9 @@
 /// decisions in view: they tell each other of every placement at once.
 class PeerUse {
 public:
-    /// A host that has said nothing for this long is taken to be gone or cut off, and what it said is forgotten. Three
-    /// times the period of whole messages, so that one lost or late one changes nothing.
-    static constexpr Duration silence_limit = 3s;
+    /// A host that has said nothing for three times the period of its whole messages, and for this long at least, is
+    /// taken to be gone or cut off, and what it said is forgotten.
+    static constexpr Duration shortest_silence = 3s;
 
     struct Use {
         u32 generations { 0 };
@@ -38,6 +38,7 @@
 private:
     struct Host {
         Instant heard_at {};
+        Duration silence_limit { shortest_silence };
         std::map<EngineId, Use> engines;
     };
 
--- a/Libraries/LibServing/Reach.h
+++ b/Libraries/LibServing/Reach.h
@@ -20,13 +20,28 @@
     {
     }
 
-    void heard(Address const& host, FailureDomainId const& domain, Instant now);
+    /// What a host says of itself in a whole message.
+    struct Said {
+        FailureDomainId domain;
+        /// Until its next whole message.
+        Duration period { 1s };
+        bool platform_is_lost { false };
+    };
+
+    void heard(Address const& host, Said const& said, Instant now);
     void heard(Address const& host, Instant now);
-    /// For how long a host that is there may say nothing.
-    void set_silence_limit(Duration limit) { this->silence_limit = limit; }
+    /// Known from the platform's table, and not heard yet.
+    void learn(Address const& host, FailureDomainId const& domain);
     void platform_is_lost() { this->platform_lost = true; }
     void platform_answers() { this->platform_lost = false; }
+    [[nodiscard]] bool platform_lost_here() const { return this->platform_lost; }
 
+    [[nodiscard]] bool is_near(Address const& host) const;
+    [[nodiscard]] bool is_heard(Address const& host, Instant now) const;
+    /// Whether this host reads the platform's tables, or hears of them from another one of its domain that does.
+    [[nodiscard]] bool reads_platform(Address const& own_address, Instant now) const;
+    /// A host of each other domain that reads the platform for it.
+    [[nodiscard]] std::vector<Address> readers_elsewhere(Instant now) const;
     /// Whether news of backend servers may not come: the platform does not answer, or all other hosts are silent.
     [[nodiscard]] bool is_cut_off(Instant now) const;
     /// Whether some host that was there lately is silent, so that its work at engines is not known.
@@ -40,23 +55,32 @@
 private:
     /// A host that has been silent for so long has gone for good, or was replaced.
     static constexpr Duration forgotten_after = 60s;
+    /// Whole messages that may be missed before a host counts as silent, and the time that one may be late.
+    static constexpr int tolerated_missing_messages = 2;
+    static constexpr Duration tolerated_lateness = 200ms;
+    /// In a domain of many hosts some message of some host comes all the time; this is for a few that are late
+    /// together.
+    static constexpr Duration shortest_domain_silence = 1s;
+    /// Hosts of a larger domain that read the platform; a small one has the readers of the others to fall back on.
+    static constexpr size_t readers_of_large_domain = 2;
+    static constexpr size_t large_domain = 4;
 
     struct Host {
-        FailureDomainId domain;
+        Said said;
         Instant heard_at {};
     };
-    [[nodiscard]] bool is_silent(Host const& host, Instant now) const
+    [[nodiscard]] static bool is_silent(Host const& host, Instant now)
     {
-        return now - host.heard_at > this->silence_limit;
+        return now - host.heard_at > tolerated_missing_messages * host.said.period + tolerated_lateness;
     }
-    [[nodiscard]] bool is_forgotten(Host const& host, Instant now) const
+    [[nodiscard]] static bool is_forgotten(Host const& host, Instant now)
     {
         return now - host.heard_at > forgotten_after;
     }
+    [[nodiscard]] std::vector<Address> able_readers(FailureDomainId const& domain, Instant now) const;
 
     FailureDomainId own_domain;
     std::map<Address, Host> hosts;
-    Duration silence_limit { 2s };
     bool platform_lost { false };
 };
 
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -65,8 +65,8 @@
     }
     WHEN("the host falls silent")
     {
-        CHECK(use.forget_silent(other_table, now + PeerUse::silence_limit).empty());
-        CHECK(use.forget_silent(other_table, now + PeerUse::silence_limit + 1ms) == std::vector { host });
+        CHECK(use.forget_silent(other_table, now + PeerUse::shortest_silence).empty());
+        CHECK(use.forget_silent(other_table, now + PeerUse::shortest_silence + 1ms) == std::vector { host });
         CHECK(engine->engine.peer_tokens == 0);
         CHECK(engine->engine.peer_generations == 0);
     }
@@ -84,12 +84,11 @@
 SCENARIO("a host tells a partition by who is silent")
 {
     Reach reach(FailureDomainId("hall-a"));
-    reach.set_silence_limit(1s);
     Instant now { 100s };
     CHECK_FALSE(reach.is_cut_off(now));
-    reach.heard(Address("10.0.0.1:1"), FailureDomainId("hall-a"), now);
-    reach.heard(Address("10.0.0.2:1"), FailureDomainId("hall-b"), now);
-    reach.heard(Address("10.0.0.3:1"), FailureDomainId("hall-b"), now);
+    reach.heard(Address("10.0.0.1:1"), { FailureDomainId("hall-a"), 400ms }, now);
+    reach.heard(Address("10.0.0.2:1"), { FailureDomainId("hall-b"), 400ms }, now);
+    reach.heard(Address("10.0.0.3:1"), { FailureDomainId("hall-b"), 400ms }, now);
 
     CHECK_FALSE(reach.is_cut_off(now + 900ms));
     CHECK_FALSE(reach.misses_hosts(now + 900ms));
@@ -125,11 +124,9 @@
     THEN("one host alone looks after each subject, and another one does when it is silent")
     {
         Reach other(FailureDomainId("hall-b"));
-        other.set_silence_limit(1s);
-        other.heard(Address("10.0.0.9:1"), FailureDomainId("hall-a"), now);
+        other.heard(Address("10.0.0.9:1"), { FailureDomainId("hall-a"), 400ms }, now);
         Reach mine(FailureDomainId("hall-a"));
-        mine.set_silence_limit(1s);
-        mine.heard(Address("10.0.0.8:1"), FailureDomainId("hall-b"), now);
+        mine.heard(Address("10.0.0.8:1"), { FailureDomainId("hall-b"), 400ms }, now);
         for (int i = 0; i < 20; ++i) {
             auto subject = "engine-" + std::to_string(i);
             bool const by_me = mine.looks_after(Address("10.0.0.9:1"), subject, now);
