--- /dev/null
+++ b/Tests/LibPlatform/TestChangeFollower.cpp
@@ -0,0 +1,179 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibPlatform/ChangeFollower.h>
+#include <Tests/Support/LoopWait.h>
+#include <deque>
+
+using namespace Platform;
+
+/// A table service whose answers a test gives by hand.
+class HandSource {
+public:
+    struct Call {
+        u64 after { 0 };
+        Duration wait { 0 };
+        std::function<void(Result<ChangePage>)> answer;
+    };
+
+    void list(std::string const&, std::string const& first_key, Duration, std::function<void(Result<RowPage>)> on_page)
+    {
+        this->first_keys.push_back(first_key);
+        this->listings.push_back(std::move(on_page));
+    }
+    void changes(
+        std::string const&, u64 after, Duration wait, Duration, std::function<void(Result<ChangePage>)> on_changes)
+    {
+        this->calls.push_back({ after, wait, std::move(on_changes) });
+    }
+    void answer_list(Result<RowPage> page)
+    {
+        REQUIRE_FALSE(this->listings.empty());
+        auto on_page = std::move(this->listings.front());
+        this->listings.pop_front();
+        on_page(std::move(page));
+    }
+    void answer(Result<ChangePage> page)
+    {
+        REQUIRE_FALSE(this->calls.empty());
+        auto call = std::move(this->calls.front());
+        this->calls.pop_front();
+        call.answer(std::move(page));
+    }
+
+    std::deque<std::function<void(Result<RowPage>)>> listings;
+    std::vector<std::string> first_keys;
+    std::deque<Call> calls;
+};
+
+static RowChange change(std::string const& key, u64 version) { return { { key, "value", version }, false }; }
+
+SCENARIO("a table is followed")
+{
+    boost::asio::io_context loop;
+    HandSource source;
+    std::vector<std::string> seen;
+    std::vector<u64> told;
+    int lost = 0;
+    int regained = 0;
+    FollowerObserver observer;
+    observer.listed
+        = [&](std::vector<Row> const& rows, u64) { seen.push_back("listed " + std::to_string(rows.size())); };
+    observer.changed = [&](std::vector<RowChange> const& changes, u64) {
+        for (auto const& one : changes)
+            seen.push_back(one.row.key);
+    };
+    observer.told = [&](TableNews const& news) { told.push_back(news.previous_change); };
+    observer.lost = [&](Error const&) { ++lost; };
+    observer.regained = [&] { ++regained; };
+    FollowerTiming timing;
+    timing.first_retry = timing.longest_retry = 1ms;
+    ChangeFollower<HandSource> follower(loop, source, "servers", observer, timing);
+    follower.start();
+
+    GIVEN("a table of two pages")
+    {
+        source.answer_list(RowPage { { { "a", "1", 3 } }, true, 10 });
+        source.answer_list(RowPage { { { "b", "1", 7 } }, false, 12 });
+        CHECK(source.first_keys == std::vector<std::string> { "", "a\x01" });
+        CHECK(seen == std::vector<std::string> { "listed 2" });
+        THEN("changes are asked for since the first page, so that none between the pages is missed")
+        {
+            REQUIRE(source.calls.size() == 1);
+            CHECK(source.calls.front().after == 10);
+            CHECK(follower.last_change() == 7);
+        }
+    }
+    GIVEN("a table that was read")
+    {
+        source.answer_list(RowPage { { { "a", "1", 3 } }, false, 10 });
+        seen.clear();
+        WHEN("a change comes")
+        {
+            source.answer(ChangePage { { change("b", 12) }, 13 });
+            CHECK(seen == std::vector<std::string> { "b" });
+            THEN("it is told on, with the change that came before it")
+            {
+                CHECK(told == std::vector<u64> { 3 });
+                CHECK(follower.last_change() == 12);
+                CHECK(source.calls.front().after == 13);
+            }
+        }
+        WHEN("history is lost")
+        {
+            source.answer(Error { ErrorKind::HistoryLost, "gone", {} });
+            source.answer_list(RowPage { { { "c", "1", 20 } }, false, 21 });
+            CHECK(seen == std::vector<std::string> { "listed 1" });
+        }
+        WHEN("the platform fails and comes back")
+        {
+            source.answer(platform_unavailable("busy"));
+            CHECK(lost == 1);
+            ::Test::run_until(loop, [&] { return !source.calls.empty(); });
+            source.answer(platform_unavailable("busy"));
+            CHECK(lost == 1);
+            ::Test::run_until(loop, [&] { return !source.calls.empty(); });
+            source.answer(ChangePage { {}, 15 });
+            CHECK(regained == 1);
+        }
+        WHEN("an answer is older than what was known when it was asked for")
+        {
+            source.answer(ChangePage { { change("old", 2) }, 5 });
+            CHECK(seen.empty());
+            CHECK(follower.version() == 10);
+        }
+    }
+    GIVEN("a follower that hears changes from elsewhere")
+    {
+        follower.set_following(false);
+        source.answer_list(RowPage { { { "a", "1", 3 } }, false, 10 });
+        CHECK(source.calls.empty());
+        seen.clear();
+        WHEN("news follow what is known")
+        {
+            follower.hear({ 3, { { change("b", 14) }, 15 } });
+            CHECK(seen == std::vector<std::string> { "b" });
+            CHECK(told.empty());
+            AND_WHEN("they come again from another reader")
+            {
+                follower.hear({ 3, { { change("b", 14) }, 14 } });
+                CHECK(seen.size() == 1);
+            }
+            AND_WHEN("news between were missed")
+            {
+                follower.hear({ 18, { { change("d", 19) }, 19 } });
+                REQUIRE(source.calls.size() == 1);
+                CHECK(source.calls.front().after == 15);
+                CHECK(source.calls.front().wait == 0s);
+                source.answer(ChangePage { { change("c", 18), change("d", 19) }, 20 });
+                CHECK(seen == std::vector<std::string> { "b", "c", "d" });
+                THEN("the platform is left alone again") { CHECK(source.calls.empty()); }
+            }
+        }
+        WHEN("another host knows a later change")
+        {
+            follower.catch_up(12);
+            REQUIRE(source.calls.size() == 1);
+            AND_WHEN("news come while the platform is asked")
+            {
+                follower.hear({ 3, { { change("b", 12) }, 16 } });
+                source.answer(ChangePage { { change("b", 12) }, 14 });
+                THEN("nothing is taken twice, and nothing goes back")
+                {
+                    CHECK(seen == std::vector<std::string> { "b" });
+                    CHECK(follower.version() == 16);
+                    CHECK(lost == 0);
+                }
+            }
+        }
+        WHEN("it is to follow by itself")
+        {
+            follower.set_following(true);
+            REQUIRE(source.calls.size() == 1);
+            CHECK(source.calls.front().wait > 0s);
+        }
+    }
+}
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -7,6 +7,7 @@
 #include <LibServing/PeerUse.h>
 #include <LibServing/Reach.h>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace Serving;
 
@@ -136,3 +137,42 @@
         }
     }
 }
+
+SCENARIO("one host of a small domain reads the platform for all, two of a large one")
+{
+    Instant const now { 100s };
+    auto address = [](int host) { return Address("10.0.0." + std::to_string(host) + ":1"); };
+    auto readers_among = [&](int count, bool with_other_domain, std::set<int> const& turned_away = {}) {
+        std::set<int> readers;
+        for (int own = 0; own < count; ++own) {
+            Reach reach(FailureDomainId("hall-a"));
+            for (int other = 0; other < count; ++other) {
+                if (other != own)
+                    reach.heard(address(other), { FailureDomainId("hall-a"), 400ms, turned_away.contains(other) }, now);
+            }
+            if (with_other_domain)
+                reach.heard(address(99), { FailureDomainId("hall-b"), 400ms }, now);
+            if (reach.reads_platform(address(own), now))
+                readers.insert(own);
+        }
+        return readers;
+    };
+    CHECK(readers_among(1, true).size() == 1);
+    CHECK(readers_among(3, true).size() == 1);
+    CHECK(readers_among(3, false).size() == 2);
+    CHECK(readers_among(26, true).size() == 2);
+    THEN("one that the platform turns away is not counted on")
+    {
+        auto before = readers_among(3, true);
+        auto after = readers_among(3, true, before);
+        CHECK(std::ranges::any_of(after, [&](int reader) { return !before.contains(reader); }));
+    }
+    THEN("changes are told to a reader of each other domain")
+    {
+        Reach reach(FailureDomainId("hall-a"));
+        reach.heard(address(1), { FailureDomainId("hall-b"), 400ms }, now);
+        reach.heard(address(2), { FailureDomainId("hall-b"), 400ms }, now);
+        reach.heard(address(3), { FailureDomainId("hall-c"), 400ms, true }, now);
+        CHECK(reach.readers_elsewhere(now).size() == 1);
+    }
+}
