--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -32,8 +32,8 @@
 private:
     /// Handovers that failed before anything was run do not count as runs, but there must be an end to them.
     static constexpr u32 most_handovers = 4;
-    /// A call is short: a millisecond or two and some bytes between domains, for a clearly emptier backend server.
-    static constexpr double other_domain_cost = 0.08;
+    /// Two more calls at a backend server of six slots. A call that is under way when its domain is cut off is lost.
+    static constexpr double other_domain_cost = 0.3;
 
     void dispatch()
     {
