LibServing: Stop a run for its second copy only while its engine's link is free

Second copies, for which runs stop, waited behind first ones of other hosts' generations; the largest generation, worth most, was copied last by chance; and the time of the hand-over was set before the engine's end was known, because its first report is from before its notice. Hosts now tell how much of an engine is not copied yet, the largest goes first, engines are asked again until they tell their end, and the time follows it. Ruled out: the target's queue of prompts (continued runs are let in first).

--- a/Libraries/LibServing/EngineClaim.h
+++ b/Libraries/LibServing/EngineClaim.h
@@ -53,6 +53,24 @@
     i64 unread;
 };
 
+/// A generation that has to leave an engine and is not copied yet.
+class UncopiedClaim {
+public:
+    UncopiedClaim(BackendPointer backend, i64 tokens)
+        : backend(std::move(backend))
+        , tokens(tokens)
+    {
+        this->backend->engine.own_uncopied_tokens += this->tokens;
+    }
+    UncopiedClaim(UncopiedClaim const&) = delete;
+    UncopiedClaim& operator=(UncopiedClaim const&) = delete;
+    ~UncopiedClaim() { this->backend->engine.own_uncopied_tokens -= this->tokens; }
+
+private:
+    BackendPointer backend;
+    i64 tokens;
+};
+
 /// Room at an engine for a copy that is on its way there.
 class CopyReservation {
 public:
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -68,16 +68,30 @@
         bool const asks_all
             = ++this->rounds % rounds_to_ask_all == 0 && (is_cut_off || this->context.reach.misses_hosts(now));
         for (auto const& [id, backend] : this->context.backends.all()) {
-            if (backend->availability != Availability::Serving || !this->is_engine(*backend))
+            if (!this->is_engine(*backend))
                 continue;
-            bool const is_in_use = backend->engine.generations() > 0;
-            bool const looks_after
-                = is_in_use && this->context.reach.looks_after(this->context.settings.peer_listen, id.value(), now);
-            if (asks_all || looks_after || (is_cut_off && backend->engine.own_generations > 0))
+            if (backend->availability == Availability::Leaving
+                    ? this->wants_end_of(*backend)
+                    : asks_all || this->wants_news_of(*backend, is_cut_off, now))
                 this->ask(backend);
         }
     }
 
+    /// The first report after an engine's notice is often from before it, and does not tell when it ends.
+    [[nodiscard]] bool wants_end_of(Backend const& backend) const
+    {
+        return backend.engine.own_generations > 0 && !backend.ends_at;
+    }
+
+    [[nodiscard]] bool wants_news_of(Backend const& backend, bool is_cut_off, Instant now) const
+    {
+        if (is_cut_off && backend.engine.own_generations > 0)
+            return true;
+        auto const& own_address = this->context.settings.peer_listen;
+        return backend.engine.generations() > 0
+            && this->context.reach.looks_after(own_address, backend.server.id.value(), now);
+    }
+
     void ask(BackendPointer const& backend)
     {
         if (std::exchange(backend->engine.report_under_way, true))
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -259,7 +259,7 @@
         if (!this->traits().can_move || this->context.now() < this->next_move_at)
             return;
         typename Move::Inputs inputs { this->attempt(), this->backend, TokenCount(this->claim->held_tokens()),
-            this->traits().memory };
+            this->traits() };
         std::weak_ptr<Generation> weak = this->weak_from_this();
         this->move = std::make_shared<Move>(this->context, std::move(inputs), [weak] {
             if (auto self = weak.lock())
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -32,7 +32,7 @@
         std::string attempt;
         BackendPointer source;
         TokenCount held;
-        TokenCount memory;
+        EngineTraits traits;
     };
 
     GenerationMove(ServingContext& context, Inputs inputs, std::function<void()> phase_changed)
@@ -43,7 +43,19 @@
     {
     }
 
-    void start() { this->copy_to_next_target(); }
+    /// Copies from one engine go one after another. The largest go first: they are worth most, have most still to come,
+    /// and small ones may end by themselves meanwhile.
+    void start()
+    {
+        this->uncopied.emplace(this->inputs.source, this->inputs.held.value());
+        this->context.use_changed();
+        auto share = std::min(1.0, static_cast<double>(this->inputs.held.value()) / large_generation_tokens);
+        this->timer.expires_after(AK::from_seconds((1 - share) * AK::to_seconds(smallest_start_delay)));
+        this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+            if (!error && !self->is_settled)
+                self->copy_to_next_target();
+        });
+    }
 
     /// The generation has ended before it was handed over: frees the copy.
     void withdraw()
@@ -60,6 +72,7 @@
         this->phase_changed = nullptr;
         this->timer.cancel();
         this->reservation.reset();
+        this->drop_uncopied_claim();
         this->drop_connection();
         this->is_settled = true;
     }
@@ -80,6 +93,12 @@
     /// Time before the end of the source at which the run is stopped. The last copies of all generations there share
     /// its link: about ten generations with some megabytes each, at some hundred megabytes a second.
     static constexpr Duration handover_margin = 450ms;
+    /// How long the smallest generation lets larger ones go first; the time of a copy of some 1,500 tokens.
+    static constexpr Duration smallest_start_delay = 80ms;
+    static constexpr double large_generation_tokens = 6000;
+    /// What is left of an engine's time must be enough for the second copy and its answer.
+    static constexpr Duration shortest_handover = 120ms;
+    static constexpr Duration end_check_period = 150ms;
     /// A source that still runs so long after it should have ended goes on for an unknown time; copies do not keep that
     /// long.
     static constexpr Duration overdue_margin = 1s;
@@ -97,7 +116,7 @@
         auto const& candidates = this->context.backends.of_service(this->inputs.source->server.service);
         GenerationNeed const need { this->inputs.held, TokenCount(0) };
         this->chosen = choose_for_generation(
-            candidates, this->tried, need, this->inputs.memory, this->choice_inputs(), this->context.random);
+            candidates, this->tried, need, this->inputs.traits.memory, this->choice_inputs(), this->context.random);
         if (!this->chosen || this->tried.size() >= most_targets)
             return this->fail("no engine has the room");
         this->tried.push_back(this->chosen->server.id);
@@ -151,12 +170,20 @@
             .with("took_ms", this->context.now() - this->asked_at);
         if (is_last)
             return this->enter(Phase::HandedOver);
+        this->drop_uncopied_claim();
         this->enter(Phase::Copied);
         this->wait_for_handover();
     }
 
+    void drop_uncopied_claim()
+    {
+        this->uncopied.reset();
+        this->context.use_changed();
+    }
+
     void run_has_ended()
     {
+        this->drop_uncopied_claim();
         this->log_failure("the generation does not run there any more");
         this->reservation.reset();
         this->enter(Phase::Failed);
@@ -179,24 +206,43 @@
         });
     }
 
-    void wait_for_handover()
+    [[nodiscard]] Instant source_ends_at() const
     {
         auto const& source = *this->inputs.source;
-        auto ends_at = source.ends_at.value_or(source.available_since + this->context.settings.drain_time);
-        auto handover_at = ends_at - handover_margin;
-        // A copy that is done so late shows that the link is busy, and a second one would only stop the run for as
-        // long. The little that it lacks is read again once the source has ended.
-        if (handover_at < this->context.now())
-            handover_at = ends_at + overdue_margin;
-        this->timer.expires_at(handover_at);
+        return source.ends_at.value_or(source.available_since + this->context.settings.drain_time);
+    }
+
+    void wait_for_handover() { this->consider_handover_at(this->source_ends_at() - handover_margin); }
+
+    /// What is known of the source's end may change meanwhile: the time is looked at again before it has come.
+
+    void consider_handover_at(Instant when)
+    {
+        this->timer.expires_at(std::min(when, this->context.now() + end_check_period));
         this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-            if (error || self->is_settled)
-                return;
-            self->enter(Phase::HandingOver);
-            self->ask_for_copy(true);
+            if (!error && !self->is_settled)
+                self->consider_handover();
         });
     }
 
+    /// While others still copy, a second copy would only stop the run for as long as it waits for the link. Without one
+    /// the run goes on until its engine ends, and the little that the first copy lacks is read again.
+    void consider_handover()
+    {
+        auto now = this->context.now();
+        auto ends_at = this->source_ends_at();
+        if (now < ends_at - handover_margin)
+            return this->consider_handover_at(ends_at - handover_margin);
+        bool const is_overdue = now >= ends_at + overdue_margin;
+        bool const link_is_free = this->inputs.source->engine.uncopied_tokens() == 0;
+        if (is_overdue || (link_is_free && now < ends_at - shortest_handover)) {
+            this->enter(Phase::HandingOver);
+            return this->ask_for_copy(true);
+        }
+        bool const may_become_free = now + busy_retry_delay < ends_at - shortest_handover;
+        this->consider_handover_at(may_become_free ? now + busy_retry_delay : ends_at + overdue_margin);
+    }
+
     void enter(Phase phase)
     {
         this->current = phase;
@@ -214,6 +260,7 @@
         if (this->current == Phase::HandingOver && this->copy)
             return this->enter(Phase::HandedOver);
         this->reservation.reset();
+        this->drop_uncopied_claim();
         this->enter(Phase::Failed);
     }
 
@@ -253,6 +300,7 @@
     Http::asio::steady_timer timer;
     Phase current { Phase::Copying };
     Instant started { this->context.now() };
+    std::optional<UncopiedClaim> uncopied;
     Instant asked_at {};
     BackendPointer chosen;
     std::vector<EngineId> tried;
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -18,6 +18,7 @@
     engine.peer_generations += static_cast<u32>(sign) * use.generations;
     engine.peer_tokens += sign * use.tokens;
     engine.peer_unread_tokens += sign * use.unread_tokens;
+    engine.peer_uncopied_tokens += sign * use.uncopied_tokens;
 }
 
 void PeerUse::replace(std::map<EngineId, Use>& engines, EngineId const& id, Use const& use, BackendTable& table)
@@ -40,7 +41,8 @@
     for (auto const& engine : message.engines()) {
         EngineId const id(engine.engine());
         named.insert(id);
-        replace(host.engines, id, { engine.generations(), engine.tokens(), engine.unread_tokens() }, table);
+        replace(host.engines, id,
+            { engine.generations(), engine.tokens(), engine.unread_tokens(), engine.uncopied_tokens() }, table);
     }
     if (!message.is_whole())
         return;
@@ -81,7 +83,8 @@
 PeerUse::Use OwnUse::use_of(Backend const& backend)
 {
     auto const& engine = backend.engine;
-    return { engine.own_generations, engine.own_tokens + engine.expected_copy_tokens, engine.own_unread_tokens };
+    return { engine.own_generations, engine.own_tokens + engine.expected_copy_tokens, engine.own_unread_tokens,
+        engine.own_uncopied_tokens };
 }
 
 void OwnUse::append(wire::HostUse& message, EngineId const& id, PeerUse::Use const& use)
@@ -91,6 +94,7 @@
     engine.set_generations(use.generations);
     engine.set_tokens(use.tokens);
     engine.set_unread_tokens(use.unread_tokens);
+    engine.set_uncopied_tokens(use.uncopied_tokens);
 }
 
 wire::HostUse OwnUse::whole(BackendTable const& table)
@@ -115,6 +119,7 @@
         auto use = use_of(*backend);
         auto& before = this->told[id];
         bool const has_changed = use.generations != before.generations || use.unread_tokens != before.unread_tokens
+            || use.uncopied_tokens != before.uncopied_tokens
             || std::abs(use.tokens - before.tokens) >= notable_token_change;
         if (!has_changed)
             continue;
--- a/Libraries/LibServing/PeerUse.h
+++ b/Libraries/LibServing/PeerUse.h
@@ -24,6 +24,7 @@
         u32 generations { 0 };
         i64 tokens { 0 };
         i64 unread_tokens { 0 };
+        i64 uncopied_tokens { 0 };
         bool operator==(Use const&) const = default;
     };
 
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -169,6 +169,7 @@
 {
     auto const order = Json::parse(exchange.request().body()).as_object();
     auto attempt = std::string(order.at("id").as_string());
+    this->ordered_copies.push_back(attempt);
     auto found = this->generations.find(attempt);
     if (found == this->generations.end())
         return exchange.answer(Http::Response(Http::Status::not_found, 11));
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -57,6 +57,8 @@
     void set_leaves_in(std::optional<u64> milliseconds) { this->leaves_in = milliseconds; }
 
     [[nodiscard]] std::vector<Received> const& received() const { return this->requests; }
+    /// Attempts whose memory was to be copied, in the order in which that was asked for.
+    [[nodiscard]] std::vector<std::string> const& copy_orders() const { return this->ordered_copies; }
     /// Requests that were worked on here, by attempt.
     [[nodiscard]] std::map<std::string, u32> const& runs() const { return this->run_counts; }
     [[nodiscard]] size_t running_count() const { return this->generations.size(); }
@@ -90,6 +92,7 @@
     std::map<std::string, Generation> generations;
     /// By handle: the events made when the copy was taken, here as the target or the source.
     std::map<std::string, u64> copies;
+    std::vector<std::string> ordered_copies;
     std::optional<u64> leaves_in;
     u32 dropped { 0 };
     std::vector<std::shared_ptr<Http::Exchange>> hanging;
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -53,6 +53,20 @@
         CHECK(engine->engine.peer_unread_tokens == 0);
         CHECK(engine->engine.peer_generations == 2);
     }
+    WHEN("a generation there has to leave and is not copied yet")
+    {
+        own_engine->engine.own_uncopied_tokens = 2500;
+        auto changes = own.changes(own_table);
+        REQUIRE(changes.has_value());
+        use.heard(host, *changes, other_table, now);
+        THEN("the others know that the engine's link is busy, until it has been copied")
+        {
+            CHECK(engine->engine.uncopied_tokens() == 2500);
+            own_engine->engine.own_uncopied_tokens = 0;
+            use.heard(host, *own.changes(own_table), other_table, now);
+            CHECK(engine->engine.uncopied_tokens() == 0);
+        }
+    }
     WHEN("a second host tells of its own")
     {
         use.heard(MemberId("host-2"), own.whole(own_table), other_table, now);
--- a/Tests/Platform/TestGenerations.cpp
+++ b/Tests/Platform/TestGenerations.cpp
@@ -151,3 +151,48 @@
         }
     }
 }
+
+SCENARIO("a run is stopped by what its engine says of its end, however late it says so")
+{
+    HostFixture fixture;
+    // Without a word of the engine the run would go on for this long.
+    fixture.drain_time = 60s;
+    auto& old_engine = fixture.add_runner("engine-1", "models");
+    fixture.start_ready_host();
+    auto call = fixture.call(HostFixture::generation("g5"));
+    fixture.until([&] { return old_engine.running_count() == 1; });
+    auto& new_engine = fixture.add_runner("engine-2", "models");
+    fixture.until([&] { return fixture.log_has("subject=engine-2"); });
+    fixture.drain(old_engine);
+    fixture.until([&] { return fixture.log_has("subject=engine-1 state=leaving"); });
+    old_engine.make_events();
+    fixture.until([&] { return fixture.log_has("event=E2109 generation_copied subject=g5"); });
+    old_engine.set_leaves_in(900);
+    fixture.until([&] { return new_engine.running_count() == 1; });
+    new_engine.make_events();
+    new_engine.finish_all();
+    fixture.until([&] { return call->is_over(); });
+    CHECK(numbers_in(call->body) == "1,2");
+}
+
+SCENARIO("the largest generation of an engine that leaves is copied first")
+{
+    HostFixture fixture;
+    auto& old_engine = fixture.add_runner("engine-1", "models");
+    fixture.start_ready_host();
+    auto small = HostFixture::generation("small");
+    small.set("Lilactiller-Token-Usage", "100,80");
+    auto large = HostFixture::generation("large");
+    large.set("Lilactiller-Token-Usage", "6000,80");
+    auto small_call = fixture.call(std::move(small));
+    auto large_call = fixture.call(std::move(large));
+    fixture.until([&] { return old_engine.running_count() == 2; });
+    fixture.add_runner("engine-2", "models");
+    fixture.until([&] { return fixture.log_has("subject=engine-2"); });
+    fixture.drain(old_engine);
+    fixture.until([&] { return fixture.log_has("subject=engine-1 state=leaving"); });
+    old_engine.make_events();
+    fixture.until([&] { return old_engine.copy_orders().size() >= 2; });
+    CHECK(old_engine.copy_orders()[0] == "large");
+    CHECK(old_engine.copy_orders()[1] == "small");
+}
