LibHttp: Look at sockets and judge errors in one place each

Both ends of a connection peeked at their sockets and told malformed messages from ended ones with code of their own; one of them needed a const_cast for it. The unused count of exchanges is gone, and the version, the parameter of Keep-Alive and the parts of the silence limit have names. No change of behaviour.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
-#include <sys/socket.h>
 
 namespace Http {
 
@@ -18,8 +17,11 @@
 static constexpr Duration default_idle_limit = 1500ms;
 /// Taken off the time that a peer names in Keep-Alive, for the way there and its rounding.
 static constexpr Duration idle_limit_margin = 500ms;
+/// Stands before the seconds in Keep-Alive.
+static constexpr std::string_view idle_limit_parameter = "timeout=";
 /// Largest answer body that is taken: larger ones would not fit a host's memory beside others.
 static constexpr u64 largest_answer_bytes = 16 << 20;
+/// Bounds what a faulty peer can make this host keep.
 static constexpr u32 largest_answer_head_bytes = 64 << 10;
 
 std::string_view to_string(ExchangeEnd end)
@@ -39,6 +41,8 @@
     VERIFY(false);
 }
 
+std::string describe(ExchangeEnd end, std::string const& reason) { return std::string(to_string(end)) + ": " + reason; }
+
 BackendConnection::BackendConnection(asio::io_context& loop, tcp::endpoint endpoint)
     : socket(loop)
     , connect_timer(loop)
@@ -46,16 +50,14 @@
 {
 }
 
-bool BackendConnection::is_reusable() const
+bool BackendConnection::is_reusable()
 {
     if (!this->connected || this->in_exchange || !this->answer_allows_reuse)
         return false;
     if (std::chrono::steady_clock::now() >= this->idle_until)
         return false;
     // Bytes that nobody asked for, or the peer's close, make the connection useless.
-    char byte = 0;
-    auto count = ::recv(const_cast<tcp::socket&>(this->socket).native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return peek(this->socket) == Readable::Nothing;
 }
 
 void BackendConnection::exchange(
@@ -125,12 +127,8 @@
 
 void BackendConnection::head_arrived(beast::error_code error)
 {
-    if (error) {
-        bool const is_malformed
-            = error.category() == beast::http::make_error_code(beast::http::error::bad_field).category()
-            && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
-        return this->fail(is_malformed ? ExchangeEnd::Malformed : ExchangeEnd::NoAnswer, error);
-    }
+    if (error)
+        return this->fail(is_malformed(error) ? ExchangeEnd::Malformed : ExchangeEnd::NoAnswer, error);
     auto number = this->exchange_number;
     auto current = this->observer;
     this->skipping = current->head(this->parser->get()) == HeadVerdict::Skip;
@@ -140,17 +138,26 @@
     this->read_body();
 }
 
+/// The idle time that the peer names in Keep-Alive, if it does.
+static std::optional<Duration> named_idle_limit(ResponseHead const& head)
+{
+    std::string_view const text(head[Name::keep_alive].data(), head[Name::keep_alive].size());
+    auto position = text.find(idle_limit_parameter);
+    if (position == std::string_view::npos)
+        return {};
+    u32 seconds = 0;
+    auto const* begin = text.data() + position + idle_limit_parameter.size();
+    auto parsed = std::from_chars(begin, text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc {})
+        return {};
+    return std::chrono::seconds(seconds);
+}
+
 void BackendConnection::note_idle_limit(ResponseHead const& head)
 {
     auto limit = default_idle_limit;
-    std::string_view const text(head[Name::keep_alive].data(), head[Name::keep_alive].size());
-    if (auto position = text.find("timeout="); position != std::string_view::npos) {
-        u32 seconds = 0;
-        auto parsed = std::from_chars(text.data() + position + 8, text.data() + text.size(), seconds);
-        if (parsed.ec == std::errc {})
-            limit
-                = std::min<Duration>(limit, std::max<Duration>(0s, std::chrono::seconds(seconds) - idle_limit_margin));
-    }
+    if (auto named = named_idle_limit(head))
+        limit = std::min<Duration>(limit, std::max<Duration>(0s, *named - idle_limit_margin));
     this->idle_until = std::chrono::steady_clock::now() + limit;
 }
 
@@ -209,7 +216,6 @@
 void BackendConnection::finish(ExchangeEnd end, std::string const& reason)
 {
     this->in_exchange = false;
-    ++this->finished_exchanges;
     if (!this->answer_allows_reuse)
         this->close();
     // The observer may hold what keeps this connection alive.
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -31,6 +31,8 @@
 };
 
 std::string_view to_string(ExchangeEnd);
+/// For logs: how an exchange ended, and the reason that was given.
+std::string describe(ExchangeEnd, std::string const& reason);
 
 /// What to do with an answer whose head has arrived.
 enum class HeadVerdict : u8 {
@@ -51,13 +53,15 @@
 public:
     BackendConnection(asio::io_context&, tcp::endpoint);
 
-    /// Sends `request`, connecting first if need be, and reports the answer to `observer`.
+    /// Sends `request`, connecting first if need be, and reports the answer to `observer`. Connecting may take
+    /// `connect_patience`; the connection dies when the peer has acknowledged nothing for `silence_limit`. The caller
+    /// bounds the wait for the answer itself, with cancel().
     void exchange(Request request, ExchangeObserver observer, Duration connect_patience, Duration silence_limit);
     /// Ends the exchange and closes the connection, so that the backend server can drop the request.
     void cancel();
-    /// Whether another request may be sent on this connection, which must not have been idle for longer than allowed.
-    [[nodiscard]] bool is_reusable() const;
-    [[nodiscard]] bool is_new() const { return this->finished_exchanges == 0; }
+    /// Whether another request may be sent on this connection: its last answer was whole, it has not been idle for
+    /// longer than the peer allows, and nothing has arrived on it since.
+    [[nodiscard]] bool is_reusable();
     [[nodiscard]] tcp::endpoint const& peer() const { return this->endpoint; }
 
 private:
@@ -85,7 +89,6 @@
     std::optional<Parser> parser;
     /// Shared, so that an observer that cancels the exchange outlives its own call.
     std::shared_ptr<ExchangeObserver> observer;
-    u64 finished_exchanges { 0 };
     bool connected { false };
     bool in_exchange { false };
     bool skipping { false };
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -11,13 +11,12 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sstream>
-#include <sys/socket.h>
 
 namespace Http {
 
 using HttpError = beast::http::error;
 
-/// How long a closed caller's unread answer may linger in the kernel.
+/// A caller whose host has acknowledged nothing for this long is cut off or has no power.
 static constexpr Duration caller_silence_limit = 10s;
 
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context)
@@ -97,9 +96,7 @@
             Status::request_header_fields_too_large, "the header is too large; send fewer or shorter fields");
     if (error == HttpError::body_limit)
         return this->refuse(Status::payload_too_large, "the body is too large; send a smaller one");
-    bool const is_malformed = error.category() == beast::http::make_error_code(HttpError::bad_field).category()
-        && error != HttpError::end_of_stream && error != HttpError::partial_message;
-    if (is_malformed)
+    if (is_malformed(error))
         return this->refuse(Status::bad_request, "not a well-formed HTTP/1.1 request (" + error.message() + ')');
     this->close();
 }
@@ -112,7 +109,7 @@
     this->keep_alive = false;
     if (this->context->on_refused_bytes)
         this->context->on_refused_bytes(reason);
-    Response response(status, 11);
+    Response response(status, http_1_1);
     response.set(Name::content_type, "application/json");
     response.body() = R"({"error":{"type":"invalid_request","message":")" + reason + "\"}}";
     this->send_answer(std::move(response));
@@ -138,13 +135,11 @@
         self->watching = false;
         if (error || !self->in_request)
             return;
-        char byte = 0;
-        auto count = ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool const nothing_yet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (nothing_yet)
+        auto readable = peek(self->socket);
+        if (readable == Readable::Nothing)
             return self->watch_for_leaving();
         // With a further request waiting the end of the connection cannot be seen before that request is read.
-        if (count <= 0)
+        if (readable == Readable::End)
             self->caller_left();
     });
 }
@@ -153,7 +148,7 @@
 {
     if (this->context->closing)
         this->keep_alive = false;
-    response.version(11);
+    response.version(http_1_1);
     response.keep_alive(this->keep_alive);
     response.prepare_payload();
     std::ostringstream head;
@@ -166,7 +161,7 @@
 {
     if (this->context->closing)
         this->keep_alive = false;
-    head.version(11);
+    head.version(http_1_1);
     head.set(Name::transfer_encoding, "chunked");
     if (!this->keep_alive)
         head.set(Name::connection, "close");
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -16,9 +16,13 @@
 
 /// Bounds on what a caller may send and on how long it may take.
 struct CallerLimits {
+    /// Of a request's line and fields together; beyond it the answer is 431.
     u32 header_bytes { 16'384 };
+    /// Beyond it the answer is 413.
     u64 body_bytes { 4'194'304 };
+    /// For the rest of a head that has begun to arrive with the request before it.
     Duration header_timeout { 3s };
+    /// For the next request on an open connection, and for a body.
     Duration idle_timeout { 15s };
 };
 
@@ -29,7 +33,7 @@
     bool closing { false };
     /// Requests that have been read and not yet been answered to their end.
     size_t open_requests { 0 };
-    /// Bytes that may wait for one caller before it is cut off.
+    /// Bytes that may wait for one caller, beside one body of the largest size, before it is cut off.
     static constexpr size_t most_waiting_bytes = 1 << 20;
     std::function<void(std::shared_ptr<Exchange>)> on_request {};
     /// Bytes that were no acceptable request; the text is what the caller was told.
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include <LibHttp/CallerConnection.h>
-#include <set>
+#include <vector>
 
 namespace Http {
 
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -22,6 +22,7 @@
 
     /// A kept connection if one is fit for use, else a new one that connects with its first exchange.
     std::shared_ptr<BackendConnection> acquire(tcp::endpoint const&);
+    /// A connection of its own for one exchange, so that closing it ends the work of that exchange alone.
     std::shared_ptr<BackendConnection> make_new(tcp::endpoint const&);
     /// Keeps the connection for the next request if that is possible.
     void release(std::shared_ptr<BackendConnection>);
--- a/Libraries/LibHttp/Types.cpp
+++ b/Libraries/LibHttp/Types.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibHttp/Types.h>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
@@ -13,6 +14,12 @@
 
 namespace Http {
 
+/// Probes of a silent connection before it dies. With the silence before the first one and a pause as long before each
+/// further one, it dies about when the patience is over.
+static constexpr int keep_alive_probes = 2;
+/// Equal parts of the patience: the silence before the first probe, and one for each probe.
+static constexpr unsigned keep_alive_parts = keep_alive_probes + 1;
+
 std::optional<tcp::endpoint> parse_endpoint(std::string const& address)
 {
     auto colon = address.rfind(':');
@@ -40,19 +47,39 @@
         fields.erase(name);
 }
 
+/// A failure leaves the system's default in place, which only makes a dead peer noticed later.
+static void set_option(tcp::socket& socket, int level, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
 void bound_silence(tcp::socket& socket, Duration patience)
 {
-    auto milliseconds = static_cast<unsigned>(AK::to_milliseconds(patience));
-    int const one = 1;
-    auto const seconds = std::max(1, static_cast<int>(milliseconds / 3000));
-    auto descriptor = socket.native_handle();
-    // Failures leave the system's defaults in place, which only makes a dead peer noticed later.
-    (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
-    (void)::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
-    (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
-    (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
-    int const probes = 2;
-    (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    auto const milliseconds = static_cast<unsigned>(AK::to_milliseconds(patience));
+    // The kernel takes whole seconds here.
+    auto const seconds = std::max(1, static_cast<int>(milliseconds / (1000 * keep_alive_parts)));
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds));
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+Readable peek(tcp::socket& socket)
+{
+    char byte = 0;
+    auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return Readable::Bytes;
+    bool const is_open = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return is_open ? Readable::Nothing : Readable::End;
+}
+
+bool is_malformed(beast::error_code error)
+{
+    using HttpError = beast::http::error;
+    bool const is_of_parser = error.category() == beast::http::make_error_code(HttpError::bad_field).category();
+    return is_of_parser && error != HttpError::end_of_stream && error != HttpError::partial_message;
 }
 
 }
--- a/Libraries/LibHttp/Types.h
+++ b/Libraries/LibHttp/Types.h
@@ -31,6 +31,9 @@
 using Verb = beast::http::verb;
 using Name = beast::http::field;
 
+/// HTTP/1.1, as Beast writes versions.
+inline constexpr unsigned http_1_1 = 11;
+
 /// Parses "ip:port"; empty when it is not an address.
 std::optional<tcp::endpoint> parse_endpoint(std::string const& address);
 
@@ -40,4 +43,19 @@
 /// The connection dies when a peer has acknowledged nothing for `patience`; without it a cut link goes unnoticed.
 void bound_silence(tcp::socket&, Duration patience);
 
+/// What can be read from a socket at once.
+enum class Readable : u8 {
+    /// Nothing has arrived; the connection is open.
+    Nothing,
+    Bytes,
+    /// The peer has closed or reset the connection, and all that it sent before has been read.
+    End,
+};
+
+/// Looks without waiting and takes no bytes out of the socket.
+Readable peek(tcp::socket&);
+
+/// Whether reading a message failed by its content, not by the end of its connection.
+bool is_malformed(beast::error_code);
+
 }
