LibServing: Share what calls and generations do alike

Flow now begins a request, takes the head of an answer, makes the relayed answer and notes a failure for both. A call tells that nobody was reached from the end of the exchange, not from the text of the reason. Placing, dispatching and copying are split from their log lines. Unused members are gone; comments that were wrong are mended (who considers a move, when no engine is chosen, how often engines report).

Two log lines change: a generation whose engine answers a failure now logs that the engine is avoided (E number of a suspected backend server), as calls do; and a copy whose answer cannot be read says why instead of 'status 200'.

--- a/Libraries/LibServing/Answers.cpp
+++ b/Libraries/LibServing/Answers.cpp
@@ -33,15 +33,20 @@
     }
 }
 
+/// In seconds, to the millisecond.
+static std::string seconds_text(Duration duration)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << AK::to_seconds(duration);
+    return text.str();
+}
+
 Http::Response error_answer(Error const& error, Conclusion conclusion)
 {
-    Http::Response response(status_for(error, conclusion), 11);
+    Http::Response response(status_for(error, conclusion), Http::http_1_1);
     response.set(Http::Name::content_type, "application/json");
-    if (error.retry_after) {
-        std::ostringstream seconds;
-        seconds << std::fixed << std::setprecision(3) << AK::to_seconds(*error.retry_after);
-        response.set(Http::Name::retry_after, seconds.str());
-    }
+    if (error.retry_after)
+        response.set(Http::Name::retry_after, seconds_text(*error.retry_after));
     boost::json::value const body { { "error",
         { { "type", AK::to_string(error.kind) }, { "message", error.message },
             { "may_have_run", conclusion == Conclusion::MayHaveRun } } } };
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -12,9 +12,11 @@
 
 /// A report of load older than this says nothing of the present: most calls are over by then.
 static constexpr Duration load_report_lifetime = 1s;
-/// Reports of engines are asked for each second and are half a second old when they come.
+/// Reports of engines in use are asked for several times in this span (EngineReporter), and are half a second old when
+/// they come.
 static constexpr Duration engine_report_lifetime = 3s;
-/// Costs are in parts of a backend server's capacity.
+// Costs below are in parts of a backend server's capacity.
+
 /// A domain whose hosts are all silent is most likely cut off: a connection there would only cost its time-out.
 static constexpr double silent_domain_cost = 50;
 /// Chosen only when all others are avoided as well.
@@ -28,6 +30,7 @@
 static constexpr double unread_tokens_scale = 14'000;
 /// Memory beyond this share is where running generations would begin to push each other out.
 static constexpr double crowded_share = 0.9;
+/// For each part of the memory beyond it, and once for an engine whose slots are all taken.
 static constexpr double crowded_cost = 10;
 
 static double common_cost(Backend const& backend, ChoiceInputs const& inputs, boost::random::mt19937& random)
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -12,6 +12,7 @@
 
 namespace Serving {
 
+/// What a choice depends on beside the candidates.
 struct ChoiceInputs {
     FailureDomainId own_failure_domain;
     /// Other failure domains that seem to be cut off from this one.
@@ -23,6 +24,7 @@
 
 /// A backend server for a call to a plain service: the least busy by what this host has there and by what it last said
 /// of itself, with those that fail and those of other failure domains counted as busier. Passes over those in `tried`.
+/// Null when no other one serves.
 BackendPointer choose_for_call(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     ChoiceInputs const& inputs, boost::random::mt19937& random);
 
@@ -33,7 +35,7 @@
 };
 
 /// An engine for a generation: the one where prompts that wait to be read and memory in use cost it least.
-/// Null when none has the room.
+/// Passes over those in `tried`. Null when no other one serves; a full engine costs more, but is not passed over.
 BackendPointer choose_for_generation(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random);
 
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -15,6 +15,7 @@
 
 namespace Serving {
 
+/// What may be given to a backend server.
 enum class Availability : u8 {
     Serving,
     /// Takes no new work; what runs there goes on until it ends.
@@ -75,11 +76,13 @@
 /// The backend servers that this host knows, by service.
 class BackendTable {
 public:
-    /// Takes in what the platform says of one; answers what changed, or null when nothing did.
+    /// Takes in what the platform says of one; answers what changed, or null when nothing did or when its address
+    /// cannot be read.
     BackendPointer update(BackendServer const&, Instant now);
     /// It is off the list. Answers the entry if it was known.
     BackendPointer remove(EngineId const&, Instant now);
 
+    /// Null when it is not known.
     [[nodiscard]] BackendPointer find(EngineId const&) const;
     [[nodiscard]] std::vector<BackendPointer> const& of_service(ServiceName const&) const;
     [[nodiscard]] std::unordered_map<EngineId, BackendPointer> const& all() const { return this->by_id; }
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -10,6 +10,8 @@
 #include <LibServing/Answers.h>
 #include <LibServing/Dialect.h>
 #include <LibServing/ServingContext.h>
+#include <functional>
+#include <optional>
 
 namespace Serving {
 
@@ -38,18 +40,38 @@
     }
 
 protected:
+    /// Begins the request's time here: counts it, and calls back when its caller leaves or its deadline passes.
+    void begin(std::function<void()> on_caller_left, std::function<void()> on_deadline)
+    {
+        this->exchange().on_caller_left(std::move(on_caller_left));
+        this->deadline_timer.expires_at(this->call.deadline);
+        this->deadline_timer.async_wait([on_deadline = std::move(on_deadline)](boost::system::error_code error) {
+            if (!error)
+                on_deadline();
+        });
+        this->context.budget.note_request(this->call.service->name, this->context.now());
+    }
+
     [[nodiscard]] Duration time_left() const { return this->call.deadline - this->context.now(); }
     [[nodiscard]] std::string const& attempt() const { return this->call.head.attempt; }
     [[nodiscard]] Http::Exchange& exchange() const { return *this->call.exchange; }
+    /// How long the request has been here.
+    [[nodiscard]] Duration held_for() const { return this->context.now() - this->exchange().received_at(); }
+    /// Takes one further dispatch out of the service's budget; false when there is none left.
+    [[nodiscard]] bool take_budget()
+    {
+        return this->context.budget.take(this->call.service->name, this->context.now());
+    }
 
-    /// The caller's request as it goes to `target`: without what concerns the caller's connection only.
+    /// The caller's request as it goes to the backend server that `head` names: without what concerns the caller's
+    /// connection only.
     template<typename D>
     Http::Request make_dispatch(DispatchHead const& head) const
     {
         Http::Request request = this->call.exchange->request();
         Http::remove_connection_fields(request);
         D::prepare_dispatch(request, head);
-        request.version(11);
+        request.version(Http::http_1_1);
         request.keep_alive(true);
         request.prepare_payload();
         return request;
@@ -64,13 +86,55 @@
             .with("status", static_cast<int>(status))
             .with("route", this->call.route->name)
             .with("organisation", this->call.organisation)
-            .with("held_ms", this->context.now() - this->exchange().received_at())
+            .with("held_ms", this->held_for())
             .with("reason", error.message);
         this->exchange().answer(error_answer(error, conclusion));
     }
 
-    void log_avoidance(Backend const& backend, Duration avoidance, std::string_view reason)
+    /// To be called before each dispatch: what comes from now on answers that one.
+    void forget_answer()
+    {
+        this->answer_head.reset();
+        this->answer_body.clear();
+    }
+
+    /// Takes in the head of `backend`'s answer; false when it belongs to an earlier request.
+    template<typename D>
+    [[nodiscard]] bool take_head(Backend& backend, Http::ResponseHead const& head)
+    {
+        auto decoded = D::decode_answer(head);
+        if (!decoded.attempt.empty() && decoded.attempt != this->attempt())
+            return false;
+        this->answer_head = head;
+        this->answer = decoded;
+        this->note_load(backend, decoded);
+        return true;
+    }
+
+    /// Of the answer whose head has come; the same holds for those below.
+    [[nodiscard]] unsigned answer_status() const { return this->answer_head->result_int(); }
+    [[nodiscard]] bool is_success() const
+    {
+        return this->answer_status() >= first_success && this->answer_status() < first_redirection;
+    }
+    /// The backend server itself says that it has not run the request and will not.
+    [[nodiscard]] bool answer_says_not_run() const { return this->answer.is_not_run || this->answer.is_misdirected; }
+    [[nodiscard]] bool is_server_error() const { return this->answer_status() >= first_server_error; }
+
+    /// The backend server's whole answer as it goes to the caller: without what concerns its own connection only.
+    [[nodiscard]] Http::Response make_relayed_answer()
     {
+        Http::Response response;
+        response.base() = *this->answer_head;
+        Http::remove_connection_fields(response);
+        response.body() = std::move(this->answer_body);
+        return response;
+    }
+
+    /// A request has failed by the fault of `backend`: it may be avoided for a while, and the log says so.
+    void suspect(Backend& backend, bool is_unreachable, std::string_view reason)
+    {
+        auto avoidance = note_failure(backend, this->context.now(), is_unreachable);
         if (avoidance == 0s)
             return;
         this->context.log.event(Core::EventNumber::BackendServerSuspected, backend.server.id.value())
@@ -80,6 +144,7 @@
             .with("reason", reason);
     }
 
+    /// Keeps what the backend server says of its load, if it says anything.
     void note_load(Backend& backend, AnswerHead const& answer)
     {
         if (!answer.load)
@@ -88,11 +153,24 @@
         backend.load_heard_at = this->context.now();
     }
 
+    /// Where the classes of HTTP's statuses begin (RFC 9110, section 15).
+    static constexpr unsigned first_success = 200;
+    static constexpr unsigned first_redirection = 300;
+    static constexpr unsigned first_server_error = 500;
+
     ServingContext& context;
     AdmittedCall call;
     Http::asio::steady_timer deadline_timer;
+    /// Of the dispatch under way or the last one; empty until its head has come.
+    std::optional<Http::ResponseHead> answer_head;
+    AnswerHead answer;
+    /// A whole answer, so far. Streams pass it by.
+    std::string answer_body;
 };
 
+/// Handovers that failed before anything was run do not count as runs, but there must be an end to them.
+inline constexpr u32 most_handovers = 4;
+
 /// How long a connection to a backend server may take to come up. In a failure domain it takes a millisecond.
 inline constexpr Duration connect_patience = 400ms;
 /// A backend server whose host has acknowledged nothing for this long is cut off or has no power.
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -20,13 +20,7 @@
     void start()
     {
         auto self = this->shared_from_this();
-        this->call.exchange->on_caller_left([self] { self->caller_left(); });
-        this->deadline_timer.expires_at(this->call.deadline);
-        this->deadline_timer.async_wait([self](boost::system::error_code error) {
-            if (!error)
-                self->deadline_passed();
-        });
-        this->context.budget.note_request(this->call.service->name, this->context.now());
+        this->begin([self] { self->caller_left(); }, [self] { self->deadline_passed(); });
         this->place();
     }
 
@@ -34,7 +28,6 @@
     using Move = GenerationMove<D>;
     using Phase = typename Move::Phase;
 
-    static constexpr u32 most_handovers = 4;
     /// A generation runs for seconds, and is lost when its engine's domain is cut off from this host's.
     static constexpr double other_domain_cost = 0.3;
     /// Room may come free at other engines until its own has ended.
@@ -60,53 +53,55 @@
         if (!chosen)
             return this->refuse("no engine of the service is known to serve");
         this->tried.push_back(chosen->server.id);
+        this->log_placement(*chosen);
+        auto prompt = this->demand().prompt.value();
+        this->claim.emplace(chosen, prompt, prompt);
+        this->context.use_changed();
+        this->dispatch_to(chosen, {});
+    }
+
+    void log_placement(Backend const& chosen)
+    {
         this->context.log.event(Core::EventNumber::GenerationPlaced, this->attempt())
-            .with("engine", chosen->server.id)
+            .with("engine", chosen.server.id)
             .with("try", this->tried.size())
-            .with("engine_tokens", estimated_tokens(*chosen, this->context.now()))
-            .with("engine_unread", chosen->engine.unread_tokens())
-            .with("report_age_ms", this->context.now() - chosen->engine.report_heard_at)
+            .with("engine_tokens", estimated_tokens(chosen, this->context.now()))
+            .with("engine_unread", chosen.engine.unread_tokens())
+            .with("report_age_ms", this->context.now() - chosen.engine.report_heard_at)
             .with("prompt", this->demand().prompt)
             .with("expected_output", this->need().expected_output)
             .with("revision", this->call.routing->revision())
             .with("left_ms", this->time_left());
-        auto prompt = this->demand().prompt.value();
-        this->claim.emplace(chosen, prompt, prompt);
-        this->context.use_changed();
-        this->dispatch_to(chosen, {});
     }
 
     void dispatch_to(BackendPointer const& target, std::optional<Continuation> continuation)
     {
         this->backend = target;
-        this->answer_head.reset();
-        this->answer_body.clear();
+        this->forget_answer();
         this->reader = {};
         this->connection = this->context.connections.make_new(target->endpoint);
         DispatchHead const head { target->server.id, this->call.organisation, this->time_left(),
             std::move(continuation), {} };
+        this->connection->exchange(
+            this->template make_dispatch<D>(head), this->make_observer(), connect_patience, backend_silence_limit);
+    }
+
+    Http::ExchangeObserver make_observer()
+    {
         auto self = this->shared_from_this();
-        Http::ExchangeObserver observer {
-            [self](Http::ResponseHead const& arrived) { return self->head_arrived(arrived); },
+        return { [self](Http::ResponseHead const& head) { return self->head_arrived(head); },
             [self](std::string_view piece) { self->body_arrived(piece); },
-            [self](Http::ExchangeEnd end, std::string const& reason) { self->exchange_ended(end, reason); },
-        };
-        this->connection->exchange(
-            this->template make_dispatch<D>(head), std::move(observer), connect_patience, backend_silence_limit);
+            [self](Http::ExchangeEnd end, std::string const& reason) { self->exchange_ended(end, reason); } };
     }
 
     // --- the answer
 
     Http::HeadVerdict head_arrived(Http::ResponseHead const& head)
     {
-        auto decoded = D::decode_answer(head);
-        if (!decoded.attempt.empty() && decoded.attempt != this->attempt())
+        if (!this->template take_head<D>(*this->backend, head))
             return Http::HeadVerdict::Skip;
-        this->answer_head = head;
-        this->answer = decoded;
         this->answer_is_framed
             = head.count(Http::Name::transfer_encoding) > 0 || head.count(Http::Name::content_length) > 0;
-        this->note_load(*this->backend, decoded);
         if (!this->is_relayed_answer())
             return Http::HeadVerdict::Take;
         note_success(*this->backend);
@@ -120,8 +115,7 @@
     /// Whether the answer under way is a stream of events for the caller.
     [[nodiscard]] bool is_relayed_answer() const
     {
-        auto status = this->answer_head->result_int();
-        return status >= 200 && status < 300 && this->answer.is_signed && !this->answer.is_not_run;
+        return this->is_success() && this->answer.is_signed && !this->answer.is_not_run;
     }
 
     void begin_stream(Http::ResponseHead head)
@@ -181,8 +175,8 @@
         if (end == Http::ExchangeEnd::Complete)
             return this->other_answer();
         bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
-        this->log_avoidance(*this->backend, note_failure(*this->backend, this->context.now(), is_unreachable), reason);
-        auto text = std::string(Http::to_string(end)) + ": " + reason;
+        this->suspect(*this->backend, is_unreachable, reason);
+        auto text = Http::describe(end, reason);
         if (this->exchange().is_streaming())
             return this->lose(text);
         if (is_unreachable)
@@ -207,26 +201,22 @@
     {
         if (this->exchange().is_streaming())
             return this->continuation_refused();
-        if (this->answer.is_not_run || this->answer.is_misdirected)
-            return this->place_again("status " + std::to_string(this->answer_head->result_int()), false);
-        auto status = this->answer_head->result_int();
-        if (status >= 500)
-            note_failure(*this->backend, this->context.now(), false);
+        if (this->answer_says_not_run())
+            return this->place_again("status " + std::to_string(this->answer_status()), false);
+        if (this->is_server_error())
+            this->suspect(*this->backend, false, "status " + std::to_string(this->answer_status()));
         this->finish();
-        if (status < 300)
+        if (this->answer_status() < first_redirection)
             return this->answer_error({ ErrorKind::BackendServerFailed,
                                           "the engine's answer carries no signature; the generation may have run", {} },
                 Conclusion::MayHaveRun);
-        Http::Response response;
-        response.base() = *this->answer_head;
-        Http::remove_connection_fields(response);
-        response.body() = std::move(this->answer_body);
         this->context.log.event(Core::EventNumber::StreamEnded, this->attempt())
             .with("engine", this->backend->server.id)
-            .with("status", status);
-        this->exchange().answer(std::move(response));
+            .with("status", this->answer_status());
+        this->exchange().answer(this->make_relayed_answer());
     }
 
+    /// `is_free` when the last handover reached nobody: it is no further dispatch to the service then.
     void place_again(std::string const& reason, bool is_free)
     {
         this->context.log.event(Core::EventNumber::PlacementRepeated, this->attempt())
@@ -234,8 +224,7 @@
             .with("reason", reason);
         this->claim.reset();
         this->context.use_changed();
-        bool const may_try = this->tried.size() < most_handovers
-            && (is_free || this->context.budget.take(this->call.service->name, this->context.now()));
+        bool const may_try = this->tried.size() < most_handovers && (is_free || this->take_budget());
         if (may_try)
             return this->place();
         this->refuse(reason);
@@ -251,7 +240,7 @@
 
     // --- moving
 
-    /// Called whenever the engine shows that it runs, and by the table when the engine's state changes.
+    /// Called with each piece of the stream, and once the generation goes on elsewhere: that engine may be leaving too.
     void consider_move()
     {
         if (this->move || !this->backend || this->backend->availability == Availability::Serving)
@@ -328,7 +317,7 @@
 
     void continuation_refused()
     {
-        this->lose("the engine that holds its copy answered status " + std::to_string(this->answer_head->result_int()));
+        this->lose("the engine that holds its copy answered status " + std::to_string(this->answer_status()));
     }
 
     // --- ends
@@ -362,7 +351,7 @@
     {
         this->context.log.event(Core::EventNumber::CallerLeft, this->attempt())
             .with("events", this->order.count())
-            .with("held_ms", this->context.now() - this->exchange().received_at());
+            .with("held_ms", this->held_for());
         this->abandon();
     }
 
@@ -375,7 +364,7 @@
             .with("organisation", this->call.organisation)
             .with("events", this->order.count())
             .with("longest_gap_ms", this->longest_gap)
-            .with("held_ms", this->context.now() - this->exchange().received_at());
+            .with("held_ms", this->held_for());
     }
 
     void abandon()
@@ -401,10 +390,7 @@
     std::shared_ptr<Http::BackendConnection> connection;
     std::optional<EngineClaim> claim;
     std::vector<EngineId> tried;
-    std::optional<Http::ResponseHead> answer_head;
-    AnswerHead answer;
     bool answer_is_framed { false };
-    std::string answer_body;
     Delivery::EventStreamReader reader;
     Delivery::EventOrder order;
     Instant last_event_at {};
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -31,6 +31,7 @@
     struct Inputs {
         std::string attempt;
         BackendPointer source;
+        /// Tokens of the generation when its move begins.
         TokenCount held;
         EngineTraits traits;
     };
@@ -78,14 +79,15 @@
     }
 
     [[nodiscard]] Phase phase() const { return this->current; }
-    [[nodiscard]] bool has_copy() const { return this->copy.has_value(); }
+    /// Null before the first target has been chosen, and when there was none.
     [[nodiscard]] BackendPointer const& target() const { return this->chosen; }
     [[nodiscard]] BackendPointer const& source() const { return this->inputs.source; }
+    /// How a continued request names the copy. Only once there is one.
     [[nodiscard]] std::string copy_name() const { return D::copy_name(*this->inputs.source, this->copy->handle); }
-    [[nodiscard]] std::optional<u64> events_made() const { return this->copy->events_made; }
     [[nodiscard]] Instant started_at() const { return this->started; }
 
 private:
+    /// Engines that are asked to take a copy, one after another.
     static constexpr u32 most_targets = 3;
     /// A copy to another domain takes twice as long, and all copies from an engine that is leaving share its link and
     /// the little time that is left.
@@ -95,13 +97,16 @@
     static constexpr Duration handover_margin = 450ms;
     /// How long the smallest generation lets larger ones go first; the time of a copy of some 1,500 tokens.
     static constexpr Duration smallest_start_delay = 80ms;
+    /// A generation of this size or more does not wait for others.
     static constexpr double large_generation_tokens = 6000;
     /// What is left of an engine's time must be enough for the second copy and its answer.
     static constexpr Duration shortest_handover = 120ms;
+    /// How often the source's end is looked at again; a third of the margin before it.
     static constexpr Duration end_check_period = 150ms;
     /// A source that still runs so long after it should have ended goes on for an unknown time; copies do not keep that
     /// long.
     static constexpr Duration overdue_margin = 1s;
+    /// Pause before a source is asked again that was busy, or whose link was.
     static constexpr Duration busy_retry_delay = 60ms;
 
     [[nodiscard]] ChoiceInputs choice_inputs() const
@@ -149,19 +154,24 @@
     void copy_answered(bool is_last, Http::ExchangeEnd end, std::string const& reason)
     {
         if (end != Http::ExchangeEnd::Complete)
-            return this->fail(std::string(Http::to_string(end)) + ": " + reason);
-        constexpr unsigned ok = 200;
-        constexpr unsigned not_found = 404;
-        constexpr unsigned conflict = 409;
-        if (this->answer_status == not_found)
+            return this->fail(Http::describe(end, reason));
+        auto const status = static_cast<Http::Status>(this->answer_status);
+        if (status == Http::Status::not_found)
             return this->run_has_ended();
-        if (this->answer_status == conflict)
+        if (status == Http::Status::conflict)
             return this->ask_again_later(is_last);
         auto decoded = D::decode_copy(this->answer_body);
         if (decoded)
             this->copy = decoded.value();
-        if (this->answer_status != ok || !decoded)
-            return this->refused(is_last);
+        if (status != Http::Status::ok)
+            return this->copy_refused(is_last, "status " + std::to_string(this->answer_status) + " for a copy");
+        if (!decoded)
+            return this->copy_refused(is_last, "an answer to a copy: " + decoded.error().message);
+        this->copy_made(is_last);
+    }
+
+    void copy_made(bool is_last)
+    {
         this->context.log.event(Core::EventNumber::GenerationCopied, this->inputs.attempt)
             .with("from", this->inputs.source->server.id)
             .with("to", this->chosen->server.id)
@@ -175,6 +185,7 @@
         this->wait_for_handover();
     }
 
+    /// The source's link has nothing more to carry for this generation.
     void drop_uncopied_claim()
     {
         this->uncopied.reset();
@@ -189,9 +200,9 @@
         this->enter(Phase::Failed);
     }
 
-    void refused(bool is_last)
+    void copy_refused(bool is_last, std::string const& reason)
     {
-        this->log_failure("status " + std::to_string(this->answer_status) + " for a copy");
+        this->log_failure(reason);
         if (is_last)
             return this->enter(this->copy ? Phase::HandedOver : Phase::Failed);
         this->copy_to_next_target();
@@ -214,8 +225,7 @@
 
     void wait_for_handover() { this->consider_handover_at(this->source_ends_at() - handover_margin); }
 
-    /// What is known of the source's end may change meanwhile: the time is looked at again before it has come.
-
+    /// What is known of the source's end may change meanwhile, so it is looked at again before `when` has come.
     void consider_handover_at(Instant when)
     {
         this->timer.expires_at(std::min(when, this->context.now() + end_check_period));
--- a/Libraries/LibServing/RetryBudget.h
+++ b/Libraries/LibServing/RetryBudget.h
@@ -31,7 +31,9 @@
     {
     }
 
+    /// Takes effect with the next request; what has been earned is kept.
     void set_limits(Limits changed) { this->limits = changed; }
+    /// A request has come; it earns its share of a further dispatch.
     void note_request(ServiceName const&, Instant now);
     /// Takes one further dispatch out of the budget; false when there is none left.
     [[nodiscard]] bool take(ServiceName const&, Instant now);
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -19,19 +19,11 @@
     void start()
     {
         auto self = this->shared_from_this();
-        this->call.exchange->on_caller_left([self] { self->caller_left(); });
-        this->deadline_timer.expires_at(this->call.deadline);
-        this->deadline_timer.async_wait([self](boost::system::error_code error) {
-            if (!error)
-                self->deadline_passed();
-        });
-        this->context.budget.note_request(this->call.service->name, this->context.now());
+        this->begin([self] { self->caller_left(); }, [self] { self->deadline_passed(); });
         this->dispatch();
     }
 
 private:
-    /// Handovers that failed before anything was run do not count as runs, but there must be an end to them.
-    static constexpr u32 most_handovers = 4;
     /// Two more calls at a backend server of six slots. A call that is under way when its domain is cut off is lost.
     static constexpr double other_domain_cost = 0.3;
 
@@ -45,19 +37,22 @@
         this->tried.push_back(this->backend->server.id);
         ++this->handovers;
         ++this->backend->in_flight;
-        this->dispatched_at = this->context.now();
-        this->answer_body.clear();
-        this->answer_head.reset();
+        this->forget_answer();
         this->connection = this->context.connections.acquire(this->backend->endpoint);
+        this->log_dispatch();
+        DispatchHead const head { this->backend->server.id, this->call.organisation, this->time_left(), {}, {} };
+        this->connection->exchange(
+            this->template make_dispatch<D>(head), this->make_observer(), connect_patience, backend_silence_limit);
+    }
+
+    void log_dispatch()
+    {
         this->context.log.event(Core::EventNumber::ServiceCallDispatched, this->attempt())
             .with("backend", this->backend->server.id)
             .with("try", this->handovers)
             .with("in_flight", this->backend->in_flight)
             .with("revision", this->call.routing->revision())
             .with("left_ms", this->time_left());
-        DispatchHead const head { this->backend->server.id, this->call.organisation, this->time_left(), {}, {} };
-        this->connection->exchange(
-            this->template make_dispatch<D>(head), this->make_observer(), connect_patience, backend_silence_limit);
     }
 
     Http::ExchangeObserver make_observer()
@@ -70,13 +65,7 @@
 
     Http::HeadVerdict head_arrived(Http::ResponseHead const& head)
     {
-        auto decoded = D::decode_answer(head);
-        if (!decoded.attempt.empty() && decoded.attempt != this->attempt())
-            return Http::HeadVerdict::Skip;
-        this->answer_head = head;
-        this->answer = decoded;
-        this->note_load(*this->backend, decoded);
-        return Http::HeadVerdict::Take;
+        return this->template take_head<D>(*this->backend, head) ? Http::HeadVerdict::Take : Http::HeadVerdict::Skip;
     }
 
     void exchange_ended(Http::ExchangeEnd end, std::string const& reason)
@@ -85,47 +74,43 @@
         if (end == Http::ExchangeEnd::Complete)
             return this->answer_arrived(*used);
         bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
-        this->log_avoidance(*used, note_failure(*used, this->context.now(), is_unreachable), reason);
+        this->suspect(*used, is_unreachable, reason);
         this->may_have_run = this->may_have_run || !is_unreachable;
-        this->try_again(std::string(Http::to_string(end)) + ": " + reason);
+        this->try_again(Http::describe(end, reason), is_unreachable);
     }
 
     void answer_arrived(Backend& used)
     {
-        if (this->answer.is_not_run || this->answer.is_misdirected)
-            return this->try_again(this->answer.is_misdirected ? "misdirected" : "not run");
-        auto status = this->answer_head->result_int();
-        bool const is_success = status >= 200 && status < 300;
-        if (is_success && !this->answer.is_signed) {
-            this->log_avoidance(used, note_failure(used, this->context.now(), false), "unsigned");
+        if (this->answer_says_not_run())
+            return this->try_again(this->answer.is_misdirected ? "misdirected" : "not run", false);
+        if (this->is_success() && !this->answer.is_signed) {
+            this->suspect(used, false, "unsigned");
             this->may_have_run = true;
-            return this->try_again("its success carries no signature");
+            return this->try_again("its success carries no signature", false);
         }
-        if (status < 500) {
+        if (!this->is_server_error()) {
             note_success(used);
             return this->pass_on();
         }
-        this->log_avoidance(used, note_failure(used, this->context.now(), false), "status " + std::to_string(status));
+        auto reason = "status " + std::to_string(this->answer_status());
+        this->suspect(used, false, reason);
         this->may_have_run = true;
         if (this->may_run_again() && this->take_budget())
-            return this->retry("status " + std::to_string(status));
+            return this->retry(reason);
         this->pass_on();
     }
 
     void pass_on()
     {
-        Http::Response response;
-        response.base() = *this->answer_head;
-        Http::remove_connection_fields(response);
-        response.body() = std::move(this->answer_body);
-        this->context.metrics.observe("call_seconds", this->context.now() - this->exchange().received_at());
+        auto response = this->make_relayed_answer();
+        this->context.metrics.observe("call_seconds", this->held_for());
         this->context.log.event(Core::EventNumber::ServiceCallEnded, this->attempt())
             .with("backend", this->tried.back())
             .with("status", response.result_int())
             .with("route", this->call.route->name)
             .with("organisation", this->call.organisation)
             .with("tries", this->handovers)
-            .with("held_ms", this->context.now() - this->exchange().received_at());
+            .with("held_ms", this->held_for());
         this->finish();
         this->exchange().answer(std::move(response));
     }
@@ -138,22 +123,15 @@
     /// Handovers after which the request may have run.
     [[nodiscard]] u32 runs() const { return this->handovers - this->handovers_not_run; }
 
-    [[nodiscard]] bool take_budget()
-    {
-        return this->context.budget.take(this->call.service->name, this->context.now());
-    }
-
-    /// The last handover brought no answer that the caller can be given.
-    void try_again(std::string const& reason)
+    /// The last handover brought no answer that the caller can be given. `reached_nobody` when its connection was not
+    /// made: then the next one is no further arrival at the service, and takes nothing from the budget.
+    void try_again(std::string const& reason, bool reached_nobody)
     {
-        bool const last_was_not_run = this->answer_head ? this->answer.is_not_run || this->answer.is_misdirected
-                                                        : reason.starts_with("not_connected");
+        bool const last_was_not_run = reached_nobody || (this->answer_head && this->answer_says_not_run());
         if (last_was_not_run)
             ++this->handovers_not_run;
         bool const allowed = last_was_not_run ? this->handovers < most_handovers : this->may_run_again();
-        // A failed connection reached nobody, so it is not a further arrival.
-        bool const is_free = last_was_not_run && !this->answer_head;
-        if (allowed && (is_free || this->take_budget()))
+        if (allowed && (reached_nobody || this->take_budget()))
             return this->retry(reason);
         this->give_up(reason);
     }
@@ -204,8 +182,7 @@
 
     void caller_left()
     {
-        this->context.log.event(Core::EventNumber::CallerLeft, this->attempt())
-            .with("held_ms", this->context.now() - this->exchange().received_at());
+        this->context.log.event(Core::EventNumber::CallerLeft, this->attempt()).with("held_ms", this->held_for());
         this->abandon();
     }
 
@@ -236,10 +213,6 @@
     u32 handovers { 0 };
     u32 handovers_not_run { 0 };
     bool may_have_run { false };
-    Instant dispatched_at {};
-    std::optional<Http::ResponseHead> answer_head;
-    AnswerHead answer;
-    std::string answer_body;
 };
 
 }
