--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -11,6 +11,9 @@
 
 namespace Json = boost::json;
 
+/// Names the caller's attempt, in requests and in their answers.
+static constexpr auto attempt_header = "Lilactiller-Attempt-Id";
+
 PlatformRunner::PlatformRunner(Http::asio::io_context& loop, Http::tcp::endpoint endpoint, std::string id)
     : name(std::move(id))
     , endpoint(endpoint)
@@ -34,10 +37,10 @@
     return Json::serialize(row);
 }
 
-Http::Response PlatformRunner::signed_answer(Http::Request const& request, unsigned status) const
+Http::Response PlatformRunner::signed_answer(Http::Request const& request, Http::Status status) const
 {
-    Http::Response response(static_cast<Http::Status>(status), 11);
-    response.set("Lilactiller-Attempt-Id", request["Lilactiller-Attempt-Id"]);
+    Http::Response response(status, Http::http_1_1);
+    response.set(attempt_header, request[attempt_header]);
     response.set("Lilactiller-Response-Stamp", "stamp-of-" + this->name);
     response.set("Lilactiller-Server-Load", "1,0,8");
     return response;
@@ -45,8 +48,7 @@
 
 void PlatformRunner::note(Http::Request const& request)
 {
-    Received received { std::string(request["Lilactiller-Attempt-Id"]), std::string(request.target()), request.body(),
-        {} };
+    Received received { std::string(request[attempt_header]), std::string(request.target()), request.body(), {} };
     for (auto const& field : request)
         received.headers[std::string(field.name_string())] = std::string(field.value());
     this->requests.push_back(std::move(received));
@@ -60,10 +62,10 @@
     if (request.target() == "/kv-move")
         return this->copy(*exchange);
     if (request.target().starts_with("/kv-handle/"))
-        return exchange->answer(Http::Response(Http::Status::ok, 11));
+        return exchange->answer(Http::Response(Http::Status::ok, Http::http_1_1));
     this->note(request);
     if (request["Lilactiller-Target-Instance"] != this->name) {
-        Http::Response response(Http::Status::misdirected_request, 11);
+        Http::Response response(Http::Status::misdirected_request, Http::http_1_1);
         response.set("Lilactiller-Instance-Id", this->name);
         return exchange->answer(std::move(response));
     }
@@ -78,16 +80,16 @@
     auto fault = this->faults.front();
     this->faults.pop_front();
     auto const& request = exchange->request();
-    auto attempt = std::string(request["Lilactiller-Attempt-Id"]);
+    auto attempt = std::string(request[attempt_header]);
     switch (fault) {
     case Fault::NotRun: {
-        Http::Response response(Http::Status::service_unavailable, 11);
+        Http::Response response(Http::Status::service_unavailable, Http::http_1_1);
         response.set("Lilactiller-Not-Executed", "1");
         exchange->answer(std::move(response));
         return true;
     }
     case Fault::Misdirected:
-        exchange->answer(Http::Response(Http::Status::misdirected_request, 11));
+        exchange->answer(Http::Response(Http::Status::misdirected_request, Http::http_1_1));
         return true;
     case Fault::LoseAnswer:
         ++this->run_counts[attempt];
@@ -95,11 +97,11 @@
         return true;
     case Fault::Fail:
         ++this->run_counts[attempt];
-        exchange->answer(this->signed_answer(request, 500));
+        exchange->answer(this->signed_answer(request, Http::Status::internal_server_error));
         return true;
     case Fault::Unsigned:
         ++this->run_counts[attempt];
-        exchange->answer(Http::Response(Http::Status::ok, 11));
+        exchange->answer(Http::Response(Http::Status::ok, Http::http_1_1));
         return true;
     case Fault::Hang:
         ++this->run_counts[attempt];
@@ -113,20 +115,20 @@
 void PlatformRunner::run(std::shared_ptr<Http::Exchange> const& exchange)
 {
     auto const& request = exchange->request();
-    auto attempt = std::string(request["Lilactiller-Attempt-Id"]);
+    auto attempt = std::string(request[attempt_header]);
     bool const is_generation = request.count("Lilactiller-Token-Usage") > 0;
     u64 events_before = 0;
     if (request.count("Kv-From") > 0) {
         std::string const from(request["Kv-From"]);
         auto copy = this->copies.find(from.substr(from.find('/') + 1));
         if (copy == this->copies.end())
-            return exchange->answer(this->signed_answer(request, 503));
+            return exchange->answer(this->signed_answer(request, Http::Status::service_unavailable));
         this->copies.erase(copy);
         events_before = request.count("Last-Event-Id") > 0 ? std::stoull(std::string(request["Last-Event-Id"])) : 0;
     } else {
         ++this->run_counts[attempt];
     }
-    auto response = this->signed_answer(request, 200);
+    auto response = this->signed_answer(request, Http::Status::ok);
     if (!is_generation) {
         response.body() = "answer to " + std::string(request.target());
         return exchange->answer(std::move(response));
@@ -172,7 +174,7 @@
     this->ordered_copies.push_back(attempt);
     auto found = this->generations.find(attempt);
     if (found == this->generations.end())
-        return exchange.answer(Http::Response(Http::Status::not_found, 11));
+        return exchange.answer(Http::Response(Http::Status::not_found, Http::http_1_1));
     auto handle = "copy-of-" + attempt;
     auto made = found->second.events_made;
     if (order.contains("last")) {
@@ -180,7 +182,7 @@
         this->generations.erase(found);
         stopped.exchange->abort();
     }
-    Http::Response response(Http::Status::ok, 11);
+    Http::Response response(Http::Status::ok, Http::http_1_1);
     response.body() = Json::serialize(Json::object { { "handle", handle }, { "made", made } });
     exchange.answer(std::move(response));
     if (this->on_copy)
@@ -195,7 +197,7 @@
         report["state"] = "draining";
         report["leaves_ms"] = *this->leaves_in;
     }
-    Http::Response response(Http::Status::ok, 11);
+    Http::Response response(Http::Status::ok, Http::http_1_1);
     response.body() = Json::serialize(report);
     exchange.answer(std::move(response));
 }
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -82,7 +82,7 @@
     void run(std::shared_ptr<Http::Exchange> const&);
     void copy(Http::Exchange&);
     void answer_report(Http::Exchange&);
-    Http::Response signed_answer(Http::Request const&, unsigned status) const;
+    Http::Response signed_answer(Http::Request const&, Http::Status) const;
 
     std::string name;
     Http::tcp::endpoint endpoint;
--- a/StandIns/PlatformStore/PlatformStore.cpp
+++ b/StandIns/PlatformStore/PlatformStore.cpp
@@ -91,14 +91,14 @@
     this->oldest_followed = ++this->newest;
     for (auto& entry : this->waiting) {
         entry.timer->cancel();
-        answer(*entry.exchange, 410, "{}");
+        answer(*entry.exchange, Http::Status::gone, "{}");
     }
     this->waiting.clear();
 }
 
-void PlatformStore::answer(Http::Exchange& exchange, unsigned status, std::string body)
+void PlatformStore::answer(Http::Exchange& exchange, Http::Status status, std::string body)
 {
-    Http::Response response(static_cast<Http::Status>(status), 11);
+    Http::Response response(status, Http::http_1_1);
     response.set(Http::Name::content_type, "application/json");
     response.body() = std::move(body);
     exchange.answer(std::move(response));
@@ -112,7 +112,7 @@
         return;
     }
     if (this->mode == Mode::Busy)
-        return answer(*exchange, 503, "{}");
+        return answer(*exchange, Http::Status::service_unavailable, "{}");
     std::string const target(exchange->request().target());
     auto query = query_of(target);
     if (target.starts_with("/rows-get"))
@@ -121,7 +121,7 @@
         return this->follow(exchange, query["table"], std::stoull(query["after_rev"]), std::stoull(query["wait_ms"]));
     if (target.starts_with("/rows-tx"))
         return this->commit(*exchange);
-    answer(*exchange, 404, "{}");
+    answer(*exchange, Http::Status::not_found, "{}");
 }
 
 void PlatformStore::answer_rows(Http::Exchange& exchange, std::string const& table, std::string const& from)
@@ -135,7 +135,7 @@
     }
     Json::object const body { { "rows", std::move(rows) }, { "more", false }, { "ver", this->newest - this->behind },
         { "now_ms", 0 } };
-    answer(exchange, 200, Json::serialize(body));
+    answer(exchange, Http::Status::ok, Json::serialize(body));
 }
 
 bool PlatformStore::answer_changes(Http::Exchange& exchange, std::string const& table, u64 after, bool is_last_chance)
@@ -155,7 +155,7 @@
     Json::array rows;
     for (auto& [version, change] : changes)
         rows.push_back(std::move(change));
-    answer(exchange, 200,
+    answer(exchange, Http::Status::ok,
         Json::serialize(Json::object { { "rows", std::move(rows) }, { "ver", this->newest - this->behind } }));
     return true;
 }
@@ -164,7 +164,7 @@
     std::shared_ptr<Http::Exchange> const& exchange, std::string const& table, u64 after, u64 wait_milliseconds)
 {
     if (after < this->oldest_followed)
-        return answer(*exchange, 410, "{}");
+        return answer(*exchange, Http::Status::gone, "{}");
     if (this->answer_changes(*exchange, table, after, false))
         return;
     auto timer = std::make_shared<Http::asio::steady_timer>(this->loop, std::chrono::milliseconds(wait_milliseconds));
@@ -197,7 +197,7 @@
                 from_base64(std::string(row.at("value").as_string())));
         }
     }
-    answer(exchange, 200, Json::serialize(Json::object { { "ver", this->newest }, { "now_ms", 0 } }));
+    answer(exchange, Http::Status::ok, Json::serialize(Json::object { { "ver", this->newest }, { "now_ms", 0 } }));
 }
 
 }
