LibDelivery, LibCore: Say what the event reader and the log do in units

The comment on the size of a write named POSIX for what is a habit of Linux's pipes. An unused header is gone. No change of behaviour.

--- a/Libraries/LibCore/StructuredLog.cpp
+++ b/Libraries/LibCore/StructuredLog.cpp
@@ -12,7 +12,8 @@
 
 namespace Core {
 
-/// What one write hands to a pipe that has become writable; POSIX guarantees that so much does not block.
+/// What one write hands to a pipe that is writable. Linux reports a pipe as writable when a page of it is free, which
+/// is so much.
 static constexpr size_t safe_write_bytes = 4096;
 
 StructuredLog::StructuredLog(Sink sink, double lines_per_second)
@@ -57,7 +58,7 @@
     }
     this->text += '"';
     for (char character : value) {
-        bool const is_control = static_cast<unsigned char>(character) < 0x20;
+        bool const is_control = static_cast<unsigned char>(character) < ' ';
         if (character == '"' || character == '\\')
             this->text += '\\';
         this->text += is_control ? ' ' : character;
--- a/Libraries/LibCore/StructuredLog.h
+++ b/Libraries/LibCore/StructuredLog.h
@@ -9,8 +9,10 @@
 #include <AK/Types.h>
 #include <LibCore/EventCatalogue.h>
 #include <functional>
-#include <sstream>
 #include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
 
 namespace Core {
 
@@ -25,6 +27,7 @@
     /// Lines a second in the long run, from 4 lines a request at twice a host's share of the peak (about 6 requests/s),
     /// with room for a client that repeats without pause.
     static constexpr double default_lines_per_second = 200;
+    /// Lines that may come at once: five seconds' worth.
     static constexpr double burst_lines = 1000;
     /// Bytes that may wait for a stalled reader.
     static constexpr size_t most_waiting_bytes = 256 << 10;
@@ -72,6 +75,7 @@
     Line event(EventNumber number, std::string_view subject);
     /// Hands waiting lines to the sink. Call it on a short timer and before the process ends.
     void flush();
+    /// Lines dropped since the start, by the rate or for want of a reader.
     [[nodiscard]] u64 dropped_lines() const { return this->dropped_total; }
 
 private:
--- a/Libraries/LibDelivery/EventStream.cpp
+++ b/Libraries/LibDelivery/EventStream.cpp
@@ -9,6 +9,9 @@
 
 namespace Delivery {
 
+/// The field of an event that holds its number (WHATWG HTML, section 9.2, server-sent events).
+static constexpr std::string_view number_field = "id:";
+
 static std::optional<u64> number_of(std::string_view event)
 {
     size_t position = 0;
@@ -16,9 +19,9 @@
         auto end = event.find('\n', position);
         auto line = event.substr(position, end - position);
         position = end == std::string_view::npos ? event.size() : end + 1;
-        if (!line.starts_with("id:"))
+        if (!line.starts_with(number_field))
             continue;
-        line.remove_prefix(3);
+        line.remove_prefix(number_field.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
         u64 number = 0;
--- a/Libraries/LibDelivery/EventStream.h
+++ b/Libraries/LibDelivery/EventStream.h
@@ -16,6 +16,7 @@
 
 /// One event of a text/event-stream, whole, with the blank line that ends it.
 struct StreamEvent {
+    /// Empty when the event carries none that is a number.
     std::optional<u64> number;
     std::string text;
 };
@@ -23,9 +24,10 @@
 /// Cuts a stream of bytes into whole events. Bytes of an event that is never completed are never handed out.
 class EventStreamReader {
 public:
-    /// An event larger than this is no event of a generation.
+    /// An event larger than this, in bytes, is no event of a generation.
     static constexpr size_t largest_event_bytes = 256 << 10;
 
+    /// Takes the next bytes of the stream; answers the events that they complete, in order.
     std::vector<StreamEvent> feed(std::string_view bytes);
     [[nodiscard]] bool has_partial_event() const { return !this->pending.empty(); }
     [[nodiscard]] bool is_oversized() const { return this->pending.size() > largest_event_bytes; }
@@ -48,6 +50,7 @@
     Verdict check(StreamEvent const&);
     /// The number of the last event that was let through.
     [[nodiscard]] std::optional<u64> last() const { return this->last_number; }
+    /// Events that were let through.
     [[nodiscard]] u64 count() const { return this->forwarded; }
 
 private:
