LibServing: Ask engines less while hosts are missing, and a lost platform each second

Only a host that is cut off now asks, engines of its own domain; what asked for missing hosts is gone with its test, whose other half now checks who is heard.

--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -57,9 +57,10 @@
     Duration wait { 2s };
     /// How long beyond that an answer may take; a slow store takes some hundred milliseconds.
     Duration answer_patience { 1s };
-    /// Pause before a call that failed is made again; it doubles up to the limit.
+    /// Pause before a call that failed is made again; it doubles up to the limit. Refused calls cost the platform too,
+    /// and meanwhile changes are heard from other processes.
     Duration first_retry { 50ms };
-    Duration longest_retry { 400ms };
+    Duration longest_retry { 1s };
 };
 
 /// Changes of a table, as one process tells them to others that do not read it themselves.
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -35,8 +35,9 @@
     /// leaving: the platform may be away just then, and notice is as short as a second and a half. A host that is cut
     /// off asks for itself.
     static constexpr Duration period = 350ms;
-    /// Of every so many rounds one asks all engines, the others only those that run generations of this host.
-    static constexpr u32 rounds_to_ask_all = 4;
+    /// Of every so many rounds of a host that is cut off one asks all engines of its own domain, since the others' work
+    /// there is not known; the rest asks only those that run its own generations.
+    static constexpr u32 rounds_to_ask_near = 4;
     static constexpr Duration answer_patience = 1s;
     /// How old a report may be when it comes: 510 to 600 ms between the end that was reported and the one that came
     /// (four engines of a played day).
@@ -63,33 +64,40 @@
 
     void ask_round()
     {
-        auto now = this->context.now();
-        bool const is_cut_off = this->context.reach.is_cut_off(now);
-        bool const asks_all
-            = ++this->rounds % rounds_to_ask_all == 0 && (is_cut_off || this->context.reach.misses_hosts(now));
+        ++this->rounds;
+        bool const is_cut_off = this->context.reach.is_cut_off(this->context.now());
         for (auto const& [id, backend] : this->context.backends.all()) {
-            if (!this->is_engine(*backend))
-                continue;
-            if (backend->availability == Availability::Leaving
-                    ? this->wants_end_of(*backend)
-                    : asks_all || this->wants_news_of(*backend, is_cut_off, now))
+            if (this->is_engine(*backend) && this->wants_report_of(*backend, is_cut_off))
                 this->ask(backend);
         }
     }
 
-    /// The first report after an engine's notice is often from before it, and does not tell when it ends.
-    [[nodiscard]] bool wants_end_of(Backend const& backend) const
+    [[nodiscard]] bool wants_report_of(Backend const& backend, bool is_cut_off) const
     {
-        return backend.engine.own_generations > 0 && !backend.ends_at;
+        if (backend.availability == Availability::Leaving)
+            return this->wants_end_of(backend);
+        if (is_cut_off && backend.engine.own_generations > 0)
+            return true;
+        if (is_cut_off && this->rounds % rounds_to_ask_near == 0 && this->is_near(backend))
+            return true;
+        return backend.engine.generations() > 0 && this->looks_after(backend);
     }
 
-    [[nodiscard]] bool wants_news_of(Backend const& backend, bool is_cut_off, Instant now) const
+    [[nodiscard]] bool looks_after(Backend const& backend) const
     {
-        if (is_cut_off && backend.engine.own_generations > 0)
-            return true;
         auto const& own_address = this->context.settings.peer_listen;
-        return backend.engine.generations() > 0
-            && this->context.reach.looks_after(own_address, backend.server.id.value(), now);
+        return this->context.reach.looks_after(own_address, backend.server.id.value(), this->context.now());
+    }
+
+    [[nodiscard]] bool is_near(Backend const& backend) const
+    {
+        return backend.server.failure_domain == this->context.settings.failure_domain;
+    }
+
+    /// The first report after an engine's notice is often from before it, and does not tell when it ends.
+    [[nodiscard]] bool wants_end_of(Backend const& backend) const
+    {
+        return backend.engine.own_generations > 0 && !backend.ends_at;
     }
 
     void ask(BackendPointer const& backend)
--- a/Libraries/LibServing/Reach.cpp
+++ b/Libraries/LibServing/Reach.cpp
@@ -99,12 +99,6 @@
         && std::ranges::all_of(this->hosts, [&](auto const& entry) { return is_silent(entry.second, now); });
 }
 
-bool Reach::misses_hosts(Instant now) const
-{
-    return std::ranges::any_of(this->hosts,
-        [&](auto const& entry) { return is_silent(entry.second, now) && !is_forgotten(entry.second, now); });
-}
-
 bool Reach::looks_after(Address const& own_address, std::string_view subject, Instant now) const
 {
     auto own_rank = rank(own_address, subject);
--- a/Libraries/LibServing/Reach.h
+++ b/Libraries/LibServing/Reach.h
@@ -44,8 +44,6 @@
     [[nodiscard]] std::vector<Address> readers_elsewhere(Instant now) const;
     /// Whether news of backend servers may not come: the platform does not answer, or all other hosts are silent.
     [[nodiscard]] bool is_cut_off(Instant now) const;
-    /// Whether some host that was there lately is silent, so that its work at engines is not known.
-    [[nodiscard]] bool misses_hosts(Instant now) const;
     /// Whether this host is the one among those that it hears which looks after `subject`. Hosts that hear the same
     /// others agree on it (rendezvous hashing).
     [[nodiscard]] bool looks_after(Address const& own_address, std::string_view subject, Instant now) const;
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -106,12 +106,12 @@
     reach.heard(Address("10.0.0.3:1"), { FailureDomainId("hall-b"), 400ms }, now);
 
     CHECK_FALSE(reach.is_cut_off(now + 900ms));
-    CHECK_FALSE(reach.misses_hosts(now + 900ms));
     WHEN("one host of another domain is silent")
     {
         reach.heard(Address("10.0.0.1:1"), now + 2s);
         reach.heard(Address("10.0.0.2:1"), now + 2s);
-        CHECK(reach.misses_hosts(now + 2s));
+        CHECK(reach.is_heard(Address("10.0.0.2:1"), now + 2s));
+        CHECK_FALSE(reach.is_heard(Address("10.0.0.3:1"), now + 2s));
         CHECK(reach.silent_domains(now + 2s).empty());
     }
     WHEN("all hosts of another domain are silent")
