LibHttp, LibServing: Mend what a second reading found

A request whose body comes after its 408 must not run; informational answers are not final; an event without an end is cut off at its bound; a head that says "not run" holds when its answer is cut. The test of informational answers failed first; the others were found by reading and have none.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -131,7 +131,11 @@
         return this->fail(is_malformed(error) ? ExchangeEnd::Malformed : ExchangeEnd::NoAnswer, error);
     auto number = this->exchange_number;
     auto current = this->observer;
-    this->skipping = current->head(this->parser->get()) == HeadVerdict::Skip;
+    // An informational answer (100 to 199) is followed by the real one.
+    auto const& head = this->parser->get();
+    constexpr unsigned first_final_status = 200;
+    bool const is_informational = head.result_int() < first_final_status;
+    this->skipping = is_informational || current->head(head) == HeadVerdict::Skip;
     if (number != this->exchange_number || !this->in_exchange)
         return;
     this->note_idle_limit(this->parser->get());
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -82,6 +82,9 @@
 
 void CallerConnection::body_arrived(beast::error_code error)
 {
+    // The caller may have been told by now that the body came too late; it must not be run after that.
+    if (this->in_request)
+        return;
     if (error)
         return this->refuse_bytes(error);
     this->timer.cancel();
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -132,11 +132,13 @@
         }
         for (auto const& event : this->reader.feed(piece)) {
             auto verdict = this->order.check(event);
-            if (verdict == Delivery::EventOrder::Verdict::Gap || this->reader.is_oversized())
+            if (verdict == Delivery::EventOrder::Verdict::Gap)
                 return this->lose("its engine left out events");
             if (verdict == Delivery::EventOrder::Verdict::Forward)
                 this->forward(event);
         }
+        if (this->reader.is_oversized())
+            return this->lose("its engine sent an event without an end");
         this->consider_move();
     }
 
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -75,7 +75,9 @@
             return this->answer_arrived(*used);
         bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
         this->suspect(*used, is_unreachable, reason);
-        this->may_have_run = this->may_have_run || !is_unreachable;
+        // A head that says "not run" holds even if the rest of its answer was cut.
+        bool const has_not_run = is_unreachable || (this->answer_head && this->answer_says_not_run());
+        this->may_have_run = this->may_have_run || !has_not_run;
         this->try_again(Http::describe(end, reason), is_unreachable);
     }
 
--- a/Tests/LibHttp/TestBackendConnection.cpp
+++ b/Tests/LibHttp/TestBackendConnection.cpp
@@ -61,6 +61,14 @@
         CHECK(collected.end == ExchangeEnd::Complete);
         CHECK(collected.body == "hello");
     }
+    GIVEN("an informational answer in front of the real one")
+    {
+        peer.script("HTTP/1.1 103 Early Hints\r\nX-For: this\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        ask(pool.acquire(peer.endpoint()));
+        CHECK(collected.end == ExchangeEnd::Complete);
+        CHECK(collected.status == 200);
+        CHECK(collected.body == "hello");
+    }
     GIVEN("an answer without a length that ends with its connection")
     {
         peer.script("HTTP/1.1 200 OK\r\n\r\nhello", ScriptedPeer::Then::Close);
--- a/Tests/Platform/TestGenerations.cpp
+++ b/Tests/Platform/TestGenerations.cpp
@@ -81,6 +81,8 @@
 SCENARIO("a generation outlives its engine")
 {
     HostFixture fixture;
+    // No run is stopped by the clock here, only when its engine says when it ends.
+    fixture.drain_time = 60s;
     auto& old_engine = fixture.add_runner("engine-1", "models");
     fixture.start_ready_host();
     auto call = fixture.call(HostFixture::generation("g3"));
@@ -102,7 +104,6 @@
 
     WHEN("the engine says that it leaves")
     {
-        old_engine.set_leaves_in(1200);
         fixture.drain(old_engine);
         fixture.until([&] { return fixture.log_has("subject=engine-1 state=leaving"); });
         old_engine.make_events();
@@ -111,6 +112,7 @@
         {
             old_engine.make_events();
             fixture.until([&] { return call->event_count() == 3; });
+            old_engine.set_leaves_in(900);
             finish();
             CHECK(numbers_in(call->body) == "1,2,3,4");
             CHECK(fixture.log_has("event=E2110 generation_moved subject=g3 from=engine-1 to=engine-2"));
