Tests: Take listeners' ports from where outgoing connections get none

Cause: TestPlatform failed once in a full run, and 2 of 36 runs of one scenario in three processes at once: a listener's port was chosen from the system's ephemeral range and taken by another socket before its use.

--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -11,6 +11,7 @@
 #include <StandIns/PlatformStore/PlatformStore.h>
 #include <Tests/Support/LoopWait.h>
 #include <platform/UsersPlatform.h>
+#include <unistd.h>
 
 namespace Test {
 
@@ -49,11 +50,24 @@
     {
     }
 
+    /// An address that nobody listens on. Ports come from below those that the system hands to outgoing connections,
+    /// which could take one between its choice here and its use, and start at a place of this process's own.
     static Http::tcp::endpoint free_endpoint()
     {
+        constexpr unsigned first_port = 10'000;
+        constexpr unsigned port_count = 20'000;
+        static unsigned next = static_cast<unsigned>(::getpid()) * 97;
         Http::asio::io_context loop;
-        Http::tcp::acceptor acceptor(loop, { Http::asio::ip::address_v4::loopback(), 0 });
-        return acceptor.local_endpoint();
+        while (true) {
+            auto port = static_cast<u16>(first_port + next++ % port_count);
+            Http::tcp::endpoint endpoint(Http::asio::ip::address_v4::loopback(), port);
+            Http::tcp::acceptor acceptor(loop, endpoint.protocol());
+            boost::system::error_code error;
+            acceptor.set_option(Http::tcp::acceptor::reuse_address(true), error);
+            acceptor.bind(endpoint, error);
+            if (!error)
+                return endpoint;
+        }
     }
 
     static std::string text_of(Http::tcp::endpoint const& endpoint)
