--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -85,7 +85,7 @@
 
     [[nodiscard]] bool looks_after(Backend const& backend) const
     {
-        auto const& own_address = this->context.settings.peer_listen;
+        auto const& own_address = this->context.settings.peer_address;
         return this->context.reach.looks_after(own_address, backend.server.id.value(), this->context.now());
     }
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -53,12 +53,12 @@
         , context(loop, this->settings, log)
         , desk(this->context)
         , reporter(this->context)
-        , peers(this->context, this->settings.peer_listen, this->make_peer_observer())
+        , peers(this->context, this->make_peer_observer())
         , backends(this->context,
               { [this](BackendPointer const& backend) { this->peers.backend_appeared(*backend); },
                   [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); } })
         , directory_store(loop, this->settings.platform.value())
-        , directory(loop, this->directory_store, this->settings.host, this->settings.peer_listen,
+        , directory(loop, this->directory_store, this->settings.host, this->settings.peer_address,
               this->settings.failure_domain,
               [this](Address const& peer, FailureDomainId const& domain) { this->peers.learn(peer, domain); })
         , configuration_store(loop, this->settings.platform.value())
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -33,6 +33,8 @@
     if (auto metrics = reader.text_or("host.metrics_listen", ""); !metrics.empty())
         settings.metrics_listen = Address(reader.address("host.metrics_listen"));
     settings.peer_listen = Address(reader.address("host.peer_listen"));
+    auto const announced = reader.text_or("host.peer_address", "");
+    settings.peer_address = announced.empty() ? settings.peer_listen : Address(reader.address("host.peer_address"));
     settings.platform = Address(reader.address("host.platform"));
     settings.stop_grace = reader.duration_or("host.stop_grace", settings.stop_grace);
     settings.drain_time = reader.duration_or("backends.drain_time", settings.drain_time);
--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -21,8 +21,10 @@
     /// Empty: no metrics are served.
     std::optional<Address> metrics_listen;
     Address platform;
-    /// Where the other entry hosts reach this one.
+    /// Where this process listens for the other entry hosts.
     Address peer_listen;
+    /// Where the other entry hosts reach it; differs from the above behind a port forwarder.
+    Address peer_address;
     /// Time between the signal to stop and the end of the process.
     Duration stop_grace { 8s };
     /// How long a backend server goes on after it has said that it leaves.
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -23,16 +23,17 @@
 /// Hosts that are silent are still called now and then, in case they come back.
 static constexpr u32 rounds_between_calls_to_silent = 4;
 
-PeerLink::PeerLink(ServingContext& context, Address listen, Observer observer)
+PeerLink::PeerLink(ServingContext& context, Observer observer)
     : context(context)
     , observer(std::move(observer))
     , events(context.settings.host)
-    , transport(Wire::watch_on(context.loop), this->events, context.metrics, std::move(listen), {})
+    , transport(Wire::watch_on(context.loop), this->events, context.metrics, context.settings.peer_listen, {})
     , near_timer(context.loop)
     , far_timer(context.loop)
     , near_change_timer(context.loop)
     , far_change_timer(context.loop)
 {
+    this->transport.announce_as(context.settings.peer_address);
     this->context.use_changed = [this] { this->tell_changes_soon(); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->heard(envelope); });
 }
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -31,10 +31,10 @@
         std::function<std::vector<std::pair<std::string, u64>>()> own_progress;
     };
 
-    PeerLink(ServingContext&, Address listen, Observer);
+    PeerLink(ServingContext&, Observer);
 
     void start();
-    [[nodiscard]] Address const& address() const { return this->transport.listen_address(); }
+    [[nodiscard]] Address const& address() const { return this->transport.announced_address(); }
 
     /// An address that another host has, by the platform's table.
     void learn(Address const& peer, FailureDomainId const& domain);
--- a/Libraries/LibWire/PeerTransport.cpp
+++ b/Libraries/LibWire/PeerTransport.cpp
@@ -120,7 +120,7 @@
 {
     auto stamp = this->event_log.stamp_outgoing();
     envelope.set_sender(this->event_log.member_id().value());
-    envelope.set_sender_address(this->listen.value());
+    envelope.set_sender_address(this->announced.value());
     envelope.set_wall_milliseconds(stamp.wall_milliseconds);
     envelope.set_counter(stamp.counter);
     auto frame = envelope.SerializeAsString();
--- a/Libraries/LibWire/PeerTransport.h
+++ b/Libraries/LibWire/PeerTransport.h
@@ -44,7 +44,10 @@
     void send(Address const& peer, wire::Envelope envelope);
     /// Forgets the connection to a peer that is gone, with what was queued for it.
     void disconnect(Address const& peer);
-    [[nodiscard]] Address const& listen_address() const { return this->listen; }
+    /// Tells peers another address than the one that is listened on, as behind a port forwarder.
+    void announce_as(Address address) { this->announced = std::move(address); }
+    /// Where peers reach this process.
+    [[nodiscard]] Address const& announced_address() const { return this->announced; }
 
 private:
     void receive_all();
@@ -56,6 +59,7 @@
     Core::EventLog& event_log;
     Core::Metrics& metrics;
     Address listen;
+    Address announced { this->listen };
     std::optional<CurveKeys> curve;
     zmq::context_t context;
     zmq::socket_t authentication_socket;
--- a/Meta/lilactiller.sh
+++ b/Meta/lilactiller.sh
@@ -17,6 +17,8 @@
   bench [--quick]    build and measure the decisions; writes Run/bench
   bench capacity     build and measure the slopes behind docs/CAPACITY.md
   drill [SEED]       build and run the fleet under load and faults, then check the history of the run
+  soak [--seeds N] [--first N] [--jobs N]
+                     build, run HostServers under load and faults drawn from seeds, and check the promises meanwhile
   guards             take each guard out on a scratch copy and show that its test fails
   lint               check formatting and lint
   format             format all sources
@@ -96,6 +98,10 @@
     build
     LILAC_BUILD_DIRECTORY=$build_directory Meta/drill.sh "${2:-1}"
     ;;
+soak)
+    build
+    Meta/soak.sh "$build_directory" "$run_directory" "${@:2}"
+    ;;
 guards)
     setup
     Meta/prove-guards.sh
--- /dev/null
+++ b/Meta/soak.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: BSD-2-Clause
+# Runs the fault soak on many seeds, a few at a time, and prints each seed's line and every violation.
+# BUILD_DIRECTORY RUN_DIRECTORY [--seeds N] [--first N] [--jobs N] [-- FLAGS OF Build/Tests/soak]
+# Seeds that ever failed (Tests/Soak/Seeds.txt) are run as well. Without --first the seeds are fresh ones.
+set -euo pipefail
+build_directory=$1
+run_directory=$2/soak
+shift 2
+seeds=10
+first=$(($(date +%s) % 1000000000))
+jobs=4
+while (($# > 0)); do
+    case $1 in
+    --seeds) seeds=$2 ;;
+    --first) first=$2 ;;
+    --jobs) jobs=$2 ;;
+    --)
+        shift
+        break
+        ;;
+    *)
+        echo "soak: $1 is unknown; see the head of Meta/soak.sh" >&2
+        exit 2
+        ;;
+    esac
+    shift 2
+done
+rm -rf "$run_directory"
+mkdir -p "$run_directory"
+{
+    sed -nE 's/^([0-9]+) .*/\1/p' Tests/Soak/Seeds.txt
+    seq "$first" $((first + seeds - 1))
+} | xargs -P "$jobs" -I{} bash -c '"$0" --program "$1" --directory "$2" --seeds {} "${@:3}" >"$2/{}.txt" 2>&1 || echo {} >>"$2/failed"' \
+    "$build_directory/Tests/soak" "$build_directory/platform/HostServer" "$run_directory" "$@" || true
+grep -hE '^seed [0-9]+: answers|VIOLATION' "$run_directory"/*.txt
+if [[ -s $run_directory/failed ]]; then
+    echo "soak: $(wc -l <"$run_directory/failed") seeds failed: $(tr '\n' ' ' <"$run_directory/failed"); logs in $run_directory"
+    exit 1
+fi
+echo "soak: all seeds kept the promises"
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -15,7 +15,8 @@
 static constexpr auto attempt_header = "Lilactiller-Attempt-Id";
 
 PlatformRunner::PlatformRunner(Http::asio::io_context& loop, Http::tcp::endpoint endpoint, std::string id)
-    : name(std::move(id))
+    : loop(loop)
+    , name(std::move(id))
     , endpoint(endpoint)
 {
     auto context = std::make_shared<Http::CallerContext>();
@@ -25,6 +26,8 @@
 
 std::string PlatformRunner::address() const
 {
+    if (!this->announced.empty())
+        return this->announced;
     std::ostringstream text;
     text << this->endpoint;
     return text.str();
@@ -69,6 +72,8 @@
         response.set("Lilactiller-Instance-Id", this->name);
         return exchange->answer(std::move(response));
     }
+    if (this->on_received)
+        this->on_received(this->requests.back());
     if (!this->carry_out_fault(exchange))
         this->run(exchange);
 }
@@ -131,7 +136,7 @@
     auto response = this->signed_answer(request, Http::Status::ok);
     if (!is_generation) {
         response.body() = "answer to " + std::string(request.target());
-        return exchange->answer(std::move(response));
+        return this->answer_plain(exchange, std::move(response));
     }
     response.set(Http::Name::content_type, "text/event-stream");
     exchange->on_caller_left([this, attempt] {
@@ -142,6 +147,25 @@
     this->generations[attempt] = { exchange, events_before };
 }
 
+void PlatformRunner::answer_plain(std::shared_ptr<Http::Exchange> const& exchange, Http::Response response)
+{
+    if (this->work_time == 0s)
+        return exchange->answer(std::move(response));
+    auto timer = std::make_shared<Http::asio::steady_timer>(this->loop, this->work_time);
+    timer->async_wait([timer, exchange, response = std::move(response)](boost::system::error_code error) mutable {
+        if (!error)
+            exchange->answer(std::move(response));
+    });
+}
+
+std::vector<std::string> PlatformRunner::running() const
+{
+    std::vector<std::string> attempts;
+    for (auto const& [attempt, generation] : this->generations)
+        attempts.push_back(attempt);
+    return attempts;
+}
+
 void PlatformRunner::make_events()
 {
     for (auto& [attempt, generation] : this->generations) {
@@ -149,6 +173,14 @@
         generation.exchange->send_piece(
             "id: " + std::to_string(generation.events_made) + "\ndata: token of " + attempt + "\n\n");
     }
+    if (!this->planned_events)
+        return;
+    std::erase_if(this->generations, [this](auto& entry) {
+        if (entry.second.events_made < this->planned_events(entry.first))
+            return false;
+        entry.second.exchange->end_stream();
+        return true;
+    });
 }
 
 void PlatformRunner::finish_all()
@@ -165,6 +197,8 @@
     auto ending = std::exchange(this->generations, {});
     for (auto& [attempt, generation] : ending)
         generation.exchange->abort();
+    for (auto const& exchange : std::exchange(this->hanging, {}))
+        exchange->abort();
 }
 
 void PlatformRunner::copy(Http::Exchange& exchange)
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -48,6 +48,14 @@
     void make_events();
     /// Ends every generation that runs here, whole.
     void finish_all();
+    /// How many events a generation has, by its attempt; if set, make_events() ends those that are complete.
+    std::function<u64(std::string const& attempt)> planned_events;
+    /// Told of each request that names this runner, before it runs or is refused.
+    std::function<void(Received const&)> on_received;
+    /// Where hosts and other engines are told to reach it, if that is not where it listens.
+    void announce_as(std::string address) { this->announced = std::move(address); }
+    /// Plain answers are this long in the making.
+    void set_work_time(Duration duration) { this->work_time = duration; }
     /// Breaks every connection and takes no more, as a process that ends does.
     void end();
     /// Engines hand copies to each other by themselves; here whoever makes them carries each to its target.
@@ -61,6 +69,8 @@
     [[nodiscard]] std::vector<std::string> const& copy_orders() const { return this->ordered_copies; }
     /// Requests that were worked on here, by attempt.
     [[nodiscard]] std::map<std::string, u32> const& runs() const { return this->run_counts; }
+    [[nodiscard]] bool is_running(std::string const& attempt) const { return this->generations.contains(attempt); }
+    [[nodiscard]] std::vector<std::string> running() const;
     [[nodiscard]] size_t running_count() const { return this->generations.size(); }
     [[nodiscard]] std::string address() const;
     [[nodiscard]] std::string const& id() const { return this->name; }
@@ -82,10 +92,14 @@
     void run(std::shared_ptr<Http::Exchange> const&);
     void copy(Http::Exchange&);
     void answer_report(Http::Exchange&);
+    void answer_plain(std::shared_ptr<Http::Exchange> const&, Http::Response);
     Http::Response signed_answer(Http::Request const&, Http::Status) const;
 
+    Http::asio::io_context& loop;
     std::string name;
     Http::tcp::endpoint endpoint;
+    std::string announced;
+    Duration work_time { 0 };
     std::deque<Fault> faults;
     std::vector<Received> requests;
     std::map<std::string, u32> run_counts;
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -9,9 +9,9 @@
 #include <LibServing/Host.h>
 #include <StandIns/PlatformRunner/PlatformRunner.h>
 #include <StandIns/PlatformStore/PlatformStore.h>
+#include <Tests/Support/Endpoints.h>
 #include <Tests/Support/LoopWait.h>
 #include <platform/UsersPlatform.h>
-#include <unistd.h>
 
 namespace Test {
 
@@ -50,33 +50,6 @@
     {
     }
 
-    /// An address that nobody listens on. Ports come from below those that the system hands to outgoing connections,
-    /// which could take one between its choice here and its use, and start at a place of this process's own.
-    static Http::tcp::endpoint free_endpoint()
-    {
-        constexpr unsigned first_port = 10'000;
-        constexpr unsigned port_count = 20'000;
-        static unsigned next = static_cast<unsigned>(::getpid()) * 97;
-        Http::asio::io_context loop;
-        while (true) {
-            auto port = static_cast<u16>(first_port + next++ % port_count);
-            Http::tcp::endpoint endpoint(Http::asio::ip::address_v4::loopback(), port);
-            Http::tcp::acceptor acceptor(loop, endpoint.protocol());
-            boost::system::error_code error;
-            acceptor.set_option(Http::tcp::acceptor::reuse_address(true), error);
-            acceptor.bind(endpoint, error);
-            if (!error)
-                return endpoint;
-        }
-    }
-
-    static std::string text_of(Http::tcp::endpoint const& endpoint)
-    {
-        std::ostringstream text;
-        text << endpoint;
-        return text.str();
-    }
-
     Serving::HostSettings settings() const
     {
         Serving::HostSettings settings;
@@ -86,6 +59,7 @@
         settings.readiness_listen = Address(text_of(this->readiness_endpoint));
         settings.metrics_listen = Address(text_of(this->metrics_endpoint));
         settings.peer_listen = Address(text_of(this->peer_endpoint));
+        settings.peer_address = settings.peer_listen;
         settings.platform = Address(text_of(this->store_endpoint));
         settings.drain_time = this->drain_time;
         return settings;
--- a/Tests/Platform/TestBeliefs.cpp
+++ b/Tests/Platform/TestBeliefs.cpp
@@ -90,10 +90,11 @@
     Core::StructuredLog other_log([](std::string_view text) { return text.size(); });
     auto settings = first.settings();
     settings.host = MemberId("host-2");
-    settings.callers_listen = Address(HostFixture::text_of(HostFixture::free_endpoint()));
-    settings.readiness_listen = Address(HostFixture::text_of(HostFixture::free_endpoint()));
+    settings.callers_listen = Address(Test::text_of(Test::free_endpoint()));
+    settings.readiness_listen = Address(Test::text_of(Test::free_endpoint()));
     settings.metrics_listen = {};
-    settings.peer_listen = Address(HostFixture::text_of(HostFixture::free_endpoint()));
+    settings.peer_listen = Address(Test::text_of(Test::free_endpoint()));
+    settings.peer_address = settings.peer_listen;
     Serving::Host<Adapter::UsersPlatform> second(
         first.loop, settings, other_log, [&]() -> Result<Serving::HostSettings> { return settings; });
     second.start();
--- /dev/null
+++ b/Tests/Soak/Caller.cpp
@@ -0,0 +1,203 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Soak/Caller.h>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+namespace Soak {
+
+/// Between two requests of one caller.
+static constexpr Duration longest_rest = 150ms;
+/// Shares of what is sent.
+static constexpr double probe_share = 0.15;
+static constexpr double draft_share = 0.45;
+static constexpr double tariff_share = 0.15;
+static constexpr double new_connection_share = 0.2;
+/// Of requests whose caller leaves early, and how soon.
+static constexpr double leaving_share = 0.05;
+static constexpr Duration longest_stay = 500ms;
+/// How much later than its time a request may have its answer, on a busy machine.
+static constexpr Duration answer_lateness = 6s;
+/// Faults shortly before a request may still be felt by it.
+static constexpr Duration calm_before = 3s;
+/// How soon a change of the configuration is in force on a host that nothing has touched.
+static constexpr Duration configuration_lateness = 6s;
+
+Caller::Caller(Http::asio::io_context& loop, Deployment& deployment, PromiseChecker& checker, HostPlace& host,
+    std::string name, u32 seed)
+    : loop(loop)
+    , deployment(deployment)
+    , checker(checker)
+    , host(host)
+    , name(std::move(name))
+    , random(seed)
+    , timer(loop)
+    , patience_timer(loop)
+{
+}
+
+double Caller::draw() { return boost::random::uniform_real_distribution<double>(0, 1)(this->random); }
+
+void Caller::rest()
+{
+    if (this->is_stopping)
+        return;
+    auto self = this->shared_from_this();
+    this->timer.expires_after(AK::from_seconds(this->draw() * AK::to_seconds(longest_rest)));
+    this->timer.async_wait([self](boost::system::error_code error) {
+        if (!error && !self->is_stopping)
+            self->send();
+    });
+}
+
+void Caller::send()
+{
+    auto drawn = this->draw();
+    if (drawn < probe_share)
+        return this->send_probe();
+    drawn = this->draw();
+    auto kind = drawn < draft_share          ? CallKind::Draft
+        : drawn < draft_share + tariff_share ? CallKind::Tariff
+                                             : CallKind::Lookup;
+    this->send_request(kind);
+}
+
+Http::Request Caller::make_request(
+    std::string const& target, std::string const& attempt, std::string const& key, Duration patience) const
+{
+    Http::Request request(Http::Verb::post, target, Http::http_1_1);
+    request.set(Http::Name::host, caller_host);
+    request.set("Lilactiller-Attempt-Id", attempt);
+    request.set("Lilactiller-Deadline-Ms", std::to_string(AK::to_milliseconds(patience)));
+    request.set("Api-Key", key);
+    request.body() = "question of " + attempt;
+    return request;
+}
+
+void Caller::send_request(CallKind kind)
+{
+    auto const& route = route_of(kind);
+    auto attempt = this->name + '-' + std::to_string(++this->sent_count);
+    SentRequest const sent { kind, this->host.name, this->host.daemon->life(), route.prefix + attempt,
+        "question of " + attempt, Deployment::now() };
+    this->checker.sent(attempt, sent);
+    auto request = this->make_request(sent.target, attempt, lasting_key, route.timeout);
+    if (kind == CallKind::Draft) {
+        request.set("Lilactiller-Model", "m");
+        request.set("Lilactiller-Token-Usage", "1460,80");
+        request.set("Lilactiller-Prompt-Prefix", "5c1e07a2:800,e4402b7d:660");
+    }
+    bool const leaves = this->draw() < leaving_share;
+    auto patience = leaves ? AK::from_seconds(this->draw() * AK::to_seconds(longest_stay))
+                           : Duration(route.timeout + answer_lateness);
+    auto self = this->shared_from_this();
+    this->exchange(
+        std::move(request),
+        [self, attempt, sent, leaves](SeenAnswer answer) {
+            if (!leaves)
+                self->check_promptness(attempt, sent, answer);
+            self->ended(attempt, sent, std::move(answer));
+        },
+        patience);
+}
+
+void Caller::send_probe()
+{
+    auto newest = this->deployment.configuration.version();
+    auto version = this->draw() < 0.5 ? newest : 1 + static_cast<u64>(this->draw() * static_cast<double>(newest));
+    version = std::min(version, newest);
+    auto attempt = this->name + "-probe-" + std::to_string(++this->sent_count);
+    auto target = Configuration::probe_path(version) + attempt;
+    auto const sent_at = Deployment::now();
+    auto const life = this->host.daemon->life();
+    auto const patience = route_of(CallKind::Tariff).timeout;
+    this->checker.sent(attempt, { CallKind::Tariff, this->host.name, life, target, "question of " + attempt, sent_at });
+    auto self = this->shared_from_this();
+    this->exchange(
+        this->make_request(target, attempt, lasting_key, patience),
+        [self, attempt, life, version, sent_at](SeenAnswer const& answer) {
+            // The process may have been replaced between the request and its answer.
+            if (life == self->host.daemon->life())
+                self->checker.probed(self->host.name, life, version, answer.status);
+            auto const taken_at = self->deployment.version_times.at(version);
+            bool const is_overdue = sent_at - taken_at > configuration_lateness
+                && Deployment::is_calm_since(self->host, taken_at - calm_before);
+            if (is_overdue && answer.status == 404)
+                self->checker.violation(
+                    self->host.name + " does not know version " + std::to_string(version) + " in time");
+            self->rest();
+        },
+        patience + answer_lateness);
+}
+
+void Caller::exchange(Http::Request request, std::function<void(SeenAnswer)> on_end, Duration patience)
+{
+    bool const is_new = !this->connection || !this->connection->is_reusable() || this->draw() < new_connection_share;
+    if (is_new)
+        this->connection = std::make_shared<Http::BackendConnection>(this->loop, this->host.callers);
+    this->is_waiting = true;
+    auto answer = std::make_shared<SeenAnswer>();
+    auto self = this->shared_from_this();
+    auto finish = [self, answer, on_end = std::move(on_end)] {
+        self->is_waiting = false;
+        self->patience_timer.cancel();
+        on_end(std::move(*answer));
+    };
+    Http::ExchangeObserver observer {
+        [answer](Http::ResponseHead const& head) {
+            answer->status = head.result_int();
+            answer->has_stamp = head.count("Lilactiller-Response-Stamp") > 0;
+            return Http::HeadVerdict::Take;
+        },
+        [answer](std::string_view piece) { answer->body += piece; },
+        [answer, finish](Http::ExchangeEnd end, std::string const&) {
+            answer->is_complete = end == Http::ExchangeEnd::Complete;
+            finish();
+        },
+    };
+    request.prepare_payload();
+    auto const used = this->connection;
+    used->exchange(std::move(request), std::move(observer), patience, patience);
+    this->patience_timer.expires_after(patience);
+    this->patience_timer.async_wait([self, used, answer, finish](boost::system::error_code error) {
+        if (error || !self->is_waiting || self->connection != used)
+            return;
+        answer->was_left = true;
+        used->cancel();
+        finish();
+    });
+}
+
+void Caller::ended(std::string const& attempt, SentRequest const& sent, SeenAnswer answer)
+{
+    if (answer.status >= 200 && answer.status < 300 && answer.is_complete)
+        ++this->served_count;
+    this->check_planned_stop(attempt, sent, answer);
+    this->checker.answered(attempt, std::move(answer));
+    this->rest();
+}
+
+void Caller::check_promptness(std::string const& attempt, SentRequest const& sent, SeenAnswer const& answer)
+{
+    if (answer.was_left && Deployment::is_calm_since(this->host, sent.sent_at - calm_before))
+        this->checker.violation(attempt + " got no answer in its time from " + this->host.name);
+}
+
+void Caller::check_planned_stop(std::string const& attempt, SentRequest const& sent, SeenAnswer const& answer)
+{
+    auto const& stop = this->host.stopping_since;
+    bool const was_cut = answer.status == 0 && !answer.was_left;
+    if (!stop || !was_cut || !Deployment::is_calm_since(this->host, sent.sent_at - calm_before))
+        return;
+    // A request that crosses the close is not passed on; one that was read is answered.
+    bool const has_run = this->deployment.runs().contains(attempt);
+    bool const had_time = sent.sent_at < *stop && Deployment::now() - *stop < Deployment::stop_grace / 2;
+    if (has_run && had_time)
+        this->checker.violation(attempt + " was cut by the planned stop of " + this->host.name);
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/Caller.h
@@ -0,0 +1,55 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibHttp/BackendConnection.h>
+#include <Tests/Soak/Deployment.h>
+
+namespace Soak {
+
+/// One caller of one host: sends a request, waits for its end, rests, and goes on, mostly on the connection that it has
+/// open. It keeps that one for as long as the host lets it, also through a planned stop.
+class Caller : public std::enable_shared_from_this<Caller> {
+public:
+    Caller(Http::asio::io_context&, Deployment&, PromiseChecker&, HostPlace&, std::string name, u32 seed);
+
+    void start() { this->rest(); }
+    /// Sends no more; what is under way goes on to its end.
+    void stop() { this->is_stopping = true; }
+    [[nodiscard]] bool is_idle() const { return !this->is_waiting; }
+    /// Answers with success so far.
+    [[nodiscard]] u32 served() const { return this->served_count; }
+
+private:
+    void rest();
+    void send();
+    void send_request(CallKind);
+    void send_probe();
+    void exchange(Http::Request, std::function<void(SeenAnswer)> on_end, Duration patience);
+    void ended(std::string const& attempt, SentRequest const&, SeenAnswer);
+    void check_promptness(std::string const& attempt, SentRequest const&, SeenAnswer const&);
+    void check_planned_stop(std::string const& attempt, SentRequest const&, SeenAnswer const&);
+    [[nodiscard]] Http::Request make_request(
+        std::string const& target, std::string const& attempt, std::string const& key, Duration patience) const;
+    [[nodiscard]] double draw();
+
+    Http::asio::io_context& loop;
+    Deployment& deployment;
+    PromiseChecker& checker;
+    HostPlace& host;
+    std::string name;
+    boost::random::mt19937 random;
+    Http::asio::steady_timer timer;
+    Http::asio::steady_timer patience_timer;
+    std::shared_ptr<Http::BackendConnection> connection;
+    u64 sent_count { 0 };
+    u32 served_count { 0 };
+    bool is_waiting { false };
+    bool is_stopping { false };
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/Deployment.cpp
@@ -0,0 +1,248 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Soak/Deployment.h>
+#include <Tests/Support/Endpoints.h>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sys/wait.h>
+
+namespace Soak {
+
+/// How long a process may take beyond its grace to end after SIGTERM, on a busy machine.
+static constexpr Duration stop_lateness = 10s;
+static constexpr double usual_retry_ratio = 0.2;
+static constexpr Duration plain_work_time = 15ms;
+/// How long after its notice a backend server may still get new work.
+static constexpr Duration latest_new_work = 4s;
+/// Faults shortly before an event may still be felt by it.
+static constexpr Duration calm_before = 3s;
+
+Deployment::Deployment(Http::asio::io_context& loop, PromiseChecker& checker, DeploymentSize size, std::string program,
+    std::string directory)
+    : store_endpoint(Test::free_endpoint())
+    , store(loop, this->store_endpoint)
+    , loop(loop)
+    , checker(checker)
+    , size(size)
+    , program(std::move(program))
+    , directory(std::move(directory))
+{
+    std::filesystem::create_directories(this->directory);
+    for (u32 i = 0; i < size.domains; ++i)
+        this->domains.push_back("hall-" + std::string(1, static_cast<char>('a' + i)));
+    for (u32 i = 0; i < size.domains * size.hosts_per_domain; ++i)
+        this->make_host(this->domain(i), i + 1);
+}
+
+void Deployment::make_host(std::string const& domain, u32 number)
+{
+    auto host = std::make_unique<HostPlace>();
+    host->name = "host-" + std::to_string(number);
+    host->domain = domain;
+    host->callers = Test::free_endpoint();
+    host->readiness = Test::free_endpoint();
+    host->platform_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), this->store_endpoint);
+    host->peer_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), Test::free_endpoint());
+    host->settings_path = this->directory + '/' + host->name + ".yaml";
+    host->daemon
+        = std::make_unique<Daemon>(this->program, host->settings_path, this->directory + '/' + host->name + ".log");
+    this->write_settings(*host, usual_retry_ratio);
+    this->hosts.push_back(std::move(host));
+}
+
+void Deployment::write_settings(HostPlace const& host, double ratio) const
+{
+    std::ofstream file(host.settings_path);
+    file << "host:\n  name: " << host.name << "\n  failure_domain: " << host.domain
+         << "\n  callers_listen: " << host.callers << "\n  readiness_listen: " << host.readiness
+         << "\n  peer_listen: " << host.peer_link->target_endpoint()
+         << "\n  peer_address: " << host.peer_link->endpoint() << "\n  platform: " << host.platform_link->endpoint()
+         << "\n  stop_grace: " << AK::to_milliseconds(stop_grace)
+         << "ms\nbackends:\n  drain_time: " << AK::to_milliseconds(drain_time)
+         << "ms\n  list_recovery_time: " << AK::to_milliseconds(list_recovery_time)
+         << "ms\nretries:\n  ratio: " << ratio << "\n  hosts: " << this->size.domains * this->size.hosts_per_domain
+         << '\n';
+}
+
+void Deployment::start()
+{
+    for (u32 i = 0; i < this->size.engines; ++i)
+        this->add_runner(engine_service, this->domain(i));
+    for (u32 i = 0; i < this->size.plain_servers; ++i)
+        this->add_runner(plain_service, this->domain(i));
+    this->put_configuration();
+    for (auto& host : this->hosts)
+        this->start_host(*host);
+}
+
+void Deployment::start_host(HostPlace& host)
+{
+    if (host.daemon->is_running())
+        return;
+    host.is_end_expected = false;
+    host.stopping_since.reset();
+    host.daemon->start();
+}
+
+void Deployment::kill_host(HostPlace& host)
+{
+    host.is_end_expected = true;
+    host.daemon->send_signal(SIGKILL);
+}
+
+void Deployment::stop_host(HostPlace& host)
+{
+    host.is_end_expected = true;
+    host.stopping_since = now();
+    host.daemon->send_signal(SIGTERM);
+}
+
+void Deployment::harm(HostPlace& host, Duration duration)
+{
+    host.harmed_until = std::max(host.harmed_until, now() + duration);
+}
+
+void Deployment::harm_all(Duration duration)
+{
+    for (auto& host : this->hosts)
+        this->harm(*host, duration);
+}
+
+RunnerPlace& Deployment::add_runner(std::string const& service, std::string const& domain)
+{
+    auto& place = this->runners.emplace_back();
+    place.id = service + '-' + std::to_string(++this->runner_count);
+    place.service = service;
+    place.domain = domain;
+    auto const endpoint = Test::free_endpoint();
+    place.link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), endpoint);
+    place.runner = std::make_unique<StandIn::PlatformRunner>(this->loop, endpoint, place.id);
+    place.runner->announce_as(Test::text_of(place.link->endpoint()));
+    place.runner->planned_events = PromiseChecker::planned_events;
+    place.runner->set_work_time(plain_work_time);
+    place.runner->on_received = [this, &place](auto const& received) {
+        this->checker.reached(place.id, place.service, received);
+        this->check_leaving(place, received.attempt);
+    };
+    place.runner->on_copy = [this](std::string const& target, std::string const& handle, u64 made) {
+        for (auto& candidate : this->runners) {
+            if (candidate.runner->address() == target && !candidate.has_ended)
+                candidate.runner->receive_copy(handle, made);
+        }
+    };
+    this->put_row(place);
+    return place;
+}
+
+HostPlace const* Deployment::find_host(std::string const& name) const
+{
+    auto found = std::ranges::find_if(this->hosts, [&](auto const& host) { return host->name == name; });
+    return found == this->hosts.end() ? nullptr : found->get();
+}
+
+void Deployment::check_leaving(RunnerPlace const& place, std::string const& attempt)
+{
+    if (!place.leaving_since || now() - *place.leaving_since < latest_new_work)
+        return;
+    auto const* host = this->find_host(this->checker.host_of(attempt));
+    if (host && is_calm_since(*host, *place.leaving_since - calm_before))
+        this->checker.violation(
+            host->name + " still sends work (" + attempt + ") to " + place.id + ", which is leaving");
+}
+
+void Deployment::put_row(RunnerPlace const& place)
+{
+    this->store.put(
+        "servers", place.id, place.runner->row(place.service, place.domain, place.leaving_since.has_value()));
+}
+
+void Deployment::drain(RunnerPlace& place, Duration time_left)
+{
+    place.leaving_since = now();
+    place.runner->set_leaves_in(static_cast<u64>(AK::to_milliseconds(time_left)));
+    this->put_row(place);
+}
+
+void Deployment::remove_row(RunnerPlace& place)
+{
+    if (!place.leaving_since)
+        place.leaving_since = now();
+    this->store.remove("servers", place.id);
+}
+
+void Deployment::end_runner(RunnerPlace& place)
+{
+    place.has_ended = true;
+    place.runner->end();
+    place.link->reset_all();
+}
+
+std::vector<RunnerPlace*> Deployment::serving(std::string const& service)
+{
+    std::vector<RunnerPlace*> result;
+    for (auto& place : this->runners) {
+        if (place.service == service && !place.leaving_since && !place.has_ended)
+            result.push_back(&place);
+    }
+    return result;
+}
+
+void Deployment::put_configuration_with(std::function<void(Configuration&)> const& change)
+{
+    change(this->configuration);
+    this->put_configuration();
+}
+
+void Deployment::put_configuration()
+{
+    this->version_times[this->configuration.add_version()] = now();
+    this->store.put("op", "config", this->configuration.text());
+}
+
+std::map<std::string, u32> Deployment::runs() const
+{
+    std::map<std::string, u32> total;
+    for (auto const& place : this->runners) {
+        for (auto const& [attempt, count] : place.runner->runs())
+            total[attempt] += count;
+    }
+    return total;
+}
+
+void Deployment::tick()
+{
+    auto const at = now();
+    for (auto& place : this->runners) {
+        if (place.has_ended)
+            continue;
+        place.runner->make_events();
+        this->checker.note_running(place.id, place.runner->running(), at < place.harmed_until, at);
+    }
+    for (auto& host : this->hosts)
+        this->look_after(*host);
+}
+
+void Deployment::look_after(HostPlace& host)
+{
+    auto status = host.daemon->take_end();
+    if (!status) {
+        bool const is_overdue = host.stopping_since && now() - *host.stopping_since > stop_grace + stop_lateness;
+        if (is_overdue && Deployment::is_calm_since(host, *host.stopping_since)) {
+            this->checker.violation(host.name + " did not end within its grace after SIGTERM");
+            host.stopping_since.reset();
+            host.daemon->send_signal(SIGKILL);
+        }
+        return;
+    }
+    if (!host.is_end_expected)
+        this->checker.violation(host.name + " ended by itself, with status " + std::to_string(*status));
+    if (host.stopping_since && !(WIFEXITED(*status) && WEXITSTATUS(*status) == 0) && !WIFSIGNALED(*status))
+        this->checker.violation(host.name + " ended its planned stop with status " + std::to_string(*status));
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/Deployment.h
@@ -0,0 +1,132 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <StandIns/PlatformRunner/PlatformRunner.h>
+#include <StandIns/PlatformStore/PlatformStore.h>
+#include <Tests/Soak/Daemon.h>
+#include <Tests/Soak/FaultProxy.h>
+#include <Tests/Soak/PromiseChecker.h>
+#include <boost/random/mersenne_twister.hpp>
+#include <list>
+#include <memory>
+
+namespace Soak {
+
+/// One entry host: its process, and the links to the platform and from the other hosts.
+struct HostPlace {
+    std::string name;
+    std::string domain;
+    Http::tcp::endpoint callers;
+    Http::tcp::endpoint readiness;
+    std::unique_ptr<FaultProxy> platform_link;
+    std::unique_ptr<FaultProxy> peer_link;
+    std::unique_ptr<Daemon> daemon;
+    std::string settings_path;
+    /// A planned stop is under way since.
+    std::optional<Instant> stopping_since;
+    /// The soak itself ends the process or keeps it down, so that its end is no finding.
+    bool is_end_expected { false };
+    /// Faults that touch this host last until.
+    Instant harmed_until {};
+};
+
+/// One backend server and the link that all hosts reach it by.
+struct RunnerPlace {
+    std::string id;
+    std::string service;
+    std::string domain;
+    std::unique_ptr<FaultProxy> link;
+    std::unique_ptr<StandIn::PlatformRunner> runner;
+    /// The store has taken that it leaves.
+    std::optional<Instant> leaving_since;
+    bool has_ended { false };
+    Instant harmed_until {};
+};
+
+struct DeploymentSize {
+    u32 domains { 2 };
+    u32 hosts_per_domain { 2 };
+    u32 engines { 4 };
+    u32 plain_servers { 3 };
+};
+
+/// The system under test with what surrounds it: real processes of the product, and on the soak's own loop the
+/// platform's store, backend servers, and the links between all of them.
+class Deployment {
+public:
+    Deployment(Http::asio::io_context&, PromiseChecker&, DeploymentSize, std::string program, std::string directory);
+
+    void start();
+    /// Makes events, notes what runs where, and looks for processes that have ended.
+    void tick();
+
+    // --- hosts
+    std::vector<std::unique_ptr<HostPlace>> hosts;
+    void start_host(HostPlace&);
+    void kill_host(HostPlace&);
+    void stop_host(HostPlace&);
+    /// Writes the settings file anew; `ratio` is a setting that can change while the process runs.
+    void write_settings(HostPlace const&, double ratio) const;
+    /// Faults touch the host from now on for this long.
+    void harm(HostPlace&, Duration);
+    void harm_all(Duration);
+    /// Neither the host nor its links have been touched since `instant`.
+    [[nodiscard]] static bool is_calm_since(HostPlace const& host, Instant instant)
+    {
+        return host.harmed_until < instant;
+    }
+
+    // --- backend servers
+    std::list<RunnerPlace> runners;
+    RunnerPlace& add_runner(std::string const& service, std::string const& domain);
+    /// Says that it leaves, and when it will end.
+    void drain(RunnerPlace&, Duration time_left);
+    void remove_row(RunnerPlace&);
+    void put_row(RunnerPlace const&);
+    void end_runner(RunnerPlace&);
+    /// Those that take work, of one service.
+    [[nodiscard]] std::vector<RunnerPlace*> serving(std::string const& service);
+
+    // --- platform
+    Http::tcp::endpoint const store_endpoint;
+    StandIn::PlatformStore store;
+    Configuration configuration;
+    /// When each version of the configuration was taken by the store, by number.
+    std::map<u64, Instant> version_times;
+    void put_configuration();
+    void put_configuration_with(std::function<void(Configuration&)> const& change);
+
+    [[nodiscard]] std::string const& domain(size_t index) const
+    {
+        return this->domains.at(index % this->domains.size());
+    }
+    /// Of all backend servers there have been, by attempt.
+    [[nodiscard]] std::map<std::string, u32> runs() const;
+    /// Null when no host has the name.
+    [[nodiscard]] HostPlace const* find_host(std::string const& name) const;
+    [[nodiscard]] static Instant now() { return std::chrono::steady_clock::now(); }
+
+    static constexpr Duration stop_grace = 5s;
+    static constexpr Duration drain_time = 800ms;
+    static constexpr Duration list_recovery_time = 2s;
+
+private:
+    void make_host(std::string const& domain, u32 number);
+    void check_leaving(RunnerPlace const&, std::string const& attempt);
+    void look_after(HostPlace&);
+
+    Http::asio::io_context& loop;
+    PromiseChecker& checker;
+    DeploymentSize size;
+    std::string program;
+    std::string directory;
+    std::vector<std::string> domains;
+    u32 runner_count { 0 };
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/FaultProxy.cpp
@@ -0,0 +1,190 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Soak/FaultProxy.h>
+#include <boost/asio/write.hpp>
+
+namespace Soak {
+
+static size_t index_of(FaultProxy::Direction direction) { return static_cast<size_t>(direction); }
+
+/// One connection through the proxy: a pump in each direction.
+class FaultProxy::Link : public std::enable_shared_from_this<Link> {
+public:
+    Link(Http::asio::io_context& loop, Http::tcp::socket client, Http::tcp::endpoint target,
+        std::shared_ptr<State> state)
+        : sockets { std::move(client), Http::tcp::socket(loop) }
+        , target(target)
+        , state(std::move(state))
+        , pumps { Pump(loop), Pump(loop) }
+    {
+    }
+
+    void start()
+    {
+        auto self = this->shared_from_this();
+        this->sockets[1].async_connect(this->target, [self](boost::system::error_code error) {
+            if (error)
+                return self->reset();
+            self->read(Direction::ToTarget);
+            self->read(Direction::FromTarget);
+        });
+    }
+
+    /// Goes on with what was held back.
+    void wake()
+    {
+        for (auto direction : { Direction::ToTarget, Direction::FromTarget }) {
+            auto& pump = this->pumps[index_of(direction)];
+            if (std::exchange(pump.is_waiting, false))
+                this->pass_on(direction);
+        }
+    }
+
+    void reset()
+    {
+        for (auto& socket : this->sockets) {
+            boost::system::error_code ignored;
+            // Closing without lingering sends a reset.
+            socket.set_option(Http::asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
+        }
+        for (auto& pump : this->pumps)
+            pump.timer.cancel();
+    }
+
+private:
+    static constexpr size_t buffer_bytes = 16'384;
+
+    struct Pump {
+        explicit Pump(Http::asio::io_context& loop)
+            : timer(loop)
+        {
+        }
+        std::array<char, buffer_bytes> bytes {};
+        size_t size { 0 };
+        boost::system::error_code end;
+        bool is_waiting { false };
+        Http::asio::steady_timer timer;
+    };
+
+    Http::tcp::socket& source(Direction direction) { return this->sockets[direction == Direction::ToTarget ? 0 : 1]; }
+    Http::tcp::socket& sink(Direction direction) { return this->sockets[direction == Direction::ToTarget ? 1 : 0]; }
+
+    void read(Direction direction)
+    {
+        auto self = this->shared_from_this();
+        auto& pump = this->pumps[index_of(direction)];
+        this->source(direction).async_read_some(
+            Http::asio::buffer(pump.bytes), [self, direction](boost::system::error_code error, size_t size) {
+                auto& pump = self->pumps[index_of(direction)];
+                pump.end = error;
+                pump.size = size;
+                self->pass_on(direction);
+            });
+    }
+
+    void pass_on(Direction direction)
+    {
+        auto& pump = this->pumps[index_of(direction)];
+        if (this->state->is_held[index_of(direction)]) {
+            pump.is_waiting = true;
+            return;
+        }
+        if (this->state->delay == 0s)
+            return this->write(direction);
+        auto self = this->shared_from_this();
+        pump.timer.expires_after(this->state->delay);
+        pump.timer.async_wait([self, direction](boost::system::error_code error) {
+            if (!error)
+                self->write(direction);
+        });
+    }
+
+    void write(Direction direction)
+    {
+        auto& pump = this->pumps[index_of(direction)];
+        if (pump.end == Http::asio::error::eof)
+            return this->half_close(direction);
+        if (pump.end)
+            return this->reset();
+        auto self = this->shared_from_this();
+        Http::asio::async_write(this->sink(direction), Http::asio::buffer(pump.bytes.data(), pump.size),
+            [self, direction](boost::system::error_code error, size_t) {
+                if (error)
+                    return self->reset();
+                self->read(direction);
+            });
+    }
+
+    void half_close(Direction direction)
+    {
+        boost::system::error_code ignored;
+        this->sink(direction).shutdown(Http::tcp::socket::shutdown_send, ignored);
+    }
+
+    std::array<Http::tcp::socket, 2> sockets;
+    Http::tcp::endpoint target;
+    std::shared_ptr<State> state;
+    std::array<Pump, 2> pumps;
+};
+
+FaultProxy::FaultProxy(Http::asio::io_context& loop, Http::tcp::endpoint listen, Http::tcp::endpoint target)
+    : loop(loop)
+    , listen(listen)
+    , target(target)
+    , acceptor(loop, listen, true)
+    , state(std::make_shared<State>())
+{
+    this->accept();
+}
+
+FaultProxy::~FaultProxy() = default;
+
+void FaultProxy::accept()
+{
+    this->acceptor.async_accept([this](boost::system::error_code error, Http::tcp::socket socket) {
+        if (error == Http::asio::error::operation_aborted)
+            return;
+        if (!error) {
+            auto link = std::make_shared<Link>(this->loop, std::move(socket), this->target, this->state);
+            std::erase_if(this->links, [](auto const& known) { return known.expired(); });
+            this->links.push_back(link);
+            link->start();
+        }
+        this->accept();
+    });
+}
+
+void FaultProxy::set_delay(Duration delay) { this->state->delay = delay; }
+
+void FaultProxy::hold(Direction direction) { this->state->is_held[index_of(direction)] = true; }
+
+void FaultProxy::hold_all() { this->state->is_held = { true, true }; }
+
+void FaultProxy::reset_all()
+{
+    for (auto const& known : this->links) {
+        if (auto link = known.lock())
+            link->reset();
+    }
+}
+
+void FaultProxy::heal()
+{
+    *this->state = {};
+    this->wake_links();
+}
+
+void FaultProxy::wake_links()
+{
+    for (auto const& known : this->links) {
+        if (auto link = known.lock())
+            link->wake();
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -0,0 +1,423 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Soak/FaultSchedule.h>
+#include <array>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace Soak {
+
+using Fault = StandIn::PlatformRunner::Fault;
+
+static constexpr Duration shortest_fault = 300ms;
+static constexpr Duration longest_fault = 4s;
+/// Between a process's end and its next start.
+static constexpr Duration longest_restart_delay = 1500ms;
+/// Until the platform takes the entry of a crashed backend server off its list.
+static constexpr Duration entry_lifetime = 1200ms;
+/// How much longer than its notice a backend server that leaves may go on.
+static constexpr Duration longest_overtime = 6s;
+/// A service keeps at least so many backend servers that take work.
+static constexpr size_t fewest_serving = 2;
+static constexpr u32 most_spoiled_answers = 6;
+
+FaultSchedule::FaultSchedule(Http::asio::io_context& loop, Deployment& deployment, u32 seed, u32 count, Duration length)
+    : loop(loop)
+    , deployment(deployment)
+    , random(seed)
+{
+    using Begin = void (FaultSchedule::*)();
+    static constexpr std::array<Begin, 24> kinds {
+        &FaultSchedule::kill_host,
+        &FaultSchedule::kill_all_after_change,
+        &FaultSchedule::stop_host,
+        &FaultSchedule::stop_host,
+        &FaultSchedule::freeze_host,
+        &FaultSchedule::reload_host,
+        &FaultSchedule::platform_busy,
+        &FaultSchedule::platform_silent,
+        &FaultSchedule::platform_forgets,
+        &FaultSchedule::platform_behind,
+        &FaultSchedule::entries_lapse,
+        &FaultSchedule::change_configuration,
+        &FaultSchedule::cut_platform_link,
+        &FaultSchedule::delay_platform_link,
+        &FaultSchedule::reset_platform_link,
+        &FaultSchedule::cut_peer_link,
+        &FaultSchedule::delay_peer_link,
+        &FaultSchedule::cut_domain,
+        &FaultSchedule::harm_runner_link,
+        &FaultSchedule::reset_runner_link,
+        &FaultSchedule::crash_runner,
+        &FaultSchedule::drain_runner,
+        &FaultSchedule::vanish_runner,
+        &FaultSchedule::spoil_answers,
+    };
+    for (u32 i = 0; i < count; ++i)
+        this->entries.push_back(
+            { this->draw_duration(0s, length), kinds.at(this->draw_number(static_cast<u32>(kinds.size()))) });
+}
+
+void FaultSchedule::start()
+{
+    this->started_at = Deployment::now();
+    for (auto const& entry : this->entries)
+        this->after(entry.at, [this, begin = entry.begin] { (this->*begin)(); });
+}
+
+void FaultSchedule::heal()
+{
+    this->is_over = true;
+    this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving);
+    this->deployment.store.set_behind(0);
+    for (auto& host : this->deployment.hosts) {
+        host->platform_link->heal();
+        host->peer_link->heal();
+        host->daemon->send_signal(SIGCONT);
+    }
+    for (auto& place : this->deployment.runners)
+        place.link->heal();
+}
+
+void FaultSchedule::note(std::string const& what) const
+{
+    std::cout << "  " << AK::to_milliseconds(Deployment::now() - this->started_at) << " ms  " << what << std::endl;
+}
+
+void FaultSchedule::after(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<Http::asio::steady_timer>(this->loop, delay);
+    timer->async_wait([this, timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error && !this->is_over)
+            action();
+    });
+}
+
+u32 FaultSchedule::draw_number(u32 below)
+{
+    return boost::random::uniform_int_distribution<u32>(0, below - 1)(this->random);
+}
+
+Duration FaultSchedule::draw_duration(Duration shortest, Duration longest)
+{
+    boost::random::uniform_int_distribution<i64> milliseconds(
+        AK::to_milliseconds(shortest), AK::to_milliseconds(longest));
+    return std::chrono::milliseconds(milliseconds(this->random));
+}
+
+HostPlace* FaultSchedule::draw_host()
+{
+    auto& hosts = this->deployment.hosts;
+    return hosts.at(this->draw_number(static_cast<u32>(hosts.size()))).get();
+}
+
+RunnerPlace* FaultSchedule::draw_runner()
+{
+    auto const* service = this->draw_number(3) == 0 ? plain_service : engine_service;
+    auto serving = this->deployment.serving(service);
+    if (serving.size() <= fewest_serving)
+        return nullptr;
+    return serving.at(this->draw_number(static_cast<u32>(serving.size())));
+}
+
+// --- processes
+
+void FaultSchedule::restart_later(HostPlace& host)
+{
+    auto delay = this->draw_duration(shortest_fault, longest_restart_delay);
+    this->deployment.harm(host, delay + aftermath);
+    this->after(delay, [this, &host] { this->deployment.start_host(host); });
+}
+
+void FaultSchedule::kill_host()
+{
+    auto& host = *this->draw_host();
+    this->note("kill " + host.name);
+    this->deployment.kill_host(host);
+    this->restart_later(host);
+}
+
+void FaultSchedule::kill_all_after_change()
+{
+    this->note("the configuration changes, and all hosts are killed");
+    this->deployment.put_configuration();
+    this->deployment.harm_all(longest_restart_delay + aftermath);
+    this->after(this->draw_duration(0s, 50ms), [this] {
+        for (auto& host : this->deployment.hosts) {
+            this->deployment.kill_host(*host);
+            this->restart_later(*host);
+        }
+    });
+}
+
+void FaultSchedule::stop_host()
+{
+    auto& host = *this->draw_host();
+    if (!host.daemon->is_running() || host.stopping_since)
+        return;
+    this->note("planned stop of " + host.name);
+    this->deployment.stop_host(host);
+    // Started again by the time its grace is over; its end does no harm in itself.
+    auto delay = Deployment::stop_grace + this->draw_duration(shortest_fault, longest_restart_delay);
+    this->after(delay, [this, &host] { this->deployment.start_host(host); });
+}
+
+void FaultSchedule::freeze_host()
+{
+    auto& host = *this->draw_host();
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("freeze " + host.name);
+    this->deployment.harm(host, duration + aftermath);
+    host.daemon->send_signal(SIGSTOP);
+    this->after(duration, [&host] { host.daemon->send_signal(SIGCONT); });
+}
+
+void FaultSchedule::reload_host()
+{
+    auto& host = *this->draw_host();
+    this->note("changed settings of " + host.name);
+    this->deployment.write_settings(host, 0.1 + 0.1 * this->draw_number(3));
+    // A process that has not yet come up would be ended by the signal.
+    if (Deployment::is_calm_since(host, Deployment::now()))
+        host.daemon->send_signal(SIGHUP);
+}
+
+// --- the platform
+
+void FaultSchedule::platform_busy()
+{
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("the platform refuses all calls");
+    this->deployment.harm_all(duration + aftermath);
+    this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Busy);
+    this->after(duration, [this] { this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving); });
+}
+
+void FaultSchedule::platform_silent()
+{
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("the platform is silent");
+    this->deployment.harm_all(duration + aftermath);
+    this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Silent);
+    this->after(duration, [this] { this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving); });
+}
+
+void FaultSchedule::platform_forgets()
+{
+    this->note("the platform forgets its history");
+    this->deployment.harm_all(aftermath);
+    this->deployment.store.forget_history();
+}
+
+void FaultSchedule::platform_behind()
+{
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("the platform answers with an older state");
+    this->deployment.harm_all(duration + aftermath);
+    this->deployment.store.set_behind(2);
+    this->after(duration, [this] { this->deployment.store.set_behind(0); });
+}
+
+void FaultSchedule::entries_lapse()
+{
+    auto serving = this->deployment.serving(engine_service);
+    if (serving.empty())
+        return;
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("the platform is away, and entries lapse meanwhile");
+    this->deployment.harm_all(duration + Deployment::list_recovery_time + aftermath);
+    this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Silent);
+    for (auto* place : serving)
+        this->deployment.store.remove("servers", place->id);
+    this->after(duration, [this, serving] {
+        this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving);
+        for (auto* place : serving) {
+            auto delay = this->draw_duration(0s, Deployment::list_recovery_time / 2);
+            this->after(delay, [this, place] {
+                if (!place->has_ended && !place->leaving_since)
+                    this->deployment.put_row(*place);
+            });
+        }
+    });
+}
+
+void FaultSchedule::change_configuration()
+{
+    this->note("the configuration changes");
+    this->deployment.put_configuration();
+}
+
+// --- links
+
+static FaultProxy::Direction direction_of(u32 number)
+{
+    return number == 0 ? FaultProxy::Direction::ToTarget : FaultProxy::Direction::FromTarget;
+}
+
+void FaultSchedule::cut_platform_link()
+{
+    auto& host = *this->draw_host();
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note(host.name + " is cut off from the platform one way");
+    this->deployment.harm(host, duration + aftermath);
+    host.platform_link->hold(direction_of(this->draw_number(2)));
+    this->after(duration, [&host] { host.platform_link->heal(); });
+}
+
+void FaultSchedule::delay_platform_link()
+{
+    auto& host = *this->draw_host();
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("a slow link from " + host.name + " to the platform");
+    this->deployment.harm(host, duration + aftermath);
+    host.platform_link->set_delay(this->draw_duration(20ms, 700ms));
+    this->after(duration, [&host] { host.platform_link->heal(); });
+}
+
+void FaultSchedule::reset_platform_link()
+{
+    auto& host = *this->draw_host();
+    this->note("connections of " + host.name + " to the platform are reset");
+    this->deployment.harm(host, aftermath);
+    host.platform_link->reset_all();
+}
+
+void FaultSchedule::cut_peer_link()
+{
+    auto& host = *this->draw_host();
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("nothing of the other hosts reaches " + host.name);
+    this->deployment.harm(host, duration + aftermath);
+    host.peer_link->hold(FaultProxy::Direction::ToTarget);
+    this->after(duration, [&host] { host.peer_link->heal(); });
+}
+
+void FaultSchedule::delay_peer_link()
+{
+    auto& host = *this->draw_host();
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("slow links from the other hosts to " + host.name);
+    this->deployment.harm(host, duration + aftermath);
+    host.peer_link->set_delay(this->draw_duration(20ms, 700ms));
+    this->after(duration, [&host] { host.peer_link->heal(); });
+}
+
+void FaultSchedule::cut_domain()
+{
+    auto const domain = this->deployment.domain(this->draw_number(16));
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note(domain + " is cut off from the platform and the other hosts");
+    for (auto& host : this->deployment.hosts) {
+        if (host->domain != domain)
+            continue;
+        this->deployment.harm(*host, duration + aftermath);
+        host->platform_link->hold_all();
+        host->peer_link->hold_all();
+    }
+    this->after(duration, [this, domain] {
+        for (auto& host : this->deployment.hosts) {
+            if (host->domain != domain)
+                continue;
+            host->platform_link->heal();
+            host->peer_link->heal();
+        }
+    });
+}
+
+void FaultSchedule::harm_runner_link()
+{
+    auto* place = this->draw_runner();
+    if (!place)
+        return;
+    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    this->note("the link to " + place->id + " is harmed");
+    this->deployment.harm_all(duration + aftermath);
+    place->harmed_until = Deployment::now() + duration + aftermath;
+    switch (this->draw_number(3)) {
+    case 0:
+        place->link->set_delay(this->draw_duration(20ms, 500ms));
+        break;
+    case 1:
+        place->link->hold(direction_of(this->draw_number(2)));
+        break;
+    default:
+        place->link->hold_all();
+    }
+    this->after(duration, [place] { place->link->heal(); });
+}
+
+void FaultSchedule::reset_runner_link()
+{
+    auto* place = this->draw_runner();
+    if (!place)
+        return;
+    this->note("connections to " + place->id + " are reset");
+    this->deployment.harm_all(aftermath);
+    place->harmed_until = Deployment::now() + aftermath;
+    place->link->reset_all();
+}
+
+// --- backend servers
+
+void FaultSchedule::crash_runner()
+{
+    auto* place = this->draw_runner();
+    if (!place)
+        return;
+    this->note(place->id + " crashes");
+    this->deployment.harm_all(entry_lifetime + aftermath);
+    this->deployment.end_runner(*place);
+    this->deployment.add_runner(place->service, place->domain);
+    this->after(entry_lifetime, [this, place] { this->deployment.remove_row(*place); });
+}
+
+void FaultSchedule::end_leaving(RunnerPlace& place, Duration time_left)
+{
+    this->after(time_left + this->draw_duration(0s, longest_overtime), [this, &place] {
+        this->deployment.remove_row(place);
+        this->deployment.end_runner(place);
+    });
+}
+
+void FaultSchedule::drain_runner()
+{
+    auto* place = this->draw_runner();
+    if (!place)
+        return;
+    this->note(place->id + " drains");
+    auto time_left = Deployment::drain_time + this->draw_duration(0s, 1s);
+    this->deployment.add_runner(place->service, place->domain);
+    this->deployment.drain(*place, time_left);
+    this->end_leaving(*place, time_left);
+}
+
+void FaultSchedule::vanish_runner()
+{
+    auto* place = this->draw_runner();
+    if (!place)
+        return;
+    this->note(place->id + " goes off the list and serves on for a while");
+    this->deployment.add_runner(place->service, place->domain);
+    this->deployment.remove_row(*place);
+    this->end_leaving(*place, Deployment::drain_time);
+}
+
+void FaultSchedule::spoil_answers()
+{
+    static constexpr std::array faults { Fault::NotRun, Fault::Misdirected, Fault::LoseAnswer, Fault::Fail,
+        Fault::Unsigned, Fault::Hang };
+    auto* place = this->draw_runner();
+    if (!place)
+        return;
+    this->note(place->id + " spoils answers");
+    this->deployment.harm_all(aftermath);
+    for (u32 i = 0; i <= this->draw_number(most_spoiled_answers); ++i)
+        place->runner->add_fault(faults.at(this->draw_number(static_cast<u32>(faults.size()))));
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/FaultSchedule.h
@@ -0,0 +1,76 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <Tests/Soak/Deployment.h>
+
+namespace Soak {
+
+/// A seed's faults: drawn at the start, begun at their times, overlapping as they come. Every fault ends by itself, and
+/// says for how long it may be felt where.
+class FaultSchedule {
+public:
+    FaultSchedule(Http::asio::io_context&, Deployment&, u32 seed, u32 count, Duration length);
+
+    void start();
+    /// Ends all faults that go on, and begins no more.
+    void heal();
+    /// When a lingering fault may still be felt.
+    static constexpr Duration aftermath = 5s;
+
+private:
+    struct Entry {
+        Duration at { 0 };
+        void (FaultSchedule::*begin)() { nullptr };
+    };
+
+    // Of processes.
+    void kill_host();
+    void kill_all_after_change();
+    void stop_host();
+    void freeze_host();
+    void reload_host();
+    // Of the platform.
+    void platform_busy();
+    void platform_silent();
+    void platform_forgets();
+    void platform_behind();
+    void entries_lapse();
+    void change_configuration();
+    // Of links.
+    void cut_platform_link();
+    void delay_platform_link();
+    void reset_platform_link();
+    void cut_peer_link();
+    void delay_peer_link();
+    void cut_domain();
+    void harm_runner_link();
+    void reset_runner_link();
+    // Of backend servers.
+    void crash_runner();
+    void drain_runner();
+    void vanish_runner();
+    void spoil_answers();
+
+    void after(Duration, std::function<void()>);
+    void restart_later(HostPlace&);
+    void end_leaving(RunnerPlace&, Duration time_left);
+    [[nodiscard]] HostPlace* draw_host();
+    [[nodiscard]] RunnerPlace* draw_runner();
+    [[nodiscard]] u32 draw_number(u32 below);
+    [[nodiscard]] Duration draw_duration(Duration shortest, Duration longest);
+    void note(std::string const& what) const;
+
+    Http::asio::io_context& loop;
+    Deployment& deployment;
+    boost::random::mt19937 random;
+    std::vector<Entry> entries;
+    Instant started_at {};
+    bool is_over { false };
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/PromiseChecker.cpp
@@ -0,0 +1,142 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Soak/PromiseChecker.h>
+#include <xxhash.h>
+
+namespace Soak {
+
+/// Events of a generation: a few for most, up to three seconds' worth at 20 ms each for some.
+static constexpr u64 fewest_events = 3;
+static constexpr u64 event_spread = 147;
+
+u64 PromiseChecker::planned_events(std::string const& attempt)
+{
+    return fewest_events + XXH3_64bits(attempt.data(), attempt.size()) % event_spread;
+}
+
+std::string PromiseChecker::event_text(std::string const& attempt, u64 number)
+{
+    return "id: " + std::to_string(number) + "\ndata: token of " + attempt + "\n\n";
+}
+
+void PromiseChecker::violation(std::string text) { this->found.push_back(std::move(text)); }
+
+std::string PromiseChecker::host_of(std::string const& attempt) const
+{
+    auto known = this->requests.find(attempt);
+    return known == this->requests.end() ? std::string() : known->second.host;
+}
+
+void PromiseChecker::sent(std::string const& attempt, SentRequest request)
+{
+    this->requests.emplace(attempt, std::move(request));
+}
+
+void PromiseChecker::reached(
+    std::string const& runner, std::string const& service, StandIn::PlatformRunner::Received const& received)
+{
+    auto known = this->requests.find(received.attempt);
+    if (known == this->requests.end())
+        return this->violation(runner + " got the attempt '" + received.attempt + "' that no caller sent");
+    auto const& request = known->second;
+    auto header = [&](std::string const& name) {
+        auto found = received.headers.find(name);
+        return found == received.headers.end() ? std::string() : found->second;
+    };
+    if (received.body != request.body || received.target != request.target)
+        this->violation(runner + " got a changed request of " + received.attempt);
+    if (service != route_of(request.kind).service)
+        this->violation(runner + " of " + service + " got " + received.attempt + " of another service");
+    if (header("Lilactiller-Tenant") != organisation)
+        this->violation(runner + " got " + received.attempt + " for '" + header("Lilactiller-Tenant") + "'");
+    if (!header("Api-Key").empty())
+        this->violation(runner + " was shown the key of " + received.attempt);
+}
+
+void PromiseChecker::answered(std::string const& attempt, SeenAnswer answer)
+{
+    auto known = this->requests.find(attempt);
+    ++this->status_counts[answer.status];
+    bool const is_success = answer.status >= 200 && answer.status < 300;
+    if (known != this->requests.end() && is_success)
+        this->check_success(attempt, known->second, answer);
+    this->answers.emplace(attempt, std::move(answer));
+}
+
+void PromiseChecker::check_success(std::string const& attempt, SentRequest const& request, SeenAnswer const& answer)
+{
+    if (!answer.has_stamp)
+        this->violation(attempt + " got a success without a signature");
+    if (request.kind == CallKind::Draft)
+        return this->check_stream(attempt, answer);
+    if (answer.is_complete && answer.body != "answer to " + request.target)
+        this->violation(attempt + " got an answer that is not its own: " + answer.body);
+}
+
+void PromiseChecker::check_stream(std::string const& attempt, SeenAnswer const& answer)
+{
+    std::string whole;
+    for (u64 number = 1; number <= planned_events(attempt); ++number)
+        whole += event_text(attempt, number);
+    if (!whole.starts_with(answer.body))
+        this->violation(attempt + " got events that are missing, doubled, out of order or another's");
+    if (answer.is_complete && answer.body != whole)
+        this->violation(attempt + " ended as complete before its last event");
+}
+
+void PromiseChecker::note_running(
+    std::string const& runner, std::vector<std::string> const& attempts, bool is_excused, Instant now)
+{
+    std::set<std::string> const present(attempts.begin(), attempts.end());
+    for (auto& [attempt, runners] : this->running_since) {
+        if (!present.contains(attempt) || is_excused)
+            runners.erase(runner);
+    }
+    if (is_excused)
+        return;
+    for (auto const& attempt : attempts) {
+        auto& runners = this->running_since[attempt];
+        runners.try_emplace(runner, now);
+        size_t const overlapping = static_cast<size_t>(
+            std::ranges::count_if(runners, [&](auto const& entry) { return now - entry.second > tolerated_overlap; }));
+        if (overlapping > 1) {
+            this->violation(attempt + " runs at two engines at once");
+            runners.clear();
+        }
+    }
+    std::erase_if(this->running_since, [](auto const& entry) { return entry.second.empty(); });
+}
+
+void PromiseChecker::probed(std::string const& host, u32 life, u64 version, unsigned status)
+{
+    auto& served = this->served_probes[{ host, life }];
+    if (status == 200)
+        served.insert(version);
+    // A route that a host has served in this life was added by a version that is in force, and none is ever dropped.
+    if (status == 404 && !served.empty() && *served.rbegin() >= version)
+        this->violation(host + " went back behind version " + std::to_string(*served.rbegin()) + " to one without "
+            + std::to_string(version));
+}
+
+void PromiseChecker::finish(std::map<std::string, u32> const& runs)
+{
+    for (auto const& [attempt, count] : runs) {
+        auto known = this->requests.find(attempt);
+        if (known == this->requests.end())
+            continue;
+        if (known->second.kind != CallKind::Tariff && count > 1)
+            this->violation(attempt + ", which may run once, ran " + std::to_string(count) + " times");
+        auto answer = this->answers.find(attempt);
+        if (answer == this->answers.end() || known->second.kind == CallKind::Tariff)
+            continue;
+        auto status = answer->second.status;
+        if (status == 429 || status == 503 || status == 408 || status == 421)
+            this->violation(attempt + " was told " + std::to_string(status) + ", and ran");
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/PromiseChecker.h
@@ -0,0 +1,80 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <StandIns/PlatformRunner/PlatformRunner.h>
+#include <Tests/Soak/Configuration.h>
+#include <map>
+#include <set>
+
+namespace Soak {
+
+/// A caller's request as it was sent.
+struct SentRequest {
+    CallKind kind { CallKind::Lookup };
+    std::string host;
+    u32 host_life { 0 };
+    std::string target;
+    std::string body;
+    Instant sent_at {};
+};
+
+/// What its caller saw of the answer.
+struct SeenAnswer {
+    /// 0: no answer head came.
+    unsigned status { 0 };
+    std::string body;
+    bool has_stamp { false };
+    /// The whole answer came, as its framing says.
+    bool is_complete { false };
+    /// The caller closed the connection itself.
+    bool was_left { false };
+};
+
+/// Checks what must always hold, from what callers and backend servers see.
+class PromiseChecker {
+public:
+    void sent(std::string const& attempt, SentRequest);
+    void reached(std::string const& runner, std::string const& service, StandIn::PlatformRunner::Received const&);
+    void answered(std::string const& attempt, SeenAnswer);
+    /// Called all the time with the attempts that each engine works on. `is_excused` when its link is harmed, so that
+    /// the end of its work may not have reached it.
+    void note_running(
+        std::string const& runner, std::vector<std::string> const& attempts, bool is_excused, Instant now);
+    /// `status` of a request to the route that `version` added, in one life of a host's process.
+    void probed(std::string const& host, u32 life, u64 version, unsigned status);
+    /// At the end, with the runs that each backend server counted.
+    void finish(std::map<std::string, u32> const& runs);
+
+    void violation(std::string text);
+    [[nodiscard]] std::vector<std::string> const& violations() const { return this->found; }
+
+    /// Events of a generation, by its attempt.
+    static u64 planned_events(std::string const& attempt);
+    static std::string event_text(std::string const& attempt, u64 number);
+
+    /// The host that an attempt was sent to; empty for one that no caller sent.
+    [[nodiscard]] std::string host_of(std::string const& attempt) const;
+    /// Requests by status, for the report; 0 where no answer came.
+    [[nodiscard]] std::map<unsigned, u32> const& counts() const { return this->status_counts; }
+
+private:
+    /// Two engines may be at work on one generation for this long, until the first one has seen its connection end.
+    static constexpr Duration tolerated_overlap = 2s;
+
+    void check_success(std::string const& attempt, SentRequest const&, SeenAnswer const&);
+    void check_stream(std::string const& attempt, SeenAnswer const&);
+
+    std::map<std::string, SentRequest> requests;
+    std::map<std::string, SeenAnswer> answers;
+    std::map<unsigned, u32> status_counts;
+    std::map<std::string, std::map<std::string, Instant>> running_since;
+    std::map<std::pair<std::string, u32>, std::set<u64>> served_probes;
+    std::vector<std::string> found;
+};
+
+}
