--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -156,7 +156,6 @@
     {
         if (!page)
             return this->retry(page.error(), [this] { this->list_from({}); });
-        this->note_success();
         auto& value = page.value();
         if (this->listing.empty())
             this->listing_version = value.version;
@@ -166,6 +165,7 @@
             return this->list_from(this->listing.back().key + '\x01');
         if (this->listing_version < this->known_version)
             return this->retry(stale_answer(), [this] { this->list_from({}); });
+        this->note_success();
         this->known_version = this->listing_version;
         this->newest_change = 0;
         for (auto const& row : this->listing)
@@ -200,10 +200,10 @@
         }
         if (!page)
             return this->retry(page.error(), [this] { this->follow(this->timing.wait); });
-        this->note_success();
         auto& value = page.value();
         if (value.version < this->version_of_call)
             return this->retry(stale_answer(), [this] { this->follow(this->timing.wait); });
+        this->note_success();
         // Some of it may have been heard from elsewhere while the call was under way.
         std::erase_if(
             value.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
--- a/Tests/LibPlatform/TestChangeFollower.cpp
+++ b/Tests/LibPlatform/TestChangeFollower.cpp
@@ -146,6 +146,19 @@
             source.answer(ChangePage { { change("old", 2) }, 5 });
             CHECK(seen.empty());
             CHECK(follower.version() == 10);
+            AND_WHEN("the next one is so too")
+            {
+                ::Test::run_until(loop, [&] { return !source.calls.empty(); });
+                source.answer(ChangePage { {}, 6 });
+                THEN("the platform is lost for as long, and not found again each time")
+                {
+                    CHECK(lost == 1);
+                    CHECK(regained == 0);
+                    ::Test::run_until(loop, [&] { return !source.calls.empty(); });
+                    source.answer(ChangePage { {}, 10 });
+                    CHECK(regained == 1);
+                }
+            }
         }
     }
     GIVEN("a follower that hears changes from elsewhere")
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -180,6 +180,7 @@
     place.has_ended = true;
     place.runner->end();
     place.link->reset_all();
+    this->checker.note_running(place.id, {}, false, now());
 }
 
 std::vector<RunnerPlace*> Deployment::serving(std::string const& service)
