LibServing: Tell the hosts of a domain which backend servers cannot be connected to

Two hosts that say so are believed, one may itself be cut off; their word holds for as long as they themselves avoid it, 2 s at most, and a success of the host's own goes before it.

--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -19,6 +19,9 @@
 /// Failed answers in a row before a reachable backend server is avoided as well.
 static constexpr u32 tolerated_failures_in_a_row = 3;
 
+/// One host that cannot connect may itself be cut off; two that cannot are believed.
+static constexpr i64 hosts_that_are_believed = 2;
+
 std::string_view to_string(Availability availability)
 {
     switch (availability) {
@@ -83,8 +86,18 @@
     return found == this->by_service.end() ? none : found->second;
 }
 
+bool Backend::is_avoided(Instant now) const
+{
+    if (now < this->health.avoid_until)
+        return true;
+    auto others
+        = std::ranges::count_if(this->health.told_avoidance, [now](auto const& told) { return now < told.second; });
+    return others >= hosts_that_are_believed;
+}
+
 void note_success(Backend& backend)
 {
+    backend.health.told_avoidance.clear();
     backend.health.failures_in_a_row = 0;
     backend.health.avoid_until = {};
     backend.health.failure_share *= 1 - newest_request_weight;
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -9,6 +9,7 @@
 #include <AK/Identifiers.h>
 #include <LibHttp/Types.h>
 #include <LibServing/EngineLoad.h>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -52,6 +53,8 @@
     double failure_share { 0 };
     u32 failures_in_a_row { 0 };
     Instant avoid_until {};
+    /// Until when other hosts avoid it, because they could not connect to it.
+    std::map<MemberId, Instant> told_avoidance;
 };
 
 /// One backend server and what this host believes of it. Flows keep it alive past its removal.
@@ -68,7 +71,8 @@
     Health health;
     EngineLoad engine;
 
-    [[nodiscard]] bool is_avoided(Instant now) const { return now < this->health.avoid_until; }
+    /// By what this host has seen itself, or by the word of several others.
+    [[nodiscard]] bool is_avoided(Instant now) const;
 };
 
 using BackendPointer = std::shared_ptr<Backend>;
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -136,7 +136,7 @@
         if (end != Http::ExchangeEnd::Complete) {
             this->context.log.event(Core::EventNumber::EngineSilent, backend.server.id.value()).with("reason", reason);
             if (end == Http::ExchangeEnd::NotConnected)
-                note_failure(backend, now, true);
+                suspect(this->context, backend, { true, {}, reason });
             return;
         }
         auto report = D::decode_engine_report(body);
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -9,7 +9,7 @@
 #include <LibHttp/Exchange.h>
 #include <LibServing/Answers.h>
 #include <LibServing/Dialect.h>
-#include <LibServing/ServingContext.h>
+#include <LibServing/Suspicion.h>
 #include <functional>
 #include <optional>
 
@@ -131,17 +131,10 @@
         return response;
     }
 
-    /// A request has failed by the fault of `backend`: it may be avoided for a while, and the log says so.
+    /// This request has failed by the fault of `backend`.
     void suspect(Backend& backend, bool is_unreachable, std::string_view reason)
     {
-        auto avoidance = note_failure(backend, this->context.now(), is_unreachable);
-        if (avoidance == 0s)
-            return;
-        this->context.log.event(Core::EventNumber::BackendServerSuspected, backend.server.id.value())
-            .with("request", this->attempt())
-            .with("avoided_ms", avoidance)
-            .with("failures_in_a_row", backend.health.failures_in_a_row)
-            .with("reason", reason);
+        Serving::suspect(this->context, backend, { is_unreachable, this->attempt(), std::string(reason) });
     }
 
     /// Keeps what the backend server says of its load, if it says anything.
@@ -176,8 +169,8 @@
 /// A backend server whose host has acknowledged nothing for this long is cut off or has no power.
 inline constexpr Duration backend_silence_limit = 3s;
 /// The same for a generation, which goes on by itself once a partition is over: nothing is gained by ending it earlier,
-/// since it cannot be sent again. Longer than the partitions that have been seen to last (5 to 9 s), and bounded so that
-/// a caller without a deadline hears of an engine's loss.
+/// since it cannot be sent again. Longer than the partitions that have been seen to last (5 to 9 s), and bounded so
+/// that a caller without a deadline hears of an engine's loss.
 inline constexpr Duration generation_silence_limit = 12s;
 /// When the caller of a refused request should come back if nothing better is known.
 inline constexpr Duration default_retry_after = 200ms;
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/PeerLink.h>
+#include <LibServing/Suspicion.h>
 #include <LibWire/AsioWatch.h>
 #include <algorithm>
 
@@ -35,6 +36,8 @@
 {
     this->transport.announce_as(context.settings.peer_address);
     this->context.use_changed = [this] { this->tell_changes_soon(); };
+    this->context.backend_unreachable
+        = [this](Backend const& backend, Duration avoided) { this->tell_unreachable(backend, avoided); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->heard(envelope); });
 }
 
@@ -63,6 +66,15 @@
     this->broadcast(message, false);
 }
 
+void PeerLink::tell_unreachable(Backend const& backend, Duration avoided)
+{
+    wire::HostUse message;
+    auto& unreachable = *message.add_unreachable();
+    unreachable.set_backend(backend.server.id.value());
+    unreachable.set_avoided_milliseconds(static_cast<u32>(AK::to_milliseconds(avoided)));
+    this->broadcast(message, true);
+}
+
 void PeerLink::pass_on(wire::PlatformNews news, bool was_read_here)
 {
     auto now = this->context.now();
@@ -224,6 +236,7 @@
         this->context.reach.heard(sender, now);
     }
     this->use.heard(MemberId(name), message, this->context.backends, now);
+    take_suspicions(this->context, MemberId(name), message);
     for (auto const& leaving : message.leaving()) {
         std::optional<Instant> ends_at;
         if (leaving.ends_in_milliseconds() >= 0)
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -44,6 +44,8 @@
     void backend_appeared(Backend& backend) { this->use.apply_to(backend); }
     /// Tells the others that a backend server is leaving; the platform may not have told them.
     void tell_leaving(Backend const&);
+    /// Tells the hosts of this domain of a backend server that cannot be connected to.
+    void tell_unreachable(Backend const&, Duration avoided);
     /// Passes on changes of a table to the hosts of this domain, and, if this host read them itself, to one of each
     /// other domain.
     void pass_on(wire::PlatformNews, bool was_read_here);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -44,6 +44,8 @@
     bool leaving { false };
     /// To be called when what this host has running at engines has changed.
     std::function<void()> use_changed { [] {} };
+    /// To be called when no connection to a backend server could be made; it is avoided here for so long.
+    std::function<void(Backend const&, Duration avoided)> backend_unreachable { [](Backend const&, Duration) {} };
 
     /// The clock that all decisions use; tests choose their own.
     std::function<Instant()> clock { [] { return std::chrono::steady_clock::now(); } };
--- /dev/null
+++ b/Libraries/LibServing/Suspicion.cpp
@@ -0,0 +1,48 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Suspicion.h>
+#include <algorithm>
+
+namespace Serving {
+
+/// Another host's word holds no longer than a host's own avoidance may last, whatever it says.
+static constexpr Duration longest_told_avoidance = 2s;
+
+void suspect(ServingContext& context, Backend& backend, Failure const& failure)
+{
+    auto avoidance = note_failure(backend, context.now(), failure.is_unreachable);
+    if (avoidance == 0s)
+        return;
+    context.log.event(Core::EventNumber::BackendServerSuspected, backend.server.id.value())
+        .with("request", failure.request)
+        .with("avoided_ms", avoidance)
+        .with("failures_in_a_row", backend.health.failures_in_a_row)
+        .with("reason", failure.reason);
+    if (failure.is_unreachable)
+        context.backend_unreachable(backend, avoidance);
+}
+
+void take_suspicions(ServingContext& context, MemberId const& host, wire::HostUse const& message)
+{
+    auto now = context.now();
+    for (auto const& said : message.unreachable()) {
+        auto backend = context.backends.find(EngineId(said.backend()));
+        if (!backend)
+            continue;
+        bool const was_avoided = backend->is_avoided(now);
+        auto avoidance
+            = std::min<Duration>(std::chrono::milliseconds(said.avoided_milliseconds()), longest_told_avoidance);
+        backend->health.told_avoidance[host] = now + avoidance;
+        if (was_avoided || !backend->is_avoided(now))
+            continue;
+        context.log.event(Core::EventNumber::BackendServerSuspected, said.backend())
+            .with("avoided_ms", avoidance)
+            .with("reason", "other hosts cannot connect to it");
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/LibServing/TestSuspicion.cpp
@@ -0,0 +1,108 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Suspicion.h>
+#include <catch2/catch.hpp>
+
+using namespace Serving;
+
+namespace {
+
+class SuspicionFixture {
+public:
+    SuspicionFixture()
+        : context(this->loop, this->settings, this->log)
+    {
+        this->context.clock = [this] { return this->now; };
+        this->context.backend_unreachable = [this](Backend const&, Duration avoided) { this->told.push_back(avoided); };
+        BackendServer server;
+        server.id = EngineId("e1");
+        server.service = ServiceName("models");
+        server.address = Address("127.0.0.1:1000");
+        this->backend = this->context.backends.update(server, this->now);
+    }
+
+    void hear_from(std::string const& host, u32 avoided_milliseconds = 250)
+    {
+        wire::HostUse message;
+        auto& unreachable = *message.add_unreachable();
+        unreachable.set_backend("e1");
+        unreachable.set_avoided_milliseconds(avoided_milliseconds);
+        take_suspicions(this->context, MemberId(host), message);
+    }
+
+    [[nodiscard]] bool is_avoided() const { return this->backend->is_avoided(this->now); }
+
+    Instant now { 100s };
+    Http::asio::io_context loop;
+    HostSettings settings;
+    std::string log_text;
+    Core::StructuredLog log { [this](std::string_view text) {
+        this->log_text += text;
+        return text.size();
+    } };
+    ServingContext context;
+    BackendPointer backend;
+    std::vector<Duration> told;
+};
+
+}
+
+SCENARIO("hosts tell each other of backend servers that they cannot connect to")
+{
+    SuspicionFixture fixture;
+    WHEN("this host cannot connect to one")
+    {
+        suspect(fixture.context, *fixture.backend, { true, "a1", "refused" });
+        THEN("it avoids it and tells the others for how long")
+        {
+            CHECK(fixture.is_avoided());
+            CHECK(fixture.told == std::vector<Duration> { 250ms });
+        }
+    }
+    WHEN("a request fails at one that can be connected to")
+    {
+        suspect(fixture.context, *fixture.backend, { false, "a1", "status 500" });
+        THEN("that is this host's own affair") { CHECK(fixture.told.empty()); }
+    }
+    WHEN("one other host cannot connect to it")
+    {
+        fixture.hear_from("host-2");
+        fixture.hear_from("host-2");
+        THEN("that host may itself be cut off, and is not believed") { CHECK_FALSE(fixture.is_avoided()); }
+        AND_WHEN("a second one cannot either")
+        {
+            fixture.hear_from("host-3");
+            CHECK(fixture.is_avoided());
+            fixture.log.flush();
+            CHECK(fixture.log_text.find("E2308 backend_server_suspected subject=e1") != std::string::npos);
+            THEN("the word of both holds for the time that they said")
+            {
+                fixture.now += 251ms;
+                CHECK_FALSE(fixture.is_avoided());
+            }
+            THEN("a request that succeeds here says more")
+            {
+                note_success(*fixture.backend);
+                CHECK_FALSE(fixture.is_avoided());
+            }
+        }
+    }
+    WHEN("two other hosts name a time without end")
+    {
+        fixture.hear_from("host-2", 3'600'000);
+        fixture.hear_from("host-3", 3'600'000);
+        fixture.now += 3s;
+        CHECK_FALSE(fixture.is_avoided());
+    }
+    WHEN("a backend server is named that is not known here")
+    {
+        wire::HostUse message;
+        message.add_unreachable()->set_backend("stranger");
+        take_suspicions(fixture.context, MemberId("host-2"), message);
+        CHECK_FALSE(fixture.is_avoided());
+    }
+}
