LibServing: Pass news of the platform on packed, by one host a domain and through relays

Both readers of a domain passed on every change to each of its hosts, and so did the hosts that heard them from another domain. Connections then timed out, hosts took themselves for cut off and asked all engines of their domain (290 each), and told each other of all that they could not reach: 137,000 messages.

One reader passes on, the other is there for when it fails; rows go deflated, to eight hosts that each pass them on to a part of the rest; a host that is cut off asks some 16 idle engines a round; at most 8 avoided backend servers are told of in a second. Ruled out: a tree that every host works out by itself, which breaks when two hosts hear different others; the sender names the rest instead.

--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -7,6 +7,8 @@
 #pragma once
 
 #include <LibServing/Flow.h>
+#include <algorithm>
+#include <boost/random/uniform_real_distribution.hpp>
 
 namespace Serving {
 
@@ -38,6 +40,9 @@
     /// Of every so many rounds of a host that is cut off one asks all engines of its own domain, since the others' work
     /// there is not known; the rest asks only those that run its own generations.
     static constexpr u32 rounds_to_ask_near = 4;
+    /// Engines without work of this host of which about so many are asked in such a round. A domain may have hundreds,
+    /// and a host that is short of its link would only make that worse.
+    static constexpr double idle_asked_in_a_round = 16;
     static constexpr Duration answer_patience = 1s;
     /// How old a report may be when it comes: 510 to 600 ms between the end that was reported and the one that came
     /// (four engines of a played day).
@@ -65,6 +70,8 @@
     void ask_round()
     {
         ++this->rounds;
+        this->near_count = std::ranges::count_if(
+            this->context.backends.all(), [this](auto const& entry) { return this->is_near(*entry.second); });
         bool const is_cut_off = this->context.reach.is_cut_off(this->context.now());
         for (auto const& [id, backend] : this->context.backends.all()) {
             if (this->is_engine(*backend) && this->wants_report_of(*backend, is_cut_off))
@@ -72,17 +79,23 @@
         }
     }
 
-    [[nodiscard]] bool wants_report_of(Backend const& backend, bool is_cut_off) const
+    [[nodiscard]] bool wants_report_of(Backend const& backend, bool is_cut_off)
     {
         if (backend.availability == Availability::Leaving)
             return this->wants_end_of(backend);
         if (is_cut_off && backend.engine.own_generations > 0)
             return true;
         if (is_cut_off && this->rounds % rounds_to_ask_near == 0 && this->is_near(backend))
-            return true;
+            return this->draws_idle_engine();
         return backend.engine.generations() > 0 && this->looks_after(backend);
     }
 
+    [[nodiscard]] bool draws_idle_engine()
+    {
+        boost::random::uniform_real_distribution<double> chance(0, 1);
+        return chance(this->context.random) * static_cast<double>(this->near_count) < idle_asked_in_a_round;
+    }
+
     [[nodiscard]] bool looks_after(Backend const& backend) const
     {
         auto const& own_address = this->context.settings.peer_address;
@@ -167,6 +180,7 @@
     Http::asio::steady_timer timer;
     std::function<void(Backend const&)> leaving_reported { [](Backend const&) {} };
     u32 rounds { 0 };
+    i64 near_count { 0 };
 };
 
 }
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -124,9 +124,9 @@
     /// After its start a host first hears from the others which of them follow the platform's tables: two calls of the
     /// platform and a message each way, some ten milliseconds, with room for a slow start.
     static constexpr Duration settling_time = 500ms;
-    /// What a changed configuration may put on this host's link in all: 80 ms of one of 10 Mbit/s. One of 45 routes is
-    /// 2.2 KB when packed.
-    static constexpr size_t most_news_bytes = 96 << 10;
+    /// Larger news are read from the platform. Sent to a relay's receivers, 100 ms of a link of 10 Mbit/s; a
+    /// configuration of 45 routes is 2.2 KB when packed, a list of 1,000 backend servers some 40 KB.
+    static constexpr size_t most_news_bytes = 16 << 10;
 
     static Http::tcp::endpoint endpoint(Address const& address)
     {
@@ -199,11 +199,7 @@
                     this->take_configuration(change.row);
             }
         };
-        observer.told = [this](Platform::TableNews const& news) {
-            auto message = this->news_message(P::configuration_table, news);
-            put_packed_rows(message, news.page.changes, most_news_bytes / std::max<size_t>(1, this->peers.near_count()));
-            this->peers.pass_on(std::move(message), true);
-        };
+        observer.told = [this](Platform::TableNews const& news) { this->pass_on_news(P::configuration_table, news); };
         return observer;
     }
 
@@ -224,11 +220,7 @@
             for (auto const& change : changes)
                 this->take_backend(change);
         };
-        observer.told = [this](Platform::TableNews const& news) {
-            auto message = this->news_message(P::backend_table, news);
-            put_rows(message, news.page.changes);
-            this->peers.pass_on(std::move(message), true);
-        };
+        observer.told = [this](Platform::TableNews const& news) { this->pass_on_news(P::backend_table, news); };
         observer.may_retry = [this] { return this->configuration_follower.is_reachable(); };
         return observer;
     }
@@ -262,25 +254,32 @@
         return table == P::backend_table ? &this->backend_follower : nullptr;
     }
 
-    /// Says that `table` has changed; the rows are for the caller to add.
-    wire::PlatformNews news_message(std::string_view table, Platform::TableNews const& news)
+    /// One host of the domain passes on what it reads. A further one that reads too is there for when that one fails:
+    /// until it takes over, the others learn from whole messages that they have missed something.
+    void pass_on_news(std::string_view table, Platform::TableNews const& news)
     {
+        if (!this->context.reach.is_first_reader(this->peers.address(), this->context.now()))
+            return;
         wire::PlatformNews message;
         message.set_table(std::string(table));
         message.set_previous_change(news.previous_change);
         message.set_version(news.page.version);
         message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
-        return message;
+        put_rows(message, news.page.changes, most_news_bytes);
+        this->peers.pass_on(std::move(message));
     }
 
     void hear_news(wire::PlatformNews const& message, bool is_from_near)
     {
         auto* follower = this->follower_of(message.table());
-        if (!follower || message.version() <= follower->version())
+        if (!follower)
+            return;
+        bool const is_known = message.version() <= follower->version();
+        // What came from another domain is news to this one, unless its own reader has told it already.
+        if (is_from_near || !is_known)
+            this->peers.relay(message, is_from_near);
+        if (is_known)
             return;
-        // What came from another domain is news to this one.
-        if (!is_from_near)
-            this->peers.pass_on(message, false);
         auto rows = rows_of(message);
         if (!rows)
             this->log.event(Core::EventNumber::PlatformContentRejected, message.table())
--- a/Libraries/LibServing/NewsRows.cpp
+++ b/Libraries/LibServing/NewsRows.cpp
@@ -16,15 +16,6 @@
 static constexpr size_t most_unpacked_bytes = 4 << 20;
 static constexpr size_t unpacking_step_bytes = 16 << 10;
 
-static void add_row(google::protobuf::RepeatedPtrField<wire::TableRow>& rows, Platform::RowChange const& change)
-{
-    auto& row = *rows.Add();
-    row.set_key(change.row.key);
-    row.set_value(change.row.value);
-    row.set_version(change.row.version);
-    row.set_removed(change.removed);
-}
-
 static std::string deflated(std::string const& bytes)
 {
     std::ostringstream packed;
@@ -46,22 +37,21 @@
     }
     // Bytes that are no packed rows set the stream's bad bit; what is too large has not been read to its end.
     if (stream.bad() || !stream.eof())
-        return Error { ErrorKind::InvalidRequest, "packed rows cannot be unpacked; they are read from the platform", {} };
+        return Error { ErrorKind::InvalidRequest, "packed rows cannot be unpacked; they are read from the platform",
+            {} };
     return result;
 }
 
-void put_rows(wire::PlatformNews& news, std::vector<Platform::RowChange> const& changes)
-{
-    news.set_has_rows(true);
-    for (auto const& change : changes)
-        add_row(*news.mutable_rows(), change);
-}
-
-void put_packed_rows(wire::PlatformNews& news, std::vector<Platform::RowChange> const& changes, size_t most_bytes)
+void put_rows(wire::PlatformNews& news, std::vector<Platform::RowChange> const& changes, size_t most_bytes)
 {
     wire::TableRows rows;
-    for (auto const& change : changes)
-        add_row(*rows.mutable_rows(), change);
+    for (auto const& change : changes) {
+        auto& row = *rows.add_rows();
+        row.set_key(change.row.key);
+        row.set_value(change.row.value);
+        row.set_version(change.row.version);
+        row.set_removed(change.removed);
+    }
     auto packed = deflated(rows.SerializeAsString());
     if (packed.size() > most_bytes)
         return;
@@ -71,17 +61,15 @@
 
 Result<std::vector<Platform::RowChange>> rows_of(wire::PlatformNews const& news)
 {
-    wire::TableRows unpacked;
-    if (!news.packed_rows().empty()) {
-        TRY(auto bytes, inflated(news.packed_rows()));
-        if (!unpacked.ParseFromString(bytes))
-            return Error { ErrorKind::InvalidRequest, "packed rows are no rows; they are read from the platform", {} };
-    }
     std::vector<Platform::RowChange> changes;
-    for (auto const* rows : { &news.rows(), &unpacked.rows() }) {
-        for (auto const& row : *rows)
-            changes.push_back({ { row.key(), row.value(), row.version() }, row.removed() });
-    }
+    if (!news.has_rows())
+        return changes;
+    TRY(auto bytes, inflated(news.packed_rows()));
+    wire::TableRows rows;
+    if (!rows.ParseFromString(bytes))
+        return Error { ErrorKind::InvalidRequest, "packed rows are no rows; they are read from the platform", {} };
+    for (auto const& row : rows.rows())
+        changes.push_back({ { row.key(), row.value(), row.version() }, row.removed() });
     return changes;
 }
 
--- a/Libraries/LibServing/NewsRows.h
+++ b/Libraries/LibServing/NewsRows.h
@@ -12,14 +12,11 @@
 
 namespace Serving {
 
-/// Writes rows of small tables into `news` as they are.
-void put_rows(wire::PlatformNews& news, std::vector<Platform::RowChange> const& changes);
+/// Writes rows into `news`, packed. Does nothing when more than `most_bytes` would be left of them: the receivers then
+/// read them from the platform.
+void put_rows(wire::PlatformNews& news, std::vector<Platform::RowChange> const& changes, size_t most_bytes);
 
-/// Writes large rows into `news` packed. Does nothing when more than `most_bytes` would be left of them: the receivers
-/// then read them from the platform.
-void put_packed_rows(wire::PlatformNews& news, std::vector<Platform::RowChange> const& changes, size_t most_bytes);
-
-/// The rows in `news`, however they were written; empty when it has none.
+/// The rows in `news`; empty when it has none.
 /// Errors: InvalidRequest when packed rows cannot be unpacked.
 Result<std::vector<Platform::RowChange>> rows_of(wire::PlatformNews const& news);
 
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/PeerLink.h>
+#include <LibServing/Relays.h>
 #include <LibServing/Suspicion.h>
 #include <LibWire/AsioWatch.h>
 #include <algorithm>
@@ -24,6 +25,13 @@
 /// Hosts that are silent are still called now and then, in case they come back.
 static constexpr u32 rounds_between_calls_to_silent = 4;
 
+/// Hosts that one sends news of the platform to; each of them passes it on to its part of the rest. Two steps reach a
+/// domain of 72 hosts, and no host's link carries more than so many copies.
+static constexpr size_t relay_fan_out = 8;
+/// A host that avoids many backend servers at once is most likely cut off or short of its link itself; the others need
+/// not hear of more than these in a second.
+static constexpr u32 most_avoided_told = 8;
+
 PeerLink::PeerLink(ServingContext& context, Observer observer)
     : context(context)
     , observer(std::move(observer))
@@ -68,6 +76,13 @@
 
 void PeerLink::tell_unreachable(Backend const& backend, Duration avoided)
 {
+    auto now = this->context.now();
+    if (now - this->avoided_told_since >= 1s) {
+        this->avoided_told_since = now;
+        this->avoided_told = 0;
+    }
+    if (++this->avoided_told > most_avoided_told || this->context.reach.is_cut_off(now))
+        return;
     wire::HostUse message;
     auto& unreachable = *message.add_unreachable();
     unreachable.set_backend(backend.server.id.value());
@@ -75,22 +90,49 @@
     this->broadcast(message, true);
 }
 
-void PeerLink::pass_on(wire::PlatformNews news, bool was_read_here)
+std::vector<Address> PeerLink::heard_near() const
 {
     auto now = this->context.now();
-    news.set_failure_domain(this->context.settings.failure_domain.value());
-    wire::Envelope envelope;
-    *envelope.mutable_platform_news() = std::move(news);
+    std::vector<Address> heard;
     for (auto const& address : this->peers) {
         if (this->context.reach.is_near(address) && this->context.reach.is_heard(address, now))
-            this->transport.send(address, envelope);
+            heard.push_back(address);
     }
-    if (!was_read_here)
-        return;
-    for (auto const& reader : this->context.reach.readers_elsewhere(now))
+    return heard;
+}
+
+void PeerLink::send_through_relays(wire::PlatformNews news, std::vector<Address> const& receivers)
+{
+    for (auto const& part : split_for_relays(receivers, relay_fan_out)) {
+        news.clear_relay_to();
+        for (size_t i = 1; i < part.size(); ++i)
+            news.add_relay_to(part[i].value());
+        wire::Envelope envelope;
+        *envelope.mutable_platform_news() = news;
+        this->transport.send(part.front(), std::move(envelope));
+    }
+}
+
+void PeerLink::pass_on(wire::PlatformNews news)
+{
+    news.set_failure_domain(this->context.settings.failure_domain.value());
+    this->send_through_relays(news, this->heard_near());
+    wire::Envelope envelope;
+    *envelope.mutable_platform_news() = std::move(news);
+    for (auto const& reader : this->context.reach.readers_elsewhere(this->context.now()))
         this->transport.send(reader, envelope);
 }
 
+void PeerLink::relay(wire::PlatformNews const& news, bool is_from_near)
+{
+    std::vector<Address> receivers;
+    for (auto const& address : news.relay_to())
+        receivers.emplace_back(address);
+    auto own = news;
+    own.set_failure_domain(this->context.settings.failure_domain.value());
+    this->send_through_relays(std::move(own), is_from_near ? receivers : this->heard_near());
+}
+
 size_t PeerLink::count(bool near) const
 {
     return static_cast<size_t>(std::ranges::count_if(
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -36,9 +36,6 @@
     void start();
     [[nodiscard]] Address const& address() const { return this->transport.announced_address(); }
 
-    /// Other hosts of this failure domain, heard or not.
-    [[nodiscard]] size_t near_count() const { return this->count(true); }
-
     /// An address that another host has, by the platform's table.
     void learn(Address const& peer, FailureDomainId const& domain);
     void backend_appeared(Backend& backend) { this->use.apply_to(backend); }
@@ -46,9 +43,12 @@
     void tell_leaving(Backend const&);
     /// Tells the hosts of this domain of a backend server that cannot be connected to.
     void tell_unreachable(Backend const&, Duration avoided);
-    /// Passes on changes of a table to the hosts of this domain, and, if this host read them itself, to one of each
-    /// other domain.
-    void pass_on(wire::PlatformNews, bool was_read_here);
+    /// Passes on changes of a table that this host has read, to the hosts of this domain and to one of each other
+    /// domain.
+    void pass_on(wire::PlatformNews);
+    /// Passes on changes that another host has read: within this domain to whom that one names, from another domain to
+    /// all of this one.
+    void relay(wire::PlatformNews const&, bool is_from_near);
 
 private:
     void schedule_near();
@@ -61,6 +61,8 @@
     [[nodiscard]] size_t count(bool near) const;
     [[nodiscard]] Duration period(bool near) const;
     void broadcast(wire::HostUse const&, bool to_near);
+    [[nodiscard]] std::vector<Address> heard_near() const;
+    void send_through_relays(wire::PlatformNews, std::vector<Address> const& receivers);
     void send_whole(Address const& peer, bool wants_answer);
     void send(Address const& peer, wire::HostUse const&);
     void heard(wire::Envelope const&);
@@ -79,6 +81,8 @@
     OwnUse told_near;
     OwnUse told_far;
     u32 near_rounds { 0 };
+    Instant avoided_told_since {};
+    u32 avoided_told { 0 };
     bool near_changes_wait { false };
     bool far_changes_wait { false };
 };
--- a/Libraries/LibServing/Reach.cpp
+++ b/Libraries/LibServing/Reach.cpp
@@ -58,19 +58,29 @@
     return able;
 }
 
+size_t Reach::able_readers_before(Address const& own_address, Instant now) const
+{
+    auto able = this->able_readers(this->own_domain, now);
+    auto before = std::ranges::count_if(
+        able, [&](Address const& host) { return rank(host, reading_duty) > rank(own_address, reading_duty); });
+    return static_cast<size_t>(before);
+}
+
+bool Reach::is_first_reader(Address const& own_address, Instant now) const
+{
+    return this->able_readers_before(own_address, now) == 0;
+}
+
 bool Reach::reads_platform(Address const& own_address, Instant now) const
 {
     // A host that the platform does not answer goes on asking, to hear when it is back.
     if (this->platform_lost)
         return true;
-    auto able = this->able_readers(this->own_domain, now);
-    auto before = std::ranges::count_if(
-        able, [&](Address const& host) { return rank(host, reading_duty) > rank(own_address, reading_duty); });
     bool const has_other_domains = std::ranges::any_of(this->hosts, [&](auto const& entry) {
         return entry.second.said.domain != this->own_domain && !is_silent(entry.second, now);
     });
-    bool const needs_one = has_other_domains && able.size() + 1 < large_domain;
-    return static_cast<size_t>(before) < (needs_one ? 1 : readers_of_large_domain);
+    bool const needs_one = has_other_domains && this->able_readers(this->own_domain, now).size() + 1 < large_domain;
+    return this->able_readers_before(own_address, now) < (needs_one ? 1 : readers_of_large_domain);
 }
 
 std::vector<Address> Reach::readers_elsewhere(Instant now) const
--- a/Libraries/LibServing/Reach.h
+++ b/Libraries/LibServing/Reach.h
@@ -40,6 +40,8 @@
     [[nodiscard]] bool is_heard(Address const& host, Instant now) const;
     /// Whether this host reads the platform's tables, or hears of them from another one of its domain that does.
     [[nodiscard]] bool reads_platform(Address const& own_address, Instant now) const;
+    /// Whether this host is the one of its domain that passes on what it reads.
+    [[nodiscard]] bool is_first_reader(Address const& own_address, Instant now) const;
     /// A host of each other domain that reads the platform for it.
     [[nodiscard]] std::vector<Address> readers_elsewhere(Instant now) const;
     /// Whether news of backend servers may not come: the platform does not answer, or all other hosts are silent.
@@ -75,6 +77,8 @@
     {
         return now - host.heard_at > forgotten_after;
     }
+    /// Hosts of this domain that the platform answers and that come before this one in the order of readers.
+    [[nodiscard]] size_t able_readers_before(Address const& own_address, Instant now) const;
     [[nodiscard]] std::vector<Address> able_readers(FailureDomainId const& domain, Instant now) const;
 
     FailureDomainId own_domain;
--- /dev/null
+++ b/Libraries/LibServing/Relays.cpp
@@ -0,0 +1,20 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Relays.h>
+#include <algorithm>
+
+namespace Serving {
+
+std::vector<std::vector<Address>> split_for_relays(std::vector<Address> const& receivers, size_t fan_out)
+{
+    std::vector<std::vector<Address>> parts(std::min(receivers.size(), fan_out));
+    for (size_t i = 0; i < receivers.size(); ++i)
+        parts[i % parts.size()].push_back(receivers[i]);
+    return parts;
+}
+
+}
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -156,8 +156,10 @@
 {
     Instant const now { 100s };
     auto address = [](int host) { return Address("10.0.0." + std::to_string(host) + ":1"); };
+    int first_readers = 0;
     auto readers_among = [&](int count, bool with_other_domain, std::set<int> const& turned_away = {}) {
         std::set<int> readers;
+        first_readers = 0;
         for (int own = 0; own < count; ++own) {
             Reach reach(FailureDomainId("hall-a"));
             for (int other = 0; other < count; ++other) {
@@ -168,6 +170,7 @@
                 reach.heard(address(99), { FailureDomainId("hall-b"), 400ms }, now);
             if (reach.reads_platform(address(own), now))
                 readers.insert(own);
+            first_readers += reach.is_first_reader(address(own), now) ? 1 : 0;
         }
         return readers;
     };
@@ -175,6 +178,7 @@
     CHECK(readers_among(3, true).size() == 1);
     CHECK(readers_among(3, false).size() == 2);
     CHECK(readers_among(26, true).size() == 2);
+    THEN("just one of them passes on what it reads") { CHECK(first_readers == 1); }
     THEN("one that the platform turns away is not counted on")
     {
         auto before = readers_among(3, true);
