--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -118,7 +118,7 @@
     /// Changes from elsewhere.
     void hear(TableNews news)
     {
-        if (this->known_version == 0 || news.page.version <= this->known_version)
+        if (!this->is_listed || news.page.version <= this->known_version)
             return;
         if (news.previous_change > this->known_version)
             return this->catch_up(news.page.version);
@@ -134,7 +134,7 @@
     void catch_up(u64 version)
     {
         this->wanted_version = std::max(this->wanted_version, version);
-        if (this->known_version != 0 && this->wanted_version > this->known_version && !this->is_calling)
+        if (this->is_listed && this->wanted_version > this->known_version && !this->is_calling)
             this->follow(0s);
     }
 
@@ -167,6 +167,7 @@
             return this->retry(stale_answer(), [this] { this->list_from({}); });
         this->note_success();
         this->known_version = this->listing_version;
+        this->is_listed = true;
         this->newest_change = 0;
         for (auto const& row : this->listing)
             this->newest_change = std::max(this->newest_change, row.version);
@@ -274,6 +275,8 @@
     u64 version_of_call { 0 };
     u64 newest_change { 0 };
     u64 wanted_version { 0 };
+    /// A platform that was empty when it was read is at version 0, too.
+    bool is_listed { false };
     bool is_following { true };
     bool is_calling { false };
     bool reachable { true };
--- a/Tests/LibPlatform/TestChangeFollower.cpp
+++ b/Tests/LibPlatform/TestChangeFollower.cpp
@@ -161,6 +161,22 @@
             }
         }
     }
+    GIVEN("a platform that was empty when it was read, and a follower that hears changes from elsewhere")
+    {
+        follower.set_following(false);
+        source.answer_list(RowPage { {}, false, 0 });
+        seen.clear();
+        THEN("news are taken")
+        {
+            follower.hear({ 0, { { change("b", 1) }, 2 } });
+            CHECK(seen == std::vector<std::string> { "b" });
+        }
+        THEN("what another host knows is asked for")
+        {
+            follower.catch_up(1);
+            CHECK(source.calls.size() == 1);
+        }
+    }
     GIVEN("a follower that hears changes from elsewhere")
     {
         follower.set_following(false);
