--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -19,8 +19,6 @@
 static constexpr Duration plain_work_time = 15ms;
 /// How long after its notice a backend server may still get new work.
 static constexpr Duration latest_new_work = 4s;
-/// Faults shortly before an event may still be felt by it.
-static constexpr Duration calm_before = 3s;
 
 Deployment::Deployment(Http::asio::io_context& loop, PromiseChecker& checker, DeploymentSize size, std::string program,
     std::string directory)
@@ -150,7 +148,7 @@
     if (!place.leaving_since || now() - *place.leaving_since < latest_new_work)
         return;
     auto const* host = this->find_host(this->checker.host_of(attempt));
-    if (host && is_calm_since(*host, *place.leaving_since - calm_before))
+    if (host && is_calm_for(*host, *place.leaving_since))
         this->checker.violation(
             host->name + " still sends work (" + attempt + ") to " + place.id + ", which is leaving");
 }
@@ -158,7 +156,7 @@
 void Deployment::put_row(RunnerPlace const& place)
 {
     this->store.put(
-        "servers", place.id, place.runner->row(place.service, place.domain, place.leaving_since.has_value()));
+        servers_table, place.id, place.runner->row(place.service, place.domain, place.leaving_since.has_value()));
 }
 
 void Deployment::drain(RunnerPlace& place, Duration time_left)
@@ -172,7 +170,7 @@
 {
     if (!place.leaving_since)
         place.leaving_since = now();
-    this->store.remove("servers", place.id);
+    this->store.remove(servers_table, place.id);
 }
 
 void Deployment::end_runner(RunnerPlace& place)
@@ -193,12 +191,6 @@
     return result;
 }
 
-void Deployment::put_configuration_with(std::function<void(Configuration&)> const& change)
-{
-    change(this->configuration);
-    this->put_configuration();
-}
-
 void Deployment::put_configuration()
 {
     this->version_times[this->configuration.add_version()] = now();
@@ -233,7 +225,7 @@
     auto status = host.daemon->take_end();
     if (!status) {
         bool const is_overdue = host.stopping_since && now() - *host.stopping_since > stop_grace + stop_lateness;
-        if (is_overdue && Deployment::is_calm_since(host, *host.stopping_since)) {
+        if (is_overdue && is_calm_since(host, *host.stopping_since)) {
             this->checker.violation(host.name + " did not end within its grace after SIGTERM");
             host.stopping_since.reset();
             host.daemon->send_signal(SIGKILL);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -62,11 +62,12 @@
     Deployment(Http::asio::io_context&, PromiseChecker&, DeploymentSize, std::string program, std::string directory);
 
     void start();
-    /// Makes events, notes what runs where, and looks for processes that have ended.
+    /// To be called all the time. Makes events, notes what runs where, and looks for processes that have ended.
     void tick();
 
     // --- hosts
     std::vector<std::unique_ptr<HostPlace>> hosts;
+    /// Does nothing while it runs. Throws std::system_error when it cannot be started.
     void start_host(HostPlace&);
     void kill_host(HostPlace&);
     void stop_host(HostPlace&);
@@ -75,31 +76,39 @@
     /// Faults touch the host from now on for this long.
     void harm(HostPlace&, Duration);
     void harm_all(Duration);
-    /// Neither the host nor its links have been touched since `instant`.
+    /// Neither the host nor its links have been harmed since `instant`.
     [[nodiscard]] static bool is_calm_since(HostPlace const& host, Instant instant)
     {
         return host.harmed_until < instant;
     }
+    /// The same, for what begins at `instant`, which may still feel faults of shortly before.
+    [[nodiscard]] static bool is_calm_for(HostPlace const& host, Instant instant)
+    {
+        return is_calm_since(host, instant - calm_before);
+    }
 
     // --- backend servers
     std::list<RunnerPlace> runners;
     RunnerPlace& add_runner(std::string const& service, std::string const& domain);
     /// Says that it leaves, and when it will end.
     void drain(RunnerPlace&, Duration time_left);
+    /// Takes its row off the list for good; from then on it counts as leaving.
     void remove_row(RunnerPlace&);
     void put_row(RunnerPlace const&);
+    /// Breaks its connections; its row stays.
     void end_runner(RunnerPlace&);
     /// Those that take work, of one service.
     [[nodiscard]] std::vector<RunnerPlace*> serving(std::string const& service);
 
     // --- platform
+    /// See UsersPlatform::backend_table in platform/UsersPlatform.h.
+    static constexpr auto servers_table = "servers";
     Http::tcp::endpoint const store_endpoint;
     StandIn::PlatformStore store;
     Configuration configuration;
     /// When each version of the configuration was taken by the store, by number.
     std::map<u64, Instant> version_times;
     void put_configuration();
-    void put_configuration_with(std::function<void(Configuration&)> const& change);
 
     [[nodiscard]] std::string const& domain(size_t index) const
     {
@@ -111,9 +120,12 @@
     [[nodiscard]] HostPlace const* find_host(std::string const& name) const;
     [[nodiscard]] static Instant now() { return std::chrono::steady_clock::now(); }
 
+    // Settings of the hosts: none longer than its default, so that a run of seconds meets their ends.
     static constexpr Duration stop_grace = 5s;
     static constexpr Duration drain_time = 800ms;
     static constexpr Duration list_recovery_time = 2s;
+    /// How shortly before an event faults may still be felt by it; chosen, on top of FaultSchedule::aftermath.
+    static constexpr Duration calm_before = 3s;
 
 private:
     void make_host(std::string const& domain, u32 number);
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -25,6 +25,22 @@
 /// A service keeps at least so many backend servers that take work.
 static constexpr size_t fewest_serving = 2;
 static constexpr u32 most_spoiled_answers = 6;
+/// After a change of the configuration, so that hosts are killed at different points of taking it.
+static constexpr Duration longest_kill_delay = 50ms;
+/// Versions of its table that a platform that is behind has not yet seen.
+static constexpr u64 versions_behind = 2;
+/// Delays of each piece of bytes, chosen, not measured: all are shorter than Deployment::list_recovery_time.
+static constexpr Duration shortest_link_delay = 20ms;
+static constexpr Duration longest_host_link_delay = 700ms;
+static constexpr Duration longest_runner_link_delay = 500ms;
+/// Added to the drain time, so that notices differ.
+static constexpr Duration longest_extra_notice = 1s;
+/// Values of the setting `retries.ratio`.
+static constexpr std::array retry_ratios { 0.1, 0.2, 0.3 };
+/// One in so many faults of backend servers is drawn for the plain service, the others for engines.
+static constexpr u32 draws_per_plain_server = 3;
+/// A multiple of the usual counts of failure domains, so that they are drawn evenly.
+static constexpr u32 domain_draws = 16;
 
 std::vector<FaultSchedule::Begin> FaultSchedule::kinds_of(Mix mix)
 {
@@ -36,6 +52,7 @@
         &FaultSchedule::vanish_runner,
     };
     auto add = [&kinds](std::initializer_list<Begin> more) { kinds.insert(kinds.end(), more); };
+    // Five times, so that spoiled answers are as likely as all planned work.
     if (mix == Mix::Answers)
         add({ &FaultSchedule::spoil_answers, &FaultSchedule::spoil_answers, &FaultSchedule::spoil_answers,
             &FaultSchedule::spoil_answers, &FaultSchedule::spoil_answers, &FaultSchedule::crash_runner,
@@ -108,15 +125,22 @@
     return std::chrono::milliseconds(milliseconds(this->random));
 }
 
-HostPlace* FaultSchedule::draw_host()
+Duration FaultSchedule::draw_fault_time() { return this->draw_duration(shortest_fault, longest_fault); }
+
+FaultProxy::Direction FaultSchedule::draw_direction()
+{
+    return this->draw_number(2) == 0 ? FaultProxy::Direction::ToTarget : FaultProxy::Direction::FromTarget;
+}
+
+HostPlace& FaultSchedule::draw_host()
 {
     auto& hosts = this->deployment.hosts;
-    return hosts.at(this->draw_number(static_cast<u32>(hosts.size()))).get();
+    return *hosts.at(this->draw_number(static_cast<u32>(hosts.size())));
 }
 
 RunnerPlace* FaultSchedule::draw_runner()
 {
-    auto const* service = this->draw_number(3) == 0 ? plain_service : engine_service;
+    auto const* service = this->draw_number(draws_per_plain_server) == 0 ? plain_service : engine_service;
     auto serving = this->deployment.serving(service);
     if (serving.size() <= fewest_serving)
         return nullptr;
@@ -134,7 +158,7 @@
 
 void FaultSchedule::kill_host()
 {
-    auto& host = *this->draw_host();
+    auto& host = this->draw_host();
     this->note("kill " + host.name);
     this->deployment.kill_host(host);
     this->restart_later(host);
@@ -145,7 +169,7 @@
     this->note("the configuration changes, and all hosts are killed");
     this->deployment.put_configuration();
     this->deployment.harm_all(longest_restart_delay + aftermath);
-    this->after(this->draw_duration(0s, 50ms), [this] {
+    this->after(this->draw_duration(0s, longest_kill_delay), [this] {
         for (auto& host : this->deployment.hosts) {
             this->deployment.kill_host(*host);
             this->restart_later(*host);
@@ -155,7 +179,7 @@
 
 void FaultSchedule::stop_host()
 {
-    auto& host = *this->draw_host();
+    auto& host = this->draw_host();
     if (!host.daemon->is_running() || host.stopping_since)
         return;
     this->note("planned stop of " + host.name);
@@ -167,8 +191,8 @@
 
 void FaultSchedule::freeze_host()
 {
-    auto& host = *this->draw_host();
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    auto& host = this->draw_host();
+    auto duration = this->draw_fault_time();
     this->note("freeze " + host.name);
     this->deployment.harm(host, duration + aftermath);
     host.daemon->send_signal(SIGSTOP);
@@ -177,9 +201,9 @@
 
 void FaultSchedule::reload_host()
 {
-    auto& host = *this->draw_host();
+    auto& host = this->draw_host();
     this->note("changed settings of " + host.name);
-    this->deployment.write_settings(host, 0.1 + 0.1 * this->draw_number(3));
+    this->deployment.write_settings(host, retry_ratios.at(this->draw_number(static_cast<u32>(retry_ratios.size()))));
     // A process that has not yet come up would be ended by the signal.
     if (Deployment::is_calm_since(host, Deployment::now()))
         host.daemon->send_signal(SIGHUP);
@@ -187,22 +211,23 @@
 
 // --- the platform
 
-void FaultSchedule::platform_busy()
+void FaultSchedule::begin_platform_mode(StandIn::PlatformStore::Mode mode, std::string const& what)
 {
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
-    this->note("the platform refuses all calls");
+    auto duration = this->draw_fault_time();
+    this->note(what);
     this->deployment.harm_all(duration + aftermath);
-    this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Busy);
+    this->deployment.store.set_mode(mode);
     this->after(duration, [this] { this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving); });
 }
 
+void FaultSchedule::platform_busy()
+{
+    this->begin_platform_mode(StandIn::PlatformStore::Mode::Busy, "the platform refuses all calls");
+}
+
 void FaultSchedule::platform_silent()
 {
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
-    this->note("the platform is silent");
-    this->deployment.harm_all(duration + aftermath);
-    this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Silent);
-    this->after(duration, [this] { this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving); });
+    this->begin_platform_mode(StandIn::PlatformStore::Mode::Silent, "the platform is silent");
 }
 
 void FaultSchedule::platform_forgets()
@@ -214,10 +239,10 @@
 
 void FaultSchedule::platform_behind()
 {
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    auto duration = this->draw_fault_time();
     this->note("the platform answers with an older state");
     this->deployment.harm_all(duration + aftermath);
-    this->deployment.store.set_behind(2);
+    this->deployment.store.set_behind(versions_behind);
     this->after(duration, [this] { this->deployment.store.set_behind(0); });
 }
 
@@ -226,12 +251,12 @@
     auto serving = this->deployment.serving(engine_service);
     if (serving.empty())
         return;
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    auto duration = this->draw_fault_time();
     this->note("the platform is away, and entries lapse meanwhile");
     this->deployment.harm_all(duration + Deployment::list_recovery_time + aftermath);
     this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Silent);
     for (auto* place : serving)
-        this->deployment.store.remove("servers", place->id);
+        this->deployment.store.remove(Deployment::servers_table, place->id);
     this->after(duration, [this, serving] {
         this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving);
         for (auto* place : serving) {
@@ -252,34 +277,32 @@
 
 // --- links
 
-static FaultProxy::Direction direction_of(u32 number)
+FaultProxy& FaultSchedule::harm_link(HostPlace& host, FaultProxy& link, std::string const& what)
 {
-    return number == 0 ? FaultProxy::Direction::ToTarget : FaultProxy::Direction::FromTarget;
+    auto duration = this->draw_fault_time();
+    this->note(what);
+    this->deployment.harm(host, duration + aftermath);
+    this->after(duration, [&link] { link.heal(); });
+    return link;
 }
 
 void FaultSchedule::cut_platform_link()
 {
-    auto& host = *this->draw_host();
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
-    this->note(host.name + " is cut off from the platform one way");
-    this->deployment.harm(host, duration + aftermath);
-    host.platform_link->hold(direction_of(this->draw_number(2)));
-    this->after(duration, [&host] { host.platform_link->heal(); });
+    auto& host = this->draw_host();
+    auto& link = this->harm_link(host, *host.platform_link, host.name + " is cut off from the platform one way");
+    link.hold(this->draw_direction());
 }
 
 void FaultSchedule::delay_platform_link()
 {
-    auto& host = *this->draw_host();
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
-    this->note("a slow link from " + host.name + " to the platform");
-    this->deployment.harm(host, duration + aftermath);
-    host.platform_link->set_delay(this->draw_duration(20ms, 700ms));
-    this->after(duration, [&host] { host.platform_link->heal(); });
+    auto& host = this->draw_host();
+    auto& link = this->harm_link(host, *host.platform_link, "a slow link from " + host.name + " to the platform");
+    link.set_delay(this->draw_duration(shortest_link_delay, longest_host_link_delay));
 }
 
 void FaultSchedule::reset_platform_link()
 {
-    auto& host = *this->draw_host();
+    auto& host = this->draw_host();
     this->note("connections of " + host.name + " to the platform are reset");
     this->deployment.harm(host, aftermath);
     host.platform_link->reset_all();
@@ -287,44 +310,32 @@
 
 void FaultSchedule::cut_peer_link()
 {
-    auto& host = *this->draw_host();
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
-    this->note("nothing of the other hosts reaches " + host.name);
-    this->deployment.harm(host, duration + aftermath);
-    host.peer_link->hold(FaultProxy::Direction::ToTarget);
-    this->after(duration, [&host] { host.peer_link->heal(); });
+    auto& host = this->draw_host();
+    auto& link = this->harm_link(host, *host.peer_link, "nothing of the other hosts reaches " + host.name);
+    link.hold(FaultProxy::Direction::ToTarget);
 }
 
 void FaultSchedule::delay_peer_link()
 {
-    auto& host = *this->draw_host();
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
-    this->note("slow links from the other hosts to " + host.name);
-    this->deployment.harm(host, duration + aftermath);
-    host.peer_link->set_delay(this->draw_duration(20ms, 700ms));
-    this->after(duration, [&host] { host.peer_link->heal(); });
+    auto& host = this->draw_host();
+    auto& link = this->harm_link(host, *host.peer_link, "slow links from the other hosts to " + host.name);
+    link.set_delay(this->draw_duration(shortest_link_delay, longest_host_link_delay));
 }
 
 void FaultSchedule::cut_domain()
 {
-    auto const domain = this->deployment.domain(this->draw_number(16));
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    auto const domain = this->deployment.domain(this->draw_number(domain_draws));
+    auto duration = this->draw_fault_time();
     this->note(domain + " is cut off from the platform and the other hosts");
     for (auto& host : this->deployment.hosts) {
         if (host->domain != domain)
             continue;
         this->deployment.harm(*host, duration + aftermath);
-        host->platform_link->hold_all();
-        host->peer_link->hold_all();
-    }
-    this->after(duration, [this, domain] {
-        for (auto& host : this->deployment.hosts) {
-            if (host->domain != domain)
-                continue;
-            host->platform_link->heal();
-            host->peer_link->heal();
+        for (auto* link : { host->platform_link.get(), host->peer_link.get() }) {
+            link->hold_all();
+            this->after(duration, [link] { link->heal(); });
         }
-    });
+    }
 }
 
 void FaultSchedule::harm_runner_link()
@@ -332,16 +343,16 @@
     auto* place = this->draw_runner();
     if (!place)
         return;
-    auto duration = this->draw_duration(shortest_fault, longest_fault);
+    auto duration = this->draw_fault_time();
     this->note("the link to " + place->id + " is harmed");
     this->deployment.harm_all(duration + aftermath);
     place->harmed_until = Deployment::now() + duration + aftermath;
     switch (this->draw_number(3)) {
     case 0:
-        place->link->set_delay(this->draw_duration(20ms, 500ms));
+        place->link->set_delay(this->draw_duration(shortest_link_delay, longest_runner_link_delay));
         break;
     case 1:
-        place->link->hold(direction_of(this->draw_number(2)));
+        place->link->hold(this->draw_direction());
         break;
     default:
         place->link->hold_all();
@@ -388,7 +399,7 @@
     if (!place)
         return;
     this->note(place->id + " drains");
-    auto time_left = Deployment::drain_time + this->draw_duration(0s, 1s);
+    auto time_left = Deployment::drain_time + this->draw_duration(0s, longest_extra_notice);
     this->deployment.add_runner(place->service, place->domain);
     this->deployment.drain(*place, time_left);
     this->end_leaving(*place, time_left);
@@ -414,6 +425,7 @@
         return;
     this->note(place->id + " spoils answers");
     this->deployment.harm_all(aftermath);
+    // The end is drawn anew each time: two to four in a row are likelier than one or six.
     for (u32 i = 0; i <= this->draw_number(most_spoiled_answers); ++i)
         place->runner->add_fault(faults.at(this->draw_number(static_cast<u32>(faults.size()))));
 }
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -14,12 +14,13 @@
 /// says for how long it may be felt where.
 class FaultSchedule {
 public:
+    /// Draws `count` faults that begin within `length` of start().
     FaultSchedule(Http::asio::io_context&, Deployment&, u32 seed, u32 count, Duration length);
 
     void start();
     /// Ends all faults that go on, and begins no more.
     void heal();
-    /// When a lingering fault may still be felt.
+    /// For how long after its end a fault may still be felt; chosen, with room for a busy machine.
     static constexpr Duration aftermath = 5s;
 
 private:
@@ -68,13 +69,20 @@
     void vanish_runner();
     void spoil_answers();
 
-    void after(Duration, std::function<void()>);
+    void begin_platform_mode(StandIn::PlatformStore::Mode, std::string const& what);
+    /// Answers the link, which the caller harms; it heals by itself.
+    FaultProxy& harm_link(HostPlace&, FaultProxy&, std::string const& what);
     void restart_later(HostPlace&);
     void end_leaving(RunnerPlace&, Duration time_left);
-    [[nodiscard]] HostPlace* draw_host();
+    /// Does nothing once heal() has been called.
+    void after(Duration, std::function<void()>);
+    [[nodiscard]] HostPlace& draw_host();
+    /// Null when a service would be left with too few backend servers.
     [[nodiscard]] RunnerPlace* draw_runner();
     [[nodiscard]] u32 draw_number(u32 below);
     [[nodiscard]] Duration draw_duration(Duration shortest, Duration longest);
+    [[nodiscard]] Duration draw_fault_time();
+    [[nodiscard]] FaultProxy::Direction draw_direction();
     void note(std::string const& what) const;
 
     Http::asio::io_context& loop;
