Tests/Soak, StandIns: Split long functions, name figures and say what public parts do

calm_before and the requests' making stood twice; keys that come and go were never used. Slots and memory of an engine's stand-in now stand in one place. No check and no random draw changes.

--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -13,8 +13,16 @@
 
 /// Names the caller's attempt, in requests and in their answers.
 static constexpr auto attempt_header = "Lilactiller-Attempt-Id";
+/// Only generations carry it.
+static constexpr auto usage_header = "Lilactiller-Token-Usage";
 /// Names the copy that a run goes on from.
 static constexpr auto copy_header = "Kv-From";
+/// Names the runner that an answer comes from.
+static constexpr auto instance_header = "Lilactiller-Instance-Id";
+/// Names the runner that a request is meant for.
+static constexpr auto target_header = "Lilactiller-Target-Instance";
+/// The last event that the caller has, where a run goes on from a copy.
+static constexpr auto last_event_header = "Last-Event-Id";
 
 PlatformRunner::PlatformRunner(Http::asio::io_context& loop, Http::tcp::endpoint endpoint, std::string id)
     : loop(loop)
@@ -38,7 +46,7 @@
 std::string PlatformRunner::row(std::string const& service, std::string const& zone, bool is_draining) const
 {
     Json::object const row { { "service", service }, { "addr", this->address() }, { "zone", zone }, { "version", "v1" },
-        { "slots", 8 }, { "state", is_draining ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "call_seq", 1 } };
+        { "slots", slots }, { "state", is_draining ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "call_seq", 1 } };
     return Json::serialize(row);
 }
 
@@ -47,7 +55,7 @@
     Http::Response response(status, Http::http_1_1);
     response.set(attempt_header, request[attempt_header]);
     response.set("Lilactiller-Response-Stamp", "stamp-of-" + this->name);
-    response.set("Lilactiller-Server-Load", "1,0,8");
+    response.set("Lilactiller-Server-Load", "1,0," + std::to_string(slots));
     return response;
 }
 
@@ -69,9 +77,9 @@
     if (request.target().starts_with("/kv-handle/"))
         return exchange->answer(Http::Response(Http::Status::ok, Http::http_1_1));
     this->note(request);
-    if (request["Lilactiller-Target-Instance"] != this->name) {
+    if (request[target_header] != this->name) {
         Http::Response response(Http::Status::misdirected_request, Http::http_1_1);
-        response.set("Lilactiller-Instance-Id", this->name);
+        response.set(instance_header, this->name);
         return exchange->answer(std::move(response));
     }
     if (this->on_received)
@@ -128,23 +136,33 @@
 void PlatformRunner::run(std::shared_ptr<Http::Exchange> const& exchange)
 {
     auto const& request = exchange->request();
-    auto attempt = std::string(request[attempt_header]);
-    bool const is_generation = request.count("Lilactiller-Token-Usage") > 0;
-    u64 events_before = 0;
     this->count_run(request);
-    if (request.count(copy_header) > 0) {
-        std::string const from(request[copy_header]);
-        auto copy = this->copies.find(from.substr(from.find('/') + 1));
-        if (copy == this->copies.end())
-            return exchange->answer(this->signed_answer(request, Http::Status::service_unavailable));
-        this->copies.erase(copy);
-        events_before = request.count("Last-Event-Id") > 0 ? std::stoull(std::string(request["Last-Event-Id"])) : 0;
-    }
+    auto const events_before = this->take_copy(request);
+    if (!events_before)
+        return exchange->answer(this->signed_answer(request, Http::Status::service_unavailable));
+    if (request.count(usage_header) > 0)
+        return this->begin_generation(exchange, *events_before);
+    auto response = this->signed_answer(request, Http::Status::ok);
+    response.body() = "answer to " + std::string(request.target());
+    this->answer_plain(exchange, std::move(response));
+}
+
+std::optional<u64> PlatformRunner::take_copy(Http::Request const& request)
+{
+    if (request.count(copy_header) == 0)
+        return 0;
+    // "SOURCE/HANDLE"
+    std::string const from(request[copy_header]);
+    if (this->copies.erase(from.substr(from.find('/') + 1)) == 0)
+        return {};
+    return request.count(last_event_header) > 0 ? std::stoull(std::string(request[last_event_header])) : 0;
+}
+
+void PlatformRunner::begin_generation(std::shared_ptr<Http::Exchange> const& exchange, u64 events_before)
+{
+    auto const& request = exchange->request();
+    auto attempt = std::string(request[attempt_header]);
     auto response = this->signed_answer(request, Http::Status::ok);
-    if (!is_generation) {
-        response.body() = "answer to " + std::string(request.target());
-        return this->answer_plain(exchange, std::move(response));
-    }
     response.set(Http::Name::content_type, "text/event-stream");
     exchange->on_caller_left([this, attempt] {
         this->generations.erase(attempt);
@@ -233,7 +251,7 @@
 void PlatformRunner::answer_report(Http::Exchange& exchange)
 {
     Json::object report { { "stage", "both" }, { "busy", false }, { "call_seq", 1 }, { "waiting", 0 },
-        { "running", this->generations.size() }, { "kv_used", 0 }, { "kv_total", 30'000 }, { "handles", 0 } };
+        { "running", this->generations.size() }, { "kv_used", 0 }, { "kv_total", kv_tokens }, { "handles", 0 } };
     if (this->leaves_in) {
         report["state"] = "draining";
         report["leaves_ms"] = *this->leaves_in;
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -18,6 +18,11 @@
 /// go on there. Runs on the loop of whoever makes it. Whoever makes it decides when events are made.
 class PlatformRunner {
 public:
+    /// Requests at once, as its row says; operators' configurations for it name the same.
+    static constexpr u32 slots = 8;
+    /// Tokens that an engine's memory holds, as /report says.
+    static constexpr u32 kv_tokens = 30'000;
+
     /// What the next request gets, once.
     enum class Fault : u8 {
         /// A refusal that says that the request has not run.
@@ -34,6 +39,7 @@
         Hang,
     };
 
+    /// A request as it came in.
     struct Received {
         std::string attempt;
         std::string target;
@@ -44,11 +50,11 @@
     PlatformRunner(Http::asio::io_context&, Http::tcp::endpoint, std::string id);
 
     void add_fault(Fault fault) { this->faults.push_back(fault); }
-    /// Makes the next event of every generation that runs here.
+    /// Makes the next event of every generation that runs here, and ends those that have all of `planned_events`.
     void make_events();
     /// Ends every generation that runs here, whole.
     void finish_all();
-    /// How many events a generation has, by its attempt; if set, make_events() ends those that are complete.
+    /// How many events a generation has, by its attempt; without it generations end by finish_all() only.
     std::function<u64(std::string const& attempt)> planned_events;
     /// Told of each request that names this runner, before it runs or is refused.
     std::function<void(Received const&)> on_received;
@@ -60,6 +66,7 @@
     void end();
     /// Engines hand copies to each other by themselves; here whoever makes them carries each to its target.
     std::function<void(std::string const& target_address, std::string const& handle, u64 events_made)> on_copy;
+    /// Takes a copy that another engine made after so many events.
     void receive_copy(std::string const& handle, u64 events_made) { this->copies[handle] = events_made; }
     /// What /report says of the time that is left; nothing if it does not leave.
     void set_leaves_in(std::optional<u64> milliseconds) { this->leaves_in = milliseconds; }
@@ -70,14 +77,16 @@
     /// Requests that were worked on here, by attempt.
     [[nodiscard]] std::map<std::string, u32> const& runs() const { return this->run_counts; }
     [[nodiscard]] bool is_running(std::string const& attempt) const { return this->generations.contains(attempt); }
+    /// Attempts of the generations that run here.
     [[nodiscard]] std::vector<std::string> running() const;
     [[nodiscard]] size_t running_count() const { return this->generations.size(); }
+    /// As "ip:port".
     [[nodiscard]] std::string address() const;
     [[nodiscard]] std::string const& id() const { return this->name; }
-    /// Generations whose connection was closed before their end.
+    /// Generations and hanging requests whose connection was closed before their end.
     [[nodiscard]] u32 dropped_count() const { return this->dropped; }
 
-    /// The value of the row that a runner keeps of itself.
+    /// The value of the row that a runner keeps of itself, in JSON; `zone` is its failure domain.
     [[nodiscard]] std::string row(std::string const& service, std::string const& zone, bool is_draining = false) const;
 
 private:
@@ -91,6 +100,9 @@
     void count_run(Http::Request const&);
     bool carry_out_fault(std::shared_ptr<Http::Exchange> const&);
     void run(std::shared_ptr<Http::Exchange> const&);
+    /// How many events the request's run has behind it; nothing when the copy that it goes on from is not here.
+    std::optional<u64> take_copy(Http::Request const&);
+    void begin_generation(std::shared_ptr<Http::Exchange> const&, u64 events_before);
     void copy(Http::Exchange&);
     void answer_report(Http::Exchange&);
     void answer_plain(std::shared_ptr<Http::Exchange> const&, Http::Response);
--- a/Tests/Soak/Caller.cpp
+++ b/Tests/Soak/Caller.cpp
@@ -12,18 +12,19 @@
 
 /// Between two requests of one caller.
 static constexpr Duration longest_rest = 150ms;
-/// Shares of what is sent.
+/// Shares, from 0 to 1; chosen so that engines, whose work goes through the most states, get the most.
 static constexpr double probe_share = 0.15;
+/// Of what is no probe; the rest are lookups.
 static constexpr double draft_share = 0.45;
 static constexpr double tariff_share = 0.15;
+/// Of probes; the others ask for any version.
+static constexpr double newest_probe_share = 0.5;
 static constexpr double new_connection_share = 0.2;
 /// Of requests whose caller leaves early, and how soon.
 static constexpr double leaving_share = 0.05;
 static constexpr Duration longest_stay = 500ms;
 /// How much later than its time a request may have its answer, on a busy machine.
 static constexpr Duration answer_lateness = 6s;
-/// Faults shortly before a request may still be felt by it.
-static constexpr Duration calm_before = 3s;
 /// How soon a change of the configuration is in force on a host that nothing has touched.
 static constexpr Duration configuration_lateness = 6s;
 
@@ -66,15 +67,22 @@
     this->send_request(kind);
 }
 
-Http::Request Caller::make_request(
-    std::string const& target, std::string const& attempt, std::string const& key, Duration patience) const
+SentRequest Caller::announce(CallKind kind, std::string const& attempt, std::string target)
 {
-    Http::Request request(Http::Verb::post, target, Http::http_1_1);
+    SentRequest sent { kind, this->host.name, this->host.daemon->life(), std::move(target), "question of " + attempt,
+        Deployment::now() };
+    this->checker.sent(attempt, sent);
+    return sent;
+}
+
+static Http::Request make_request(std::string const& attempt, SentRequest const& sent)
+{
+    Http::Request request(Http::Verb::post, sent.target, Http::http_1_1);
     request.set(Http::Name::host, caller_host);
     request.set("Lilactiller-Attempt-Id", attempt);
-    request.set("Lilactiller-Deadline-Ms", std::to_string(AK::to_milliseconds(patience)));
-    request.set("Api-Key", key);
-    request.body() = "question of " + attempt;
+    request.set("Lilactiller-Deadline-Ms", std::to_string(AK::to_milliseconds(route_of(sent.kind).timeout)));
+    request.set("Api-Key", organisation_key);
+    request.body() = sent.body;
     return request;
 }
 
@@ -82,11 +90,10 @@
 {
     auto const& route = route_of(kind);
     auto attempt = this->name + '-' + std::to_string(++this->sent_count);
-    SentRequest const sent { kind, this->host.name, this->host.daemon->life(), route.prefix + attempt,
-        "question of " + attempt, Deployment::now() };
-    this->checker.sent(attempt, sent);
-    auto request = this->make_request(sent.target, attempt, lasting_key, route.timeout);
+    auto const sent = this->announce(kind, attempt, route.prefix + attempt);
+    auto request = make_request(attempt, sent);
     if (kind == CallKind::Draft) {
+        // Figures as in Tests/Platform/HostFixture.h; all are alike, so that prompts are shared.
         request.set("Lilactiller-Model", "m");
         request.set("Lilactiller-Token-Usage", "1460,80");
         request.set("Lilactiller-Prompt-Prefix", "5c1e07a2:800,e4402b7d:660");
@@ -107,31 +114,32 @@
 
 void Caller::send_probe()
 {
-    auto newest = this->deployment.configuration.version();
-    auto version = this->draw() < 0.5 ? newest : 1 + static_cast<u64>(this->draw() * static_cast<double>(newest));
-    version = std::min(version, newest);
+    auto const newest = this->deployment.configuration.version();
+    auto const version = this->draw() < newest_probe_share
+        ? newest
+        : std::min(1 + static_cast<u64>(this->draw() * static_cast<double>(newest)), newest);
     auto attempt = this->name + "-probe-" + std::to_string(++this->sent_count);
-    auto target = Configuration::probe_path(version) + attempt;
-    auto const sent_at = Deployment::now();
-    auto const life = this->host.daemon->life();
-    auto const patience = route_of(CallKind::Tariff).timeout;
-    this->checker.sent(attempt, { CallKind::Tariff, this->host.name, life, target, "question of " + attempt, sent_at });
+    auto const sent = this->announce(CallKind::Tariff, attempt, Configuration::probe_path(version) + attempt);
     auto self = this->shared_from_this();
     this->exchange(
-        this->make_request(target, attempt, lasting_key, patience),
-        [self, attempt, life, version, sent_at](SeenAnswer const& answer) {
-            // The process may have been replaced between the request and its answer.
-            if (life == self->host.daemon->life())
-                self->checker.probed(self->host.name, life, version, answer.status);
-            auto const taken_at = self->deployment.version_times.at(version);
-            bool const is_overdue = sent_at - taken_at > configuration_lateness
-                && Deployment::is_calm_since(self->host, taken_at - calm_before);
-            if (is_overdue && answer.status == 404)
-                self->checker.violation(
-                    self->host.name + " does not know version " + std::to_string(version) + " in time");
+        make_request(attempt, sent),
+        [self, sent, version](SeenAnswer const& answer) {
+            self->check_probe(version, sent, answer);
             self->rest();
         },
-        patience + answer_lateness);
+        route_of(sent.kind).timeout + answer_lateness);
+}
+
+void Caller::check_probe(u64 version, SentRequest const& sent, SeenAnswer const& answer)
+{
+    // The process may have been replaced between the request and its answer.
+    if (sent.host_life == this->host.daemon->life())
+        this->checker.probed(sent, version, answer);
+    auto const taken_at = this->deployment.version_times.at(version);
+    bool const is_overdue
+        = sent.sent_at - taken_at > configuration_lateness && Deployment::is_calm_for(this->host, taken_at);
+    if (is_overdue && answer.has(Http::Status::not_found))
+        this->checker.violation(this->host.name + " does not know version " + std::to_string(version) + " in time");
 }
 
 void Caller::exchange(Http::Request request, std::function<void(SeenAnswer)> on_end, Duration patience)
@@ -160,21 +168,29 @@
         },
     };
     request.prepare_payload();
-    auto const used = this->connection;
-    used->exchange(std::move(request), std::move(observer), patience, patience);
-    this->patience_timer.expires_after(patience);
-    this->patience_timer.async_wait([self, used, answer, finish](boost::system::error_code error) {
-        if (error || !self->is_waiting || self->connection != used)
-            return;
+    this->connection->exchange(std::move(request), std::move(observer), patience, patience);
+    this->leave_after(patience, [answer, finish] {
         answer->was_left = true;
-        used->cancel();
         finish();
     });
 }
 
+void Caller::leave_after(Duration patience, std::function<void()> on_left)
+{
+    auto self = this->shared_from_this();
+    this->patience_timer.expires_after(patience);
+    this->patience_timer.async_wait(
+        [self, used = this->connection, on_left = std::move(on_left)](boost::system::error_code error) {
+            if (error || !self->is_waiting || self->connection != used)
+                return;
+            used->cancel();
+            on_left();
+        });
+}
+
 void Caller::ended(std::string const& attempt, SentRequest const& sent, SeenAnswer answer)
 {
-    if (answer.status >= 200 && answer.status < 300 && answer.is_complete)
+    if (answer.is_success() && answer.is_complete)
         ++this->served_count;
     this->check_planned_stop(attempt, sent, answer);
     this->checker.answered(attempt, std::move(answer));
@@ -183,7 +199,7 @@
 
 void Caller::check_promptness(std::string const& attempt, SentRequest const& sent, SeenAnswer const& answer)
 {
-    if (answer.was_left && Deployment::is_calm_since(this->host, sent.sent_at - calm_before))
+    if (answer.was_left && Deployment::is_calm_for(this->host, sent.sent_at))
         this->checker.violation(attempt + " got no answer in its time from " + this->host.name);
 }
 
@@ -191,7 +207,7 @@
 {
     auto const& stop = this->host.stopping_since;
     bool const was_cut = !answer.is_complete && !answer.was_left;
-    if (!stop || !was_cut || !Deployment::is_calm_since(this->host, sent.sent_at - calm_before))
+    if (!stop || !was_cut || !Deployment::is_calm_for(this->host, sent.sent_at))
         return;
     // A request that crosses the close is not passed on; one that was read is answered.
     bool const has_run = this->deployment.runs().contains(attempt);
--- a/Tests/Soak/Caller.h
+++ b/Tests/Soak/Caller.h
@@ -17,11 +17,12 @@
 public:
     Caller(Http::asio::io_context&, Deployment&, PromiseChecker&, HostPlace&, std::string name, u32 seed);
 
+    /// Begins with a rest; the loop goes on from there. The object must be held by a std::shared_ptr.
     void start() { this->rest(); }
     /// Sends no more; what is under way goes on to its end.
     void stop() { this->is_stopping = true; }
     [[nodiscard]] bool is_idle() const { return !this->is_waiting; }
-    /// Answers with success so far.
+    /// Whole answers with success so far, those to probes not counted.
     [[nodiscard]] u32 served() const { return this->served_count; }
 
 private:
@@ -29,12 +30,15 @@
     void send();
     void send_request(CallKind);
     void send_probe();
+    /// `on_end` is called once: when the answer has ended, or the caller has left after `patience`.
     void exchange(Http::Request, std::function<void(SeenAnswer)> on_end, Duration patience);
+    void leave_after(Duration patience, std::function<void()> on_left);
     void ended(std::string const& attempt, SentRequest const&, SeenAnswer);
+    void check_probe(u64 version, SentRequest const&, SeenAnswer const&);
     void check_promptness(std::string const& attempt, SentRequest const&, SeenAnswer const&);
     void check_planned_stop(std::string const& attempt, SentRequest const&, SeenAnswer const&);
-    [[nodiscard]] Http::Request make_request(
-        std::string const& target, std::string const& attempt, std::string const& key, Duration patience) const;
+    /// Makes a request known to the checker, as it is sent next.
+    [[nodiscard]] SentRequest announce(CallKind, std::string const& attempt, std::string target);
     [[nodiscard]] double draw();
 
     Http::asio::io_context& loop;
--- a/Tests/Soak/Configuration.cpp
+++ b/Tests/Soak/Configuration.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <AK/Error.h>
+#include <StandIns/PlatformRunner/PlatformRunner.h>
 #include <Tests/Soak/Configuration.h>
 #include <array>
 #include <boost/json.hpp>
@@ -47,6 +48,21 @@
 
 std::string Configuration::probe_path(u64 version) { return "/probe/" + std::to_string(version) + '/'; }
 
+static Json::object service_entry(std::string const& name)
+{
+    return { { "name", name }, { "health_path", "/health" }, { "max_conns", 100 } };
+}
+
+static Json::array services()
+{
+    using StandIn::PlatformRunner;
+    auto engines = service_entry(engine_service);
+    // Bytes of a token, the link and the stride are those of Tests/Platform/HostFixture.h.
+    engines["engine"] = Json::object { { "slots", PlatformRunner::slots }, { "kv_capacity", PlatformRunner::kv_tokens },
+        { "kv_token_bytes", 18'432 }, { "link_mbps", 2700.0 }, { "moves", true }, { "stride", 4 } };
+    return { service_entry(plain_service), engines };
+}
+
 std::string Configuration::text() const
 {
     Json::array routes;
@@ -55,21 +71,12 @@
     for (u64 version = 1; version <= this->current; ++version)
         routes.push_back(
             route_entry(route_of(CallKind::Tariff), "probe-" + std::to_string(version), probe_path(version)));
-    Json::array keys { lasting_key };
-    for (auto const& key : this->passing_keys)
-        keys.push_back(Json::string(key));
-    Json::object const engine { { "slots", runner_slots }, { "kv_capacity", 30'000 }, { "kv_token_bytes", 18'432 },
-        { "link_mbps", 2700.0 }, { "moves", true }, { "stride", 4 } };
-    Json::array const services {
-        Json::object { { "name", plain_service }, { "health_path", "/health" }, { "max_conns", 100 } },
-        Json::object {
-            { "name", engine_service }, { "health_path", "/health" }, { "max_conns", 100 }, { "engine", engine } },
-    };
+    Json::array const keys { organisation_key };
     Json::object const limits { { "max_header_bytes", 4096 }, { "max_body_bytes", 65'536 },
         { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15'000 } };
     Json::object const tenant { { "name", organisation }, { "api_keys", keys }, { "priority", 1 } };
-    return Json::serialize(Json::object { { "version", this->current }, { "routes", routes }, { "services", services },
-        { "limits", limits }, { "tenants", Json::array { tenant } } });
+    return Json::serialize(Json::object { { "version", this->current }, { "routes", routes },
+        { "services", services() }, { "limits", limits }, { "tenants", Json::array { tenant } } });
 }
 
 }
--- a/Tests/Soak/Configuration.h
+++ b/Tests/Soak/Configuration.h
@@ -8,7 +8,6 @@
 
 #include <AK/Types.h>
 #include <string>
-#include <vector>
 
 namespace Soak {
 
@@ -28,6 +27,7 @@
     std::string prefix;
     std::string service;
     Duration timeout { 0 };
+    /// Tries in all, the first one counted.
     u32 most_dispatches { 1 };
 };
 
@@ -35,22 +35,17 @@
 
 inline constexpr auto caller_host = "soak.example";
 inline constexpr auto organisation = "plaza";
-inline constexpr auto lasting_key = "plaza-key";
+inline constexpr auto organisation_key = "plaza-key";
 inline constexpr auto plain_service = "lanes";
 inline constexpr auto engine_service = "models";
-/// Slots of each stand-in of a backend server.
-inline constexpr u32 runner_slots = 8;
 
-/// The operator's configuration as it grows: each version adds a probe route, and keys come and go.
+/// The operator's configuration as it grows: each version adds a probe route, and none is taken away.
 class Configuration {
 public:
     /// One more version; answers its number.
     u64 add_version();
-    /// Adds a key that a later version takes away again.
-    void add_key(std::string key) { this->passing_keys.push_back(std::move(key)); }
-    void drop_key(std::string const& key) { std::erase(this->passing_keys, key); }
     [[nodiscard]] u64 version() const { return this->current; }
-    /// As the platform's store keeps it.
+    /// As the platform's store keeps it, in JSON.
     [[nodiscard]] std::string text() const;
 
     /// A path on the route that was added by `version`.
@@ -58,7 +53,6 @@
 
 private:
     u64 current { 0 };
-    std::vector<std::string> passing_keys;
 };
 
 }
--- a/Tests/Soak/Daemon.h
+++ b/Tests/Soak/Daemon.h
@@ -16,12 +16,13 @@
 /// One process of the product, started here and ended by its id alone.
 class Daemon {
 public:
+    /// Starts nothing yet. What the process prints is added to the log.
     Daemon(std::string program, std::string settings_path, std::string log_path);
     ~Daemon();
     Daemon(Daemon const&) = delete;
     Daemon& operator=(Daemon const&) = delete;
 
-    /// Throws std::system_error when the program cannot be started.
+    /// To be called only while it does not run. Throws std::system_error when the program cannot be started.
     void start();
     void send_signal(int number) const;
     /// How the process ended, once after each end; nothing while it runs. As of waitpid(2).
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -176,11 +176,6 @@
 void FaultProxy::heal()
 {
     *this->state = {};
-    this->wake_links();
-}
-
-void FaultProxy::wake_links()
-{
     for (auto const& known : this->links) {
         if (auto link = known.lock())
             link->wake();
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -23,19 +23,20 @@
         FromTarget,
     };
 
+    /// Throws boost::system::system_error when `listen` cannot be bound.
     FaultProxy(Http::asio::io_context&, Http::tcp::endpoint listen, Http::tcp::endpoint target);
     ~FaultProxy();
 
     [[nodiscard]] Http::tcp::endpoint const& endpoint() const { return this->listen; }
     [[nodiscard]] Http::tcp::endpoint const& target_endpoint() const { return this->target; }
-    /// Every piece of bytes is this late.
+    /// Every piece of bytes that is read from now on is this late.
     void set_delay(Duration);
     /// Lets nothing pass in this direction, and does not tell of ends either.
     void hold(Direction);
     void hold_all();
     /// Resets all open connections; new ones are taken.
     void reset_all();
-    /// Ends every harm.
+    /// Ends every harm, and delivers what was held back.
     void heal();
 
 private:
@@ -46,7 +47,6 @@
     class Link;
 
     void accept();
-    void wake_links();
 
     Http::asio::io_context& loop;
     Http::tcp::endpoint listen;
--- a/Tests/Soak/PromiseChecker.cpp
+++ b/Tests/Soak/PromiseChecker.cpp
@@ -9,7 +9,7 @@
 
 namespace Soak {
 
-/// Events of a generation: a few for most, up to three seconds' worth at 20 ms each for some.
+/// Events of a generation: evenly from 3 to 149, which is up to three seconds' worth at Soak.cpp's 20 ms each.
 static constexpr u64 fewest_events = 3;
 static constexpr u64 event_spread = 147;
 
@@ -18,7 +18,8 @@
     return fewest_events + XXH3_64bits(attempt.data(), attempt.size()) % event_spread;
 }
 
-std::string PromiseChecker::event_text(std::string const& attempt, u64 number)
+/// As the stand-in of an engine words it.
+static std::string event_text(std::string const& attempt, u64 number)
 {
     return "id: " + std::to_string(number) + "\ndata: token of " + attempt + "\n\n";
 }
@@ -61,8 +62,7 @@
 {
     auto known = this->requests.find(attempt);
     ++this->status_counts[answer.status];
-    bool const is_success = answer.status >= 200 && answer.status < 300;
-    if (known != this->requests.end() && is_success)
+    if (known != this->requests.end() && answer.is_success())
         this->check_success(attempt, known->second, answer);
     this->answers.emplace(attempt, std::move(answer));
 }
@@ -111,15 +111,22 @@
     std::erase_if(this->running_since, [](auto const& entry) { return entry.second.empty(); });
 }
 
-void PromiseChecker::probed(std::string const& host, u32 life, u64 version, unsigned status)
+void PromiseChecker::probed(SentRequest const& request, u64 version, SeenAnswer const& answer)
 {
-    auto& served = this->served_probes[{ host, life }];
-    if (status == 200)
+    auto& served = this->served_probes[{ request.host, request.host_life }];
+    if (answer.has(Http::Status::ok))
         served.insert(version);
     // A route that a host has served in this life was added by a version that is in force, and none is ever dropped.
-    if (status == 404 && !served.empty() && *served.rbegin() >= version)
-        this->violation(host + " went back behind version " + std::to_string(*served.rbegin()) + " to one without "
-            + std::to_string(version));
+    if (answer.has(Http::Status::not_found) && !served.empty() && *served.rbegin() >= version)
+        this->violation(request.host + " went back behind version " + std::to_string(*served.rbegin())
+            + " to one without " + std::to_string(version));
+}
+
+/// Refusals that promise that the request has not run; see docs/CALLERS.md.
+static bool says_not_run(SeenAnswer const& answer)
+{
+    return answer.has(Http::Status::too_many_requests) || answer.has(Http::Status::service_unavailable)
+        || answer.has(Http::Status::request_timeout) || answer.has(Http::Status::misdirected_request);
 }
 
 void PromiseChecker::finish(std::map<std::string, u32> const& runs)
@@ -133,9 +140,8 @@
         auto answer = this->answers.find(attempt);
         if (answer == this->answers.end() || known->second.kind == CallKind::Tariff)
             continue;
-        auto status = answer->second.status;
-        if (status == 429 || status == 503 || status == 408 || status == 421)
-            this->violation(attempt + " was told " + std::to_string(status) + ", and ran");
+        if (says_not_run(answer->second))
+            this->violation(attempt + " was told " + std::to_string(answer->second.status) + ", and ran");
     }
 }
 
--- a/Tests/Soak/PromiseChecker.h
+++ b/Tests/Soak/PromiseChecker.h
@@ -17,6 +17,7 @@
 struct SentRequest {
     CallKind kind { CallKind::Lookup };
     std::string host;
+    /// The life of the host's process, as of Daemon::life(), at the time of sending.
     u32 host_life { 0 };
     std::string target;
     std::string body;
@@ -33,29 +34,32 @@
     bool is_complete { false };
     /// The caller closed the connection itself.
     bool was_left { false };
+
+    [[nodiscard]] bool has(Http::Status wanted) const { return this->status == static_cast<unsigned>(wanted); }
+    [[nodiscard]] bool is_success() const { return this->status >= 200 && this->status < 300; }
 };
 
 /// Checks what must always hold, from what callers and backend servers see.
 class PromiseChecker {
 public:
     void sent(std::string const& attempt, SentRequest);
+    /// A backend server has read a request.
     void reached(std::string const& runner, std::string const& service, StandIn::PlatformRunner::Received const&);
     void answered(std::string const& attempt, SeenAnswer);
     /// Called all the time with the attempts that each engine works on. `is_excused` when its link is harmed, so that
     /// the end of its work may not have reached it.
     void note_running(
         std::string const& runner, std::vector<std::string> const& attempts, bool is_excused, Instant now);
-    /// `status` of a request to the route that `version` added, in one life of a host's process.
-    void probed(std::string const& host, u32 life, u64 version, unsigned status);
+    /// The answer to a request on the route that `version` added, by the same process that it was sent to.
+    void probed(SentRequest const&, u64 version, SeenAnswer const&);
     /// At the end, with the runs that each backend server counted.
     void finish(std::map<std::string, u32> const& runs);
 
     void violation(std::string text);
     [[nodiscard]] std::vector<std::string> const& violations() const { return this->found; }
 
-    /// Events of a generation, by its attempt.
+    /// How many events a generation has: the same for the same attempt.
     static u64 planned_events(std::string const& attempt);
-    static std::string event_text(std::string const& attempt, u64 number);
 
     /// The host that an attempt was sent to; empty for one that no caller sent.
     [[nodiscard]] std::string host_of(std::string const& attempt) const;
@@ -72,7 +76,9 @@
     std::map<std::string, SentRequest> requests;
     std::map<std::string, SeenAnswer> answers;
     std::map<unsigned, u32> status_counts;
+    /// By attempt and by engine.
     std::map<std::string, std::map<std::string, Instant>> running_since;
+    /// Versions whose route was served, by host and life of its process.
     std::map<std::pair<std::string, u32>, std::set<u64>> served_probes;
     std::vector<std::string> found;
 };
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <sstream>
 
 DEFINE_string(program, "", "the HostServer to be run");
 DEFINE_string(directory, "", "where settings and logs of the processes go, a directory for each seed");
@@ -25,6 +26,10 @@
 namespace Soak {
 
 static constexpr Duration tick_period = 20ms;
+/// The longest wait for something to do on the loop between two looks at the clock.
+static constexpr Duration loop_step = 10ms;
+/// Seeds of callers for each seed of the soak: more than a usual run has callers.
+static constexpr u32 caller_seeds = 1000;
 /// Bounds on waiting; they end a run that hangs, and measure nothing.
 static constexpr Duration start_patience = 30s;
 static constexpr Duration recovery_patience = 40s;
@@ -48,7 +53,7 @@
     {
         this->deployment.start();
         this->tick();
-        if (!this->until([this] { return this->all_served_since_mark(); }, start_patience, "the start"))
+        if (!this->wait_until([this] { return this->all_served_since_mark(); }, start_patience, "the start"))
             return this->report();
         this->faults.start();
         this->run_for(std::chrono::seconds(FLAGS_seconds) + FaultSchedule::aftermath);
@@ -56,9 +61,10 @@
         for (auto& host : this->deployment.hosts)
             this->restart_if_down(*host);
         this->mark_served();
-        this->until([this] { return this->all_served_since_mark(); }, recovery_patience, "all hosts serving again");
+        this->wait_until(
+            [this] { return this->all_served_since_mark(); }, recovery_patience, "all hosts serving again");
         this->stop_load();
-        this->until([this] { return this->engines_are_idle(); }, drain_patience, "an end of all work at engines");
+        this->wait_until([this] { return this->engines_are_idle(); }, drain_patience, "an end of all work at engines");
         this->stop_hosts();
         return this->report();
     }
@@ -82,7 +88,7 @@
             for (u32 i = 0; i < FLAGS_callers_per_host; ++i) {
                 auto name = host->name + "-caller-" + std::to_string(i);
                 auto& caller = this->callers.emplace_back(std::make_shared<Caller>(this->loop, this->deployment,
-                    this->checker, *host, name, this->seed * 1000 + static_cast<u32>(this->callers.size())));
+                    this->checker, *host, name, this->seed * caller_seeds + static_cast<u32>(this->callers.size())));
                 caller->start();
             }
         }
@@ -109,15 +115,15 @@
     {
         auto const end = Deployment::now() + duration;
         while (Deployment::now() < end)
-            this->loop.run_one_for(10ms);
+            this->loop.run_one_for(loop_step);
     }
 
     template<typename Done>
-    bool until(Done done, Duration patience, std::string const& what)
+    bool wait_until(Done done, Duration patience, std::string const& what)
     {
         auto const give_up_at = Deployment::now() + patience;
         while (!done()) {
-            this->loop.run_one_for(10ms);
+            this->loop.run_one_for(loop_step);
             if (Deployment::now() < give_up_at)
                 continue;
             this->checker.violation("waited in vain for " + what);
@@ -129,9 +135,9 @@
     void restart_if_down(HostPlace& host)
     {
         // A process whose planned stop is under way ends first.
-        this->until([&] { return !host.stopping_since || !host.daemon->is_running(); }, stop_patience,
+        this->wait_until([&] { return !host.stopping_since || !host.daemon->is_running(); }, stop_patience,
             "the end of " + host.name);
-        this->until([&] { return !host.is_end_expected || !host.daemon->is_running(); }, stop_patience,
+        this->wait_until([&] { return !host.is_end_expected || !host.daemon->is_running(); }, stop_patience,
             "the end of " + host.name);
         this->deployment.start_host(host);
     }
@@ -140,7 +146,7 @@
     {
         for (auto const& caller : this->callers)
             caller->stop();
-        this->until(
+        this->wait_until(
             [this] { return std::ranges::all_of(this->callers, [](auto const& caller) { return caller->is_idle(); }); },
             drain_patience, "answers to all requests");
     }
@@ -155,7 +161,7 @@
     {
         for (auto& host : this->deployment.hosts)
             this->deployment.stop_host(*host);
-        this->until(
+        this->wait_until(
             [this] {
                 return std::ranges::none_of(
                     this->deployment.hosts, [](auto const& host) { return host->daemon->is_running(); });
