--- a/Tests/Soak/PromiseChecker.cpp
+++ b/Tests/Soak/PromiseChecker.cpp
@@ -122,7 +122,7 @@
             + " to one without " + std::to_string(version));
 }
 
-/// Refusals that promise that the request has not run; see docs/CALLERS.md.
+/// Refusals that a host may give only for a request that has not run.
 static bool says_not_run(SeenAnswer const& answer)
 {
     return answer.has(Http::Status::too_many_requests) || answer.has(Http::Status::service_unavailable)
