--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -33,7 +33,7 @@
     seq "$first" $((first + seeds - 1))
 } | xargs -P "$jobs" -I{} bash -c '"$0" --program "$1" --directory "$2" --seeds {} "${@:3}" >"$2/{}.txt" 2>&1 || echo {} >>"$2/failed"' \
     "$build_directory/Tests/soak" "$build_directory/platform/HostServer" "$run_directory" "$@" || true
-grep -hE '^seed [0-9]+: answers|VIOLATION' "$run_directory"/*.txt
+grep -hE '^seed [0-9]+: answers|VIOLATION' "$run_directory"/*.txt || echo "soak: no seed came to its end"
 if [[ -s $run_directory/failed ]]; then
     echo "soak: $(wc -l <"$run_directory/failed") seeds failed: $(tr '\n' ' ' <"$run_directory/failed"); logs in $run_directory"
     exit 1
--- a/Tests/Soak/Caller.cpp
+++ b/Tests/Soak/Caller.cpp
@@ -123,8 +123,9 @@
     auto self = this->shared_from_this();
     this->exchange(
         make_request(attempt, sent),
-        [self, sent, version](SeenAnswer const& answer) {
+        [self, attempt, sent, version](SeenAnswer const& answer) {
             self->check_probe(version, sent, answer);
+            self->checker.answered(attempt, answer);
             self->rest();
         },
         route_of(sent.kind).timeout + answer_lateness);
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -346,7 +346,7 @@
     auto duration = this->draw_fault_time();
     this->note("the link to " + place->id + " is harmed");
     this->deployment.harm_all(duration + aftermath);
-    place->harmed_until = Deployment::now() + duration + aftermath;
+    place->harmed_until = std::max(place->harmed_until, Deployment::now() + duration + aftermath);
     switch (this->draw_number(3)) {
     case 0:
         place->link->set_delay(this->draw_duration(shortest_link_delay, longest_runner_link_delay));
@@ -367,7 +367,7 @@
         return;
     this->note("connections to " + place->id + " are reset");
     this->deployment.harm_all(aftermath);
-    place->harmed_until = Deployment::now() + aftermath;
+    place->harmed_until = std::max(place->harmed_until, Deployment::now() + aftermath);
     place->link->reset_all();
 }
 
