--- a/Tests/LibServing/TestHostSettings.cpp
+++ b/Tests/LibServing/TestHostSettings.cpp
@@ -28,10 +28,7 @@
 SCENARIO("settings of a host are checked as a whole")
 {
     CHECK(read(needed).has_value());
-    GIVEN("no address that the others are told")
-    {
-        CHECK(read(needed).value().peer_address == Address("127.0.0.1:3"));
-    }
+    GIVEN("no address that the others are told") { CHECK(read(needed).value().peer_address == Address("127.0.0.1:3")); }
     GIVEN("an address that the others are told, and one that is none")
     {
         CHECK(read(needed + "  peer_address: 127.0.0.1:9\n").value().peer_address == Address("127.0.0.1:9"));
