--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -4,6 +4,7 @@
 # BUILD_DIRECTORY RUN_DIRECTORY [--seeds N] [--first N] [--jobs N] [-- FLAGS OF Build/Tests/soak]
 # Seeds that ever failed (Tests/Soak/Seeds.txt) are run as well. Without --first the seeds are fresh ones.
 set -euo pipefail
+cd "$(dirname "$0")/.."
 build_directory=$1
 run_directory=$2/soak
 shift 2
