LibHttp, LibServing: Say which callers' connections a host closes by itself, and when its loop stood still

Cause: a request that got no answer on a kept connection left no trace: nothing was written when the host closed a caller's connection, nor when its loop was late, so the three hypotheses of docs/incidents/answers-lost-on-kept-connections.md could not be told apart. Change: E2406 with reason, phase of the next request and time waited; E1008 and loop_lateness_seconds; the callers' time-outs with each revision. No decision is changed.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <AK/Error.h>
 #include <LibHttp/CallerConnection.h>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -19,6 +20,32 @@
 /// A caller whose host has acknowledged nothing for this long is cut off or has no power.
 static constexpr Duration caller_silence_limit = 10s;
 
+std::string_view to_string(RequestPhase phase)
+{
+    switch (phase) {
+    case RequestPhase::BetweenRequests:
+        return "between_requests";
+    case RequestPhase::ReadingHead:
+        return "reading_head";
+    case RequestPhase::ReadingBody:
+        return "reading_body";
+    case RequestPhase::Answering:
+        return "answering";
+    }
+    VERIFY(false);
+}
+
+std::string_view to_string(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Idle:
+        return "idle";
+    case CloseReason::PlannedStop:
+        return "planned_stop";
+    }
+    VERIFY(false);
+}
+
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context)
     : socket(std::move(socket))
     , timer(this->socket.get_executor())
@@ -39,8 +66,15 @@
     this->context->open_requests += now_in_request ? 1 : -1;
 }
 
+void CallerConnection::enter(RequestPhase next)
+{
+    this->phase = next;
+    this->phase_began = std::chrono::steady_clock::now();
+}
+
 void CallerConnection::read_head()
 {
+    this->enter(this->buffer.size() > 0 ? RequestPhase::ReadingHead : RequestPhase::BetweenRequests);
     this->parser.emplace();
     this->parser->header_limit(this->context->limits.header_bytes);
     this->parser->body_limit(this->context->limits.body_bytes);
@@ -48,7 +82,7 @@
     this->timer.expires_after(patience);
     this->timer.async_wait([self = shared_from_this()](beast::error_code error) {
         if (!error)
-            self->close();
+            self->close_unasked(CloseReason::Idle);
     });
     beast::http::async_read_header(this->socket, this->buffer, *this->parser,
         [self = shared_from_this()](beast::error_code error, size_t) { self->head_arrived(error); });
@@ -69,6 +103,7 @@
 {
     if (error)
         return this->refuse_bytes(error);
+    this->enter(RequestPhase::ReadingBody);
     if (this->has_ambiguous_framing())
         return this->refuse(Status::bad_request, "send either one Content-Length or 'Transfer-Encoding: chunked'");
     this->timer.expires_after(this->context->limits.idle_timeout);
@@ -121,6 +156,8 @@
 void CallerConnection::deliver()
 {
     this->set_in_request(true);
+    this->enter(RequestPhase::Answering);
+    ++this->requests_taken;
     this->keep_alive = this->parser->get().keep_alive();
     auto received = std::chrono::steady_clock::now();
     auto taken = std::make_shared<Exchange>(shared_from_this(), this->parser->release(), received);
@@ -238,7 +275,15 @@
 void CallerConnection::close_if_idle()
 {
     if (!this->in_request && this->buffer.size() == 0)
-        this->close();
+        this->close_unasked(CloseReason::PlannedStop);
+}
+
+void CallerConnection::close_unasked(CloseReason reason)
+{
+    if (this->socket.is_open() && this->context->on_closed)
+        this->context->on_closed(
+            { reason, this->phase, this->requests_taken, std::chrono::steady_clock::now() - this->phase_began });
+    this->close();
 }
 
 void CallerConnection::close()
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -26,6 +26,38 @@
     Duration idle_timeout { 15s };
 };
 
+/// How far a caller's connection is with its present request.
+enum class RequestPhase : u8 {
+    /// No byte of the next request has been read.
+    BetweenRequests,
+    ReadingHead,
+    ReadingBody,
+    /// A request has been read, and its answer is not complete.
+    Answering,
+};
+
+/// Why this side closed a caller's connection.
+enum class CloseReason : u8 {
+    /// No request came for `idle_timeout`, or the rest of a head did not for `header_timeout`.
+    Idle,
+    /// The process is stopping, and the connection waited for no answer.
+    PlannedStop,
+};
+
+std::string_view to_string(RequestPhase);
+std::string_view to_string(CloseReason);
+
+/// A connection that this side closed although it was neither asked nor bound to. For whoever looks for a lost request.
+struct ConnectionClose {
+    CloseReason reason;
+    /// Of the request that was under way, if one was.
+    RequestPhase phase;
+    /// Requests that had been taken from this connection before.
+    u64 requests_taken;
+    /// Since the present phase began.
+    Duration waited;
+};
+
 /// What a caller's connection needs of the server that accepted it.
 struct CallerContext {
     CallerLimits limits {};
@@ -38,6 +70,7 @@
     std::function<void(std::shared_ptr<Exchange>)> on_request {};
     /// Bytes that were no acceptable request; the text is what the caller was told.
     std::function<void(std::string const& reason)> on_refused_bytes {};
+    std::function<void(ConnectionClose const&)> on_closed {};
 };
 
 /// One connection of a caller: reads requests one after another and writes their answers.
@@ -73,6 +106,8 @@
     void request_finished();
     void caller_left();
     void close();
+    void close_unasked(CloseReason);
+    void enter(RequestPhase);
     void set_in_request(bool);
 
     tcp::socket socket;
@@ -83,6 +118,9 @@
     std::weak_ptr<Exchange> exchange;
     std::deque<std::string> outgoing;
     size_t outgoing_bytes { 0 };
+    RequestPhase phase { RequestPhase::BetweenRequests };
+    Instant phase_began {};
+    u64 requests_taken { 0 };
     bool writing { false };
     bool in_request { false };
     bool finish_when_written { false };
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -86,6 +86,8 @@
         this->callers_context->on_refused_bytes = [this](std::string const& reason) {
             this->log.event(Core::EventNumber::RequestRefused, "unread").with("reason", reason);
         };
+        this->callers_context->on_closed
+            = [this](Http::ConnectionClose const& close) { this->note_caller_connection_closed(close); };
         this->callers.emplace(this->loop, this->endpoint(this->settings.callers_listen), this->callers_context);
         this->readiness.emplace(this->loop, this->endpoint(this->settings.readiness_listen),
             make_page([this](Http::Request const&) { return this->readiness_answer(); }));
@@ -121,6 +123,8 @@
     /// Left of the grace for the last answers to leave.
     static constexpr Duration stop_margin = 300ms;
     static constexpr Duration tick_period = 50ms;
+    /// A fifth of the tightest goal of a plain call (100 ms).
+    static constexpr Duration shortest_noted_stall = 20ms;
     /// After its start a host first hears from the others which of them follow the platform's tables: two calls of the
     /// platform and a message each way, some ten milliseconds, with room for a slow start.
     static constexpr Duration settling_time = 500ms;
@@ -323,7 +327,9 @@
         this->context.routing = std::make_shared<RoutingTable const>(std::move(decoded.value()));
         this->callers_context->limits = this->context.routing->limits();
         this->log.event(Core::EventNumber::RevisionInForce, std::to_string(revision.value()))
-            .with("row_version", row.version);
+            .with("row_version", row.version)
+            .with("idle_timeout_ms", this->callers_context->limits.idle_timeout)
+            .with("header_timeout_ms", this->callers_context->limits.header_timeout);
     }
 
     void take_backends(std::vector<Platform::Row> const& rows)
@@ -355,8 +361,27 @@
         this->log.event(Core::EventNumber::PlatformContentRejected, row.key).with("reason", error.message);
     }
 
+    void note_caller_connection_closed(Http::ConnectionClose const& close)
+    {
+        auto reason = std::string(to_string(close.reason));
+        this->context.metrics.add("caller_connections_closed_total{reason=\"" + reason + "\"}");
+        this->log.event(Core::EventNumber::CallerConnectionClosed, this->settings.host.value())
+            .with("reason", reason)
+            .with("phase", to_string(close.phase))
+            .with("requests_taken", close.requests_taken)
+            .with("waited_ms", close.waited);
+    }
+
     // --- life of the process
 
+    void note_lateness()
+    {
+        auto lateness = this->context.now() - this->tick_timer.expiry();
+        this->context.metrics.observe("loop_lateness_seconds", lateness);
+        if (lateness >= shortest_noted_stall)
+            this->log.event(Core::EventNumber::LoopStalled, this->settings.host.value()).with("late_ms", lateness);
+    }
+
     void tick()
     {
         this->backends.tick();
@@ -365,8 +390,10 @@
         this->log.flush();
         this->tick_timer.expires_after(tick_period);
         this->tick_timer.async_wait([this](boost::system::error_code error) {
-            if (!error)
-                this->tick();
+            if (error)
+                return;
+            this->note_lateness();
+            this->tick();
         });
     }
 
