Tests/LibHttp: Lose requests on kept connections

Cause under test: a connection is closed between a request's head and the completion of its body, and the request is handed on all the same.

--- /dev/null
+++ b/Tests/LibHttp/KeptCaller.h
@@ -0,0 +1,84 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibHttp/Types.h>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+namespace Http::Test {
+
+/// A caller that keeps one connection on loopback. It writes bytes that are given ahead, at once, so that they wait in
+/// the other side's socket until its loop runs.
+class KeptCaller {
+public:
+    inline static std::string const get_request = "GET /ask HTTP/1.1\r\nHost: example\r\n\r\n";
+    inline static std::string const post_head = "POST /ask HTTP/1.1\r\nHost: example\r\nContent-Length: 8\r\n\r\n";
+    inline static std::string const post_body = "question";
+    inline static std::string const post_request = post_head + post_body;
+
+    KeptCaller(asio::io_context& loop, tcp::endpoint const& server)
+        : socket(loop)
+    {
+        this->socket.connect(server);
+        this->socket.non_blocking(true);
+    }
+
+    /// A few hundred bytes, which a socket's buffer takes without waiting.
+    void send(std::string const& bytes)
+    {
+        boost::system::error_code error;
+        auto count = asio::write(this->socket, asio::buffer(bytes), error);
+        REQUIRE((error || count == bytes.size()));
+    }
+
+    /// Whole answers so far.
+    [[nodiscard]] size_t answers()
+    {
+        this->receive();
+        size_t count = 0;
+        for (auto position = this->received.find(status_line); position != std::string::npos;
+             position = this->received.find(status_line, position + 1))
+            ++count;
+        return count;
+    }
+
+    /// Whether the other side has closed the connection, orderly or not.
+    [[nodiscard]] bool is_closed()
+    {
+        this->receive();
+        return this->has_ended;
+    }
+
+    [[nodiscard]] std::string const& bytes()
+    {
+        this->receive();
+        return this->received;
+    }
+
+private:
+    static constexpr std::string_view status_line = "HTTP/1.1 200 OK\r\n";
+
+    void receive()
+    {
+        std::array<char, 4096> piece {};
+        boost::system::error_code error;
+        while (!this->has_ended) {
+            auto count = this->socket.read_some(asio::buffer(piece), error);
+            if (error == asio::error::would_block)
+                return;
+            this->has_ended = error.failed();
+            this->received.append(piece.data(), count);
+        }
+    }
+
+    tcp::socket socket;
+    std::string received;
+    bool has_ended { false };
+};
+
+}
