LibHttp, LibServing: Close a caller's connection between requests only, and tell whoever works on its request

Cause: a connection counted as one without a request until its request's body had completed. Its idle timer and the close of idle connections of a planned stop were judged by that, and by the moment at which they were set up rather than the one at which they had their turn; the body's completion did not look whether its connection was still open. So a request was handed on whose caller had been cut off. The class: a state that two completions share is judged by the first and not looked at again by the second. Change: one phase for each connection, which every completion asks for at its turn; a close leaves a connection alone in whose socket bytes wait; every close goes through one place that tells the request's work; a head has its own time-out from its first byte on (408) and counts as work under way; a planned stop is over when no connection is open. The same class mended in the deadline of a request (its end was logged twice), in an accept that completes as the acceptor closes (the connection was dropped), and in events of a stream whose caller is cut off in the middle of a piece. Ruled out: cancelling the timer more often, since a wait that is over is called without an error all the same.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -20,17 +20,19 @@
 /// A caller whose host has acknowledged nothing for this long is cut off or has no power.
 static constexpr Duration caller_silence_limit = 10s;
 
-std::string_view to_string(RequestPhase phase)
+std::string_view to_string(ConnectionPhase phase)
 {
     switch (phase) {
-    case RequestPhase::BetweenRequests:
+    case ConnectionPhase::BetweenRequests:
         return "between_requests";
-    case RequestPhase::ReadingHead:
+    case ConnectionPhase::ReadingHead:
         return "reading_head";
-    case RequestPhase::ReadingBody:
+    case ConnectionPhase::ReadingBody:
         return "reading_body";
-    case RequestPhase::Answering:
+    case ConnectionPhase::Answering:
         return "answering";
+    case ConnectionPhase::Closed:
+        return "closed";
     }
     VERIFY(false);
 }
@@ -38,14 +40,30 @@
 std::string_view to_string(CloseReason reason)
 {
     switch (reason) {
+    case CloseReason::Answered:
+        return "answered";
+    case CloseReason::EndedByCaller:
+        return "ended_by_caller";
     case CloseReason::Idle:
         return "idle";
     case CloseReason::PlannedStop:
         return "planned_stop";
+    case CloseReason::WriteFailed:
+        return "write_failed";
+    case CloseReason::TooMuchWaiting:
+        return "too_much_waiting";
+    case CloseReason::Aborted:
+        return "aborted";
     }
     VERIFY(false);
 }
 
+/// Whether a request has begun to arrive and is not answered to its end.
+static bool has_request(ConnectionPhase phase)
+{
+    return phase != ConnectionPhase::BetweenRequests && phase != ConnectionPhase::Closed;
+}
+
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context)
     : socket(std::move(socket))
     , timer(this->socket.get_executor())
@@ -56,38 +74,97 @@
     bound_silence(this->socket, caller_silence_limit);
 }
 
-CallerConnection::~CallerConnection() { this->set_in_request(false); }
+CallerConnection::~CallerConnection() { this->enter(ConnectionPhase::Closed); }
+
+void CallerConnection::enter(ConnectionPhase next)
+{
+    this->context->open_requests -= has_request(this->phase) ? 1 : 0;
+    this->context->open_requests += has_request(next) ? 1 : 0;
+    this->phase = next;
+    this->phase_began = std::chrono::steady_clock::now();
+}
 
-void CallerConnection::set_in_request(bool now_in_request)
+void CallerConnection::set_timer(Duration patience, void (CallerConnection::*overdue)())
 {
-    if (this->in_request == now_in_request)
+    auto const set_in = this->phase;
+    this->timer.expires_after(patience);
+    this->timer.async_wait([self = shared_from_this(), set_in, overdue](beast::error_code error) {
+        // A wait that was over already when the timer was cancelled or set anew still ends without an error.
+        bool const is_current = self->phase == set_in && std::chrono::steady_clock::now() >= self->timer.expiry();
+        if (!error && is_current)
+            (self.get()->*overdue)();
+    });
+}
+
+void CallerConnection::await_request()
+{
+    this->enter(ConnectionPhase::BetweenRequests);
+    if (this->buffer.size() > 0)
+        return this->read_head();
+    this->set_timer(this->context->limits.idle_timeout, &CallerConnection::idle_too_long);
+    this->watch_socket();
+}
+
+void CallerConnection::watch_socket()
+{
+    if (this->watching || !this->is_open())
         return;
-    this->in_request = now_in_request;
-    this->context->open_requests += now_in_request ? 1 : -1;
+    this->watching = true;
+    this->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+        self->watching = false;
+        if (!error)
+            self->became_readable();
+    });
 }
 
-void CallerConnection::enter(RequestPhase next)
+void CallerConnection::became_readable()
 {
-    this->phase = next;
-    this->phase_began = std::chrono::steady_clock::now();
+    if (this->phase == ConnectionPhase::BetweenRequests)
+        return this->read_head();
+    if (this->phase != ConnectionPhase::Answering)
+        return;
+    auto readable = peek(this->socket);
+    if (readable == Readable::Nothing)
+        return this->watch_socket();
+    // With a further request waiting the end of the connection cannot be seen before that request is read.
+    if (readable == Readable::End)
+        this->close(CloseReason::EndedByCaller);
+}
+
+void CallerConnection::idle_too_long()
+{
+    // Bytes that came in time are read in a later turn of the loop.
+    if (peek(this->socket) != Readable::Bytes)
+        this->close(CloseReason::Idle);
+}
+
+void CallerConnection::close_if_idle()
+{
+    if (this->phase == ConnectionPhase::BetweenRequests && peek(this->socket) != Readable::Bytes)
+        this->close(CloseReason::PlannedStop);
 }
 
 void CallerConnection::read_head()
 {
-    this->enter(this->buffer.size() > 0 ? RequestPhase::ReadingHead : RequestPhase::BetweenRequests);
+    this->enter(ConnectionPhase::ReadingHead);
     this->parser.emplace();
     this->parser->header_limit(this->context->limits.header_bytes);
     this->parser->body_limit(this->context->limits.body_bytes);
-    auto patience = this->buffer.size() > 0 ? this->context->limits.header_timeout : this->context->limits.idle_timeout;
-    this->timer.expires_after(patience);
-    this->timer.async_wait([self = shared_from_this()](beast::error_code error) {
-        if (!error)
-            self->close_unasked(CloseReason::Idle);
-    });
+    this->set_timer(this->context->limits.header_timeout, &CallerConnection::head_too_slow);
     beast::http::async_read_header(this->socket, this->buffer, *this->parser,
         [self = shared_from_this()](beast::error_code error, size_t) { self->head_arrived(error); });
 }
 
+void CallerConnection::head_too_slow()
+{
+    this->refuse(Status::request_timeout, "the head did not arrive in time; send the request again");
+}
+
+void CallerConnection::body_too_slow()
+{
+    this->refuse(Status::request_timeout, "the body did not arrive in time; send the request again");
+}
+
 bool CallerConnection::has_ambiguous_framing() const
 {
     // A body whose end two parsers could see in different places is a way to hide a request in another one.
@@ -101,34 +178,37 @@
 
 void CallerConnection::head_arrived(beast::error_code error)
 {
+    // The caller may have been told by now that its head came too late.
+    if (this->phase != ConnectionPhase::ReadingHead)
+        return;
     if (error)
         return this->refuse_bytes(error);
-    this->enter(RequestPhase::ReadingBody);
     if (this->has_ambiguous_framing())
         return this->refuse(Status::bad_request, "send either one Content-Length or 'Transfer-Encoding: chunked'");
-    this->timer.expires_after(this->context->limits.idle_timeout);
-    this->timer.async_wait([self = shared_from_this()](beast::error_code timer_error) {
-        if (!timer_error)
-            self->refuse(Status::request_timeout, "the body did not arrive in time; send the request again");
-    });
+    this->read_body();
+}
+
+void CallerConnection::read_body()
+{
+    this->enter(ConnectionPhase::ReadingBody);
+    this->set_timer(this->context->limits.idle_timeout, &CallerConnection::body_too_slow);
     beast::http::async_read(this->socket, this->buffer, *this->parser,
-        [self = shared_from_this()](beast::error_code read_error, size_t) { self->body_arrived(read_error); });
+        [self = shared_from_this()](beast::error_code error, size_t) { self->body_arrived(error); });
 }
 
 void CallerConnection::body_arrived(beast::error_code error)
 {
-    // The caller may have been told by now that the body came too late; it must not be run after that.
-    if (this->in_request)
+    // A request whose caller has been told that it came too late, or whose connection is closed, must not be run:
+    // nobody would get its answer.
+    if (this->phase != ConnectionPhase::ReadingBody)
         return;
     if (error)
         return this->refuse_bytes(error);
-    this->timer.cancel();
     this->deliver();
 }
 
 void CallerConnection::refuse_bytes(beast::error_code error)
 {
-    this->timer.cancel();
     if (error == HttpError::header_limit)
         return this->refuse(
             Status::request_header_fields_too_large, "the header is too large; send fewer or shorter fields");
@@ -136,14 +216,13 @@
         return this->refuse(Status::payload_too_large, "the body is too large; send a smaller one");
     if (is_malformed(error))
         return this->refuse(Status::bad_request, "not a well-formed HTTP/1.1 request (" + error.message() + ')');
-    this->close();
+    this->close(CloseReason::EndedByCaller);
 }
 
 void CallerConnection::refuse(Status status, std::string const& reason)
 {
-    if (this->in_request || !this->socket.is_open())
-        return;
-    this->set_in_request(true);
+    this->enter(ConnectionPhase::Answering);
+    this->timer.cancel();
     this->keep_alive = false;
     if (this->context->on_refused_bytes)
         this->context->on_refused_bytes(reason);
@@ -155,35 +234,17 @@
 
 void CallerConnection::deliver()
 {
-    this->set_in_request(true);
-    this->enter(RequestPhase::Answering);
+    this->enter(ConnectionPhase::Answering);
+    this->timer.cancel();
     ++this->requests_taken;
     this->keep_alive = this->parser->get().keep_alive();
     auto received = std::chrono::steady_clock::now();
     auto taken = std::make_shared<Exchange>(shared_from_this(), this->parser->release(), received);
     this->exchange = taken;
-    this->watch_for_leaving();
+    this->watch_socket();
     this->context->on_request(std::move(taken));
 }
 
-void CallerConnection::watch_for_leaving()
-{
-    if (this->watching || !this->socket.is_open())
-        return;
-    this->watching = true;
-    this->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-        self->watching = false;
-        if (error || !self->in_request)
-            return;
-        auto readable = peek(self->socket);
-        if (readable == Readable::Nothing)
-            return self->watch_for_leaving();
-        // With a further request waiting the end of the connection cannot be seen before that request is read.
-        if (readable == Readable::End)
-            self->caller_left();
-    });
-}
-
 void CallerConnection::send_answer(Response response)
 {
     if (this->context->closing)
@@ -223,9 +284,11 @@
 
 void CallerConnection::enqueue(std::string bytes)
 {
+    if (!this->is_open())
+        return;
     this->outgoing_bytes += bytes.size();
     if (this->outgoing_bytes > CallerContext::most_waiting_bytes + this->context->limits.body_bytes)
-        return this->caller_left();
+        return this->close(CloseReason::TooMuchWaiting);
     this->outgoing.push_back(std::move(bytes));
     if (!this->writing)
         this->write_next();
@@ -241,8 +304,10 @@
 void CallerConnection::written(beast::error_code error)
 {
     this->writing = false;
+    if (!this->is_open())
+        return;
     if (error)
-        return this->caller_left();
+        return this->close(CloseReason::WriteFailed);
     if (!this->outgoing.empty()) {
         this->outgoing_bytes -= this->outgoing.front().size();
         this->outgoing.pop_front();
@@ -255,43 +320,28 @@
 
 void CallerConnection::request_finished()
 {
-    this->set_in_request(false);
     this->finish_when_written = false;
     if (this->keep_alive)
-        return this->read_head();
+        return this->await_request();
     boost::system::error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    this->close();
-}
-
-void CallerConnection::caller_left()
-{
-    auto left = this->exchange.lock();
-    this->close();
-    if (left)
-        left->connection_lost();
-}
-
-void CallerConnection::close_if_idle()
-{
-    if (!this->in_request && this->buffer.size() == 0)
-        this->close_unasked(CloseReason::PlannedStop);
+    this->close(CloseReason::Answered);
 }
 
-void CallerConnection::close_unasked(CloseReason reason)
-{
-    if (this->socket.is_open() && this->context->on_closed)
-        this->context->on_closed(
-            { reason, this->phase, this->requests_taken, std::chrono::steady_clock::now() - this->phase_began });
-    this->close();
-}
-
-void CallerConnection::close()
+void CallerConnection::close(CloseReason reason)
 {
+    if (!this->is_open())
+        return;
+    ConnectionClose const told { reason, this->phase, this->requests_taken,
+        std::chrono::steady_clock::now() - this->phase_began };
+    this->enter(ConnectionPhase::Closed);
     this->timer.cancel();
-    this->set_in_request(false);
     boost::system::error_code ignored;
     this->socket.close(ignored);
+    if (this->context->on_closed)
+        this->context->on_closed(told);
+    if (auto interrupted = this->exchange.lock())
+        interrupted->connection_lost();
 }
 
 }
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -20,41 +20,52 @@
     u32 header_bytes { 16'384 };
     /// Beyond it the answer is 413.
     u64 body_bytes { 4'194'304 };
-    /// For the rest of a head that has begun to arrive with the request before it.
+    /// For the rest of a head that has begun to arrive.
     Duration header_timeout { 3s };
     /// For the next request on an open connection, and for a body.
     Duration idle_timeout { 15s };
 };
 
-/// How far a caller's connection is with its present request.
-enum class RequestPhase : u8 {
-    /// No byte of the next request has been read.
+/// How far a caller's connection is. Everything that may read from it, close it or hand a request on asks for the phase
+/// when its turn comes, not when it was begun: another completion may have had its turn in between.
+enum class ConnectionPhase : u8 {
+    /// No byte of the next request has been read. Only here may this side close without an answer.
     BetweenRequests,
     ReadingHead,
     ReadingBody,
-    /// A request has been read, and its answer is not complete.
+    /// A request has been read or refused, and its answer is not complete.
     Answering,
+    Closed,
 };
 
-/// Why this side closed a caller's connection.
+/// Why a caller's connection was closed.
 enum class CloseReason : u8 {
-    /// No request came for `idle_timeout`, or the rest of a head did not for `header_timeout`.
+    /// The answer is complete and said that the connection ends with it.
+    Answered,
+    /// The caller has ended it.
+    EndedByCaller,
+    /// Nothing came for `idle_timeout`.
     Idle,
-    /// The process is stopping, and the connection waited for no answer.
+    /// The process is stopping.
     PlannedStop,
+    /// Bytes for the caller could not be sent.
+    WriteFailed,
+    /// More bytes wait for the caller than may.
+    TooMuchWaiting,
+    /// The request's own work ended it, so that its answer does not look complete.
+    Aborted,
 };
 
-std::string_view to_string(RequestPhase);
+std::string_view to_string(ConnectionPhase);
 std::string_view to_string(CloseReason);
 
-/// A connection that this side closed although it was neither asked nor bound to. For whoever looks for a lost request.
+/// A close, for whoever looks for a request that got no answer.
 struct ConnectionClose {
     CloseReason reason;
-    /// Of the request that was under way, if one was.
-    RequestPhase phase;
-    /// Requests that had been taken from this connection before.
+    ConnectionPhase phase;
+    /// Requests that had been taken from this connection.
     u64 requests_taken;
-    /// Since the present phase began.
+    /// Since the phase began.
     Duration waited;
 };
 
@@ -63,7 +74,7 @@
     CallerLimits limits {};
     /// While set, every answer closes its connection.
     bool closing { false };
-    /// Requests that have been read and not yet been answered to their end.
+    /// Requests that have begun to arrive and not yet been answered to their end.
     size_t open_requests { 0 };
     /// Bytes that may wait for one caller, beside one body of the largest size, before it is cut off.
     static constexpr size_t most_waiting_bytes = 1 << 20;
@@ -79,22 +90,32 @@
     CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context);
     ~CallerConnection();
 
-    void start() { this->read_head(); }
-    /// Closes at once if no request is under way.
+    void start() { this->await_request(); }
+    /// Closes at once if no request is under way and none waits in the socket.
     void close_if_idle();
+    [[nodiscard]] bool is_open() const { return this->phase != ConnectionPhase::Closed; }
 
 private:
     friend class Exchange;
     using Parser = beast::http::request_parser<beast::http::string_body>;
 
+    void await_request();
+    void watch_socket();
+    void became_readable();
     void read_head();
     void head_arrived(beast::error_code);
+    void read_body();
     void body_arrived(beast::error_code);
     void refuse_bytes(beast::error_code);
     void refuse(Status, std::string const& reason);
     [[nodiscard]] bool has_ambiguous_framing() const;
     void deliver();
-    void watch_for_leaving();
+
+    /// Calls `overdue` after `patience`, unless the phase has changed or the timer has been set anew by then.
+    void set_timer(Duration patience, void (CallerConnection::*overdue)());
+    void idle_too_long();
+    void head_too_slow();
+    void body_too_slow();
 
     void send_answer(Response);
     void send_stream_head(ResponseHead);
@@ -104,11 +125,9 @@
     void write_next();
     void written(beast::error_code);
     void request_finished();
-    void caller_left();
-    void close();
-    void close_unasked(CloseReason);
-    void enter(RequestPhase);
-    void set_in_request(bool);
+    /// The one way in which a connection ends. Whoever works on its request is told.
+    void close(CloseReason);
+    void enter(ConnectionPhase);
 
     tcp::socket socket;
     asio::steady_timer timer;
@@ -118,11 +137,10 @@
     std::weak_ptr<Exchange> exchange;
     std::deque<std::string> outgoing;
     size_t outgoing_bytes { 0 };
-    RequestPhase phase { RequestPhase::BetweenRequests };
+    ConnectionPhase phase { ConnectionPhase::BetweenRequests };
     Instant phase_began {};
     u64 requests_taken { 0 };
     bool writing { false };
-    bool in_request { false };
     bool finish_when_written { false };
     bool keep_alive { true };
     bool watching { false };
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -23,24 +23,34 @@
 void CallerServer::accept()
 {
     this->acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !this->acceptor.is_open())
+        // A connection that was accepted before the acceptor was closed has its turn only now.
+        if (!error)
+            this->serve(std::move(socket));
+        if (!this->acceptor.is_open())
             return;
-        if (error) {
-            this->retry_timer.expires_after(accept_retry_delay);
-            this->retry_timer.async_wait([this](beast::error_code timer_error) {
-                if (!timer_error)
-                    this->accept();
-            });
-            return;
-        }
-        auto connection = std::make_shared<CallerConnection>(std::move(socket), this->context);
-        std::erase_if(this->connections, [](auto const& known) { return known.expired(); });
-        this->connections.push_back(connection);
-        connection->start();
+        if (error)
+            return this->retry_accept();
         this->accept();
     });
 }
 
+void CallerServer::retry_accept()
+{
+    this->retry_timer.expires_after(accept_retry_delay);
+    this->retry_timer.async_wait([this](beast::error_code error) {
+        if (!error && this->acceptor.is_open())
+            this->accept();
+    });
+}
+
+void CallerServer::serve(tcp::socket socket)
+{
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), this->context);
+    std::erase_if(this->connections, [](auto const& known) { return known.expired(); });
+    this->connections.push_back(connection);
+    connection->start();
+}
+
 void CallerServer::stop_accepting()
 {
     boost::system::error_code ignored;
@@ -55,4 +65,12 @@
     }
 }
 
+size_t CallerServer::open_connections() const
+{
+    return static_cast<size_t>(std::ranges::count_if(this->connections, [](auto const& known) {
+        auto connection = known.lock();
+        return connection && connection->is_open();
+    }));
+}
+
 }
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -18,11 +18,15 @@
 
     /// Takes no more connections. Open ones are served on.
     void stop_accepting();
-    /// Ends connections that wait for no answer.
+    /// Ends connections that wait for no answer. A request that has come, read or not, keeps its connection open.
     void close_idle_connections();
+    /// Connections that are open: once none is accepted any more and this is 0, nobody waits for an answer.
+    [[nodiscard]] size_t open_connections() const;
 
 private:
     void accept();
+    void retry_accept();
+    void serve(tcp::socket);
 
     tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -53,7 +53,7 @@
 void Exchange::abort()
 {
     if (this->connection)
-        this->take_connection()->close();
+        this->take_connection()->close(CloseReason::Aborted);
 }
 
 void Exchange::connection_lost()
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -45,13 +45,21 @@
     {
         this->exchange().on_caller_left(std::move(on_caller_left));
         this->deadline_timer.expires_at(this->call.deadline);
-        this->deadline_timer.async_wait([on_deadline = std::move(on_deadline)](boost::system::error_code error) {
-            if (!error)
+        this->deadline_timer.async_wait([this, on_deadline = std::move(on_deadline)](boost::system::error_code error) {
+            // A wait that was over in the same turn of the loop as the request is not called off by cancel().
+            if (!error && !this->is_over)
                 on_deadline();
         });
         this->context.budget.note_request(this->call.service->name, this->context.now());
     }
 
+    /// Ends the request's time here: its deadline concerns nobody any more.
+    void end()
+    {
+        this->is_over = true;
+        this->deadline_timer.cancel();
+    }
+
     [[nodiscard]] Duration time_left() const { return this->call.deadline - this->context.now(); }
     [[nodiscard]] std::string const& attempt() const { return this->call.head.attempt; }
     [[nodiscard]] Http::Exchange& exchange() const { return *this->call.exchange; }
@@ -159,6 +167,7 @@
     AnswerHead answer;
     /// A whole answer, so far. Streams pass it by.
     std::string answer_body;
+    bool is_over { false };
 };
 
 /// Handovers that failed before anything was run do not count as runs, but there must be an end to them.
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -136,6 +136,9 @@
                 return this->lose("its engine left out events");
             if (verdict == Delivery::EventOrder::Verdict::Forward)
                 this->forward(event);
+            // The caller may have been cut off with it.
+            if (this->is_over)
+                return;
         }
         if (this->reader.is_oversized())
             return this->lose("its engine sent an event without an end");
@@ -379,8 +382,7 @@
 
     void finish()
     {
-        this->is_over = true;
-        this->deadline_timer.cancel();
+        this->end();
         if (this->move)
             this->move->withdraw();
         this->move = nullptr;
@@ -400,7 +402,6 @@
     std::shared_ptr<Move> move;
     Instant next_move_at {};
     bool continuing { false };
-    bool is_over { false };
 };
 
 }
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -361,10 +361,17 @@
         this->log.event(Core::EventNumber::PlatformContentRejected, row.key).with("reason", error.message);
     }
 
+    /// What a host closes by itself is noted, and what ends a request that has no whole answer. Callers that have their
+    /// answers come and go.
     void note_caller_connection_closed(Http::ConnectionClose const& close)
     {
         auto reason = std::string(to_string(close.reason));
         this->context.metrics.add("caller_connections_closed_total{reason=\"" + reason + "\"}");
+        bool const is_ordinary = close.reason == Http::CloseReason::Answered
+            || (close.reason == Http::CloseReason::EndedByCaller
+                && close.phase == Http::ConnectionPhase::BetweenRequests);
+        if (is_ordinary)
+            return;
         this->log.event(Core::EventNumber::CallerConnectionClosed, this->settings.host.value())
             .with("reason", reason)
             .with("phase", to_string(close.phase))
@@ -443,7 +450,8 @@
             this->callers->stop_accepting();
             this->callers->close_idle_connections();
         }
-        bool const is_drained = elapsed >= balancer_lag && this->callers_context->open_requests == 0;
+        // A request that still waits unread in a connection's socket counts, too.
+        bool const is_drained = elapsed >= balancer_lag && this->callers->open_connections() == 0;
         if (is_drained || elapsed >= this->settings.stop_grace - stop_margin)
             return this->stop_now();
         this->stop_timer.expires_after(tick_period);
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -113,7 +113,7 @@
             .with("organisation", this->call.organisation)
             .with("tries", this->handovers)
             .with("held_ms", this->held_for());
-        this->finish();
+        this->end();
         this->exchange().answer(std::move(response));
     }
 
@@ -148,7 +148,7 @@
 
     void give_up(std::string const& reason)
     {
-        this->finish();
+        this->end();
         if (this->may_have_run)
             return this->answer_error({ ErrorKind::BackendServerFailed,
                                           "the backend server failed (" + reason + "); the call may have run", {} },
@@ -160,7 +160,7 @@
 
     void no_backend()
     {
-        this->finish();
+        this->end();
         if (this->may_have_run)
             return this->give_up("no further backend server");
         this->answer_error(
@@ -204,11 +204,9 @@
             this->connection->cancel();
         this->connection = nullptr;
         this->release_backend();
-        this->finish();
+        this->end();
     }
 
-    void finish() { this->deadline_timer.cancel(); }
-
     BackendPointer backend;
     std::shared_ptr<Http::BackendConnection> connection;
     std::vector<EngineId> tried;
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -113,6 +113,30 @@
 guard "a lease is watched for its term" TestLibPlatform "pauses, lost answers and outages never make two holders, and epochs only grow" \
     Libraries/LibPlatform/Lease.h "now - this->watched_since >= this->term + this->margin" "true"
 
+guard "an idle close looks for bytes" TestLibHttp "Scenario: a request on a kept connection is answered, or it is not taken" \
+    Libraries/LibHttp/CallerConnection.cpp "if (peek(this->socket) != Readable::Bytes)
+        this->close(CloseReason::Idle);" "this->close(CloseReason::Idle);"
+guard "a planned close looks for bytes" TestLibHttp "Scenario: a request on a kept connection is answered, or it is not taken" \
+    Libraries/LibHttp/CallerConnection.cpp \
+    "this->phase == ConnectionPhase::BetweenRequests && peek(this->socket) != Readable::Bytes" \
+    "this->phase == ConnectionPhase::BetweenRequests"
+guard "a planned close looks at the phase" TestLibHttp "Scenario: a connection is closed without an answer between requests only" \
+    Libraries/LibHttp/CallerConnection.cpp \
+    "this->phase == ConnectionPhase::BetweenRequests && peek(this->socket) != Readable::Bytes" \
+    "peek(this->socket) != Readable::Bytes"
+guard "what is refused is not taken" TestLibHttp "Scenario: a connection is closed without an answer between requests only" \
+    Libraries/LibHttp/CallerConnection.cpp "if (this->phase != ConnectionPhase::ReadingBody)
+        return;" ""
+guard "a close is told" TestLibHttp "Scenario: whoever works on a request is told when its connection ends" \
+    Libraries/LibHttp/CallerConnection.cpp "interrupted->connection_lost();" "(void)interrupted;"
+guard "what was accepted is served" TestLibHttp \
+    "Scenario: a connection that was accepted as the server stopped accepting is served" \
+    Libraries/LibHttp/CallerServer.cpp "if (!error)
+            this->serve" "if (!error && this->acceptor.is_open())
+            this->serve"
+guard "a request has one end" TestPlatform "Scenario: a call to a plain service goes through a host on the users' platform" \
+    Libraries/LibServing/Flow.h "!error && !this->is_over" "!error"
+
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
     "this->call.route->kind == CallKind::Repeatable && this->runs() < this->call.route->most_dispatches" "true"
 soak_guard "a refusal is true" Libraries/LibServing/ServiceCall.h \
--- a/Tests/LibHttp/KeptCaller.h
+++ b/Tests/LibHttp/KeptCaller.h
@@ -17,8 +17,12 @@
 class KeptCaller {
 public:
     inline static std::string const get_request = "GET /ask HTTP/1.1\r\nHost: example\r\n\r\n";
-    inline static std::string const post_head = "POST /ask HTTP/1.1\r\nHost: example\r\nContent-Length: 8\r\n\r\n";
     inline static std::string const post_body = "question";
+    static std::string head_of_post(size_t body_bytes)
+    {
+        return "POST /ask HTTP/1.1\r\nHost: example\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+    }
+    inline static std::string const post_head = head_of_post(post_body.size());
     inline static std::string const post_request = post_head + post_body;
 
     KeptCaller(asio::io_context& loop, tcp::endpoint const& server)
@@ -28,7 +32,7 @@
         this->socket.non_blocking(true);
     }
 
-    /// A few hundred bytes, which a socket's buffer takes without waiting.
+    /// What a socket's buffer takes without waiting: some hundred kilobytes on loopback.
     void send(std::string const& bytes)
     {
         boost::system::error_code error;
--- a/Tests/Platform/TestWholePath.cpp
+++ b/Tests/Platform/TestWholePath.cpp
@@ -45,6 +45,23 @@
             CHECK(fixture.metrics_text().find("requests_total 1") != std::string::npos);
         }
     }
+    WHEN("its answer and its deadline come while the host gets no processor")
+    {
+        // Without a body, so that the answer is whole in the turn in which its head is read.
+        first.add_fault(Fault::Fail);
+        auto request = HostFixture::request("/lookup/1", "a1");
+        request.set("Lilactiller-Deadline-Ms", "30");
+        auto call = fixture.call(std::move(request));
+        fixture.until([&] { return first.runs().contains("a1"); });
+        Test::stall_for(60ms);
+        fixture.until([&] { return call->is_over(); });
+        THEN("the request has one end")
+        {
+            bool const is_answered = call->status == 500;
+            CHECK(fixture.log_has("E2402 service_call_ended subject=a1") == is_answered);
+            CHECK(fixture.log_has("E2002 request_refused subject=a1") != is_answered);
+        }
+    }
     WHEN("the caller sends what only the system may set")
     {
         auto request = HostFixture::request("/lookup/1", "a2");
--- a/Tests/Support/LoopWait.h
+++ b/Tests/Support/LoopWait.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 namespace Test {
@@ -24,4 +25,13 @@
     }
 }
 
+/// Passes time in which the loop under test does nothing, as when its process gets no processor.
+inline void stall_for(std::chrono::steady_clock::duration duration)
+{
+    boost::asio::io_context other;
+    boost::asio::steady_timer timer(other, duration);
+    timer.async_wait([](boost::system::error_code) {});
+    other.run();
+}
+
 }
