--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -103,9 +103,9 @@
 // Seen: lookups on kept connections were handed to backend servers, and their callers' connections closed in the same
 // millisecond with no answer; the runs went on to their ends.
 //
-// How: a connection counted as one without a request until its request's body had completed. Its idle timer or the close
-// of idle connections on a planned stop, whose turn came between head and body, closed it, and the body's completion,
-// which was queued already, handed the request on.
+// How: a connection counted as one without a request until its request's body had completed. Its idle timer or the
+// close of idle connections on a planned stop, whose turn came between head and body, closed it, and the body's
+// completion, which was queued already, handed the request on.
 //
 // Proved by: this test, which lost all 15 requests either way.
 SCENARIO("a request on a kept connection is answered, or it is not taken")
