LibHttp: Tell callers until when a connection can be used again, and make room for new ones

Cause: a request that crosses the close of an idle connection costs its caller a try, and a host without descriptors took no new connection while it said that it was ready. Change: Keep-Alive with the idle time-out less a second for the way; when no connection can be accepted, idle ones are closed. Measured: tests; without the second change the new one hangs until its bound.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -19,6 +19,9 @@
 
 /// A caller whose host has acknowledged nothing for this long is cut off or has no power.
 static constexpr Duration caller_silence_limit = 10s;
+/// Callers are told to use a kept connection again no later than this before it is closed as idle, so that no request
+/// crosses the close. Longer than the way of a request from another region (12 ms) and its repeats on a lossy link.
+static constexpr Duration idle_promise_margin = 1s;
 
 std::string_view to_string(ConnectionPhase phase)
 {
@@ -245,12 +248,22 @@
     this->context->on_request(std::move(taken));
 }
 
-void CallerConnection::send_answer(Response response)
+void CallerConnection::promise_reuse(ResponseHead& head)
 {
     if (this->context->closing)
         this->keep_alive = false;
-    response.version(http_1_1);
-    response.keep_alive(this->keep_alive);
+    head.version(http_1_1);
+    if (!this->keep_alive)
+        return head.set(Name::connection, "close");
+    auto const promised = this->context->limits.idle_timeout - idle_promise_margin;
+    auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(promised).count();
+    if (seconds > 0)
+        head.set(Name::keep_alive, "timeout=" + std::to_string(seconds));
+}
+
+void CallerConnection::send_answer(Response response)
+{
+    this->promise_reuse(response);
     response.prepare_payload();
     std::ostringstream head;
     head << response.base();
@@ -260,12 +273,8 @@
 
 void CallerConnection::send_stream_head(ResponseHead head)
 {
-    if (this->context->closing)
-        this->keep_alive = false;
-    head.version(http_1_1);
+    this->promise_reuse(head);
     head.set(Name::transfer_encoding, "chunked");
-    if (!this->keep_alive)
-        head.set(Name::connection, "close");
     std::ostringstream text;
     text << head;
     this->enqueue(text.str());
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -117,6 +117,8 @@
     void head_too_slow();
     void body_too_slow();
 
+    /// Says in an answer's head whether the connection can be used again, and until when.
+    void promise_reuse(ResponseHead&);
     void send_answer(Response);
     void send_stream_head(ResponseHead);
     void send_chunk(std::string_view);
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -29,13 +29,15 @@
         if (!this->acceptor.is_open())
             return;
         if (error)
-            return this->retry_accept();
+            return this->make_room();
         this->accept();
     });
 }
 
-void CallerServer::retry_accept()
+void CallerServer::make_room()
 {
+    // A new caller has a request; a connection that rests may never have another.
+    this->close_idle_connections();
     this->retry_timer.expires_after(accept_retry_delay);
     this->retry_timer.async_wait([this](beast::error_code error) {
         if (!error && this->acceptor.is_open())
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -25,7 +25,8 @@
 
 private:
     void accept();
-    void retry_accept();
+    /// No connection could be accepted, as when descriptors have run out: ends idle ones, and tries again soon.
+    void make_room();
     void serve(tcp::socket);
 
     tcp::acceptor acceptor;
--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -6,6 +6,7 @@
 
 #include <LibHttp/CallerServer.h>
 #include <Tests/LibHttp/KeptCaller.h>
+#include <Tests/Support/DescriptorLimit.h>
 #include <Tests/Support/Endpoints.h>
 #include <Tests/Support/LoopWait.h>
 #include <catch2/catch.hpp>
@@ -283,3 +284,34 @@
     });
     CHECK(second.answers() == 1);
 }
+
+SCENARIO("a caller is told until when it may use its connection again")
+{
+    Fixture fixture;
+    fixture.context->limits.idle_timeout = 15s;
+    fixture.connect_callers();
+    auto& caller = fixture.callers.front();
+    WHEN("it stays open") { CHECK(caller.bytes().find("Keep-Alive: timeout=14\r\n") != std::string::npos); }
+    WHEN("it ends with the answer")
+    {
+        fixture.context->closing = true;
+        caller.send(KeptCaller::get_request);
+        fixture.serve_to_the_end();
+        CHECK(caller.bytes().find("Connection: close\r\n") != std::string::npos);
+    }
+}
+
+SCENARIO("a new caller is served when idle ones hold all descriptors")
+{
+    Fixture fixture;
+    fixture.connect_callers();
+    // One more for the caller's side; none is left for the server's.
+    KeptCaller newcomer(fixture.loop, fixture.endpoint);
+    ::Test::DescriptorLimit const limit(::Test::descriptors_in_use());
+    newcomer.send(KeptCaller::get_request);
+    ::Test::run_until(fixture.loop, [&] {
+        fixture.answer_all();
+        return newcomer.answers() == 1;
+    });
+    CHECK(fixture.closes.size() == caller_count);
+}
