Tests/Soak: Notice a request that a living host passes on and leaves unanswered

Cause: a caller's exchange without an answer was a violation only for requests sent before a planned stop and cut in the first half of its grace, 2.5 s, which is when hosts begin to close idle connections. All others went into status 0, uncounted by why. Hosts' idle time-out was 15 s and callers rested 150 ms at most, so that no idle close met a request; every request had a body in the same write as its head.

Change: each end of an exchange is counted by how and why it came (line `ends`). A request whose connection a living host closes, kept or new, with no answer or a cut one, must never reach a backend server, up to the last sixth of a planned stop's grace. Excused are killed processes, callers that left, and streams whose engine ended, was harmed, or, when they moved, spoiled its answer; a request without an answer head is excused by no backend server and by no fault on links, platform or host. The idle time-out is 300 ms, a fifth of rests end about then, half of the repeatable requests are GETs without a body, one caller of each host sends its bodies late through a link, and hosts are halted for 150 to 450 ms, one after another and across the close of a planned stop, which counts as no harm. Stalls are drawn by a generator of their own.

--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -42,7 +42,7 @@
 # A seed that failed is played with the flags that it failed with, which are the defaults.
 xargs -P "$jobs" -I{} bash -c 'run_seed {}' <<<"$kept_seeds"
 seq "$first" $((first + seeds - 1)) | { grep -vxF "$kept_seeds" || true; } | xargs -r -P "$jobs" -I{} bash -c 'run_seed {} "$@"' run_seed "$@"
-grep -hE '^seed [0-9]+: answers|VIOLATION' "$run_directory"/*.txt || echo "soak: no seed came to its end"
+grep -hE '^seed [0-9]+: (answers|ends)|VIOLATION' "$run_directory"/*.txt || echo "soak: no seed came to its end"
 if [[ -s $run_directory/failed ]]; then
     echo "soak: $(wc -l <"$run_directory/failed") seeds failed: $(tr '\n' ' ' <"$run_directory/failed"); logs in $run_directory"
     exit 1
--- a/Tests/Soak/Caller.cpp
+++ b/Tests/Soak/Caller.cpp
@@ -12,6 +12,10 @@
 
 /// Between two requests of one caller.
 static constexpr Duration longest_rest = 150ms;
+/// Of rests, those about as long as the hosts' idle time-out, and how far off they are; chosen, so that some requests
+/// of each seed cross the close.
+static constexpr double idle_rest_share = 0.2;
+static constexpr Duration idle_rest_spread = 30ms;
 /// Shares, from 0 to 1; chosen so that engines, whose work goes through the most states, get the most.
 static constexpr double probe_share = 0.15;
 /// Of what is no probe; the rest are lookups.
@@ -20,11 +24,15 @@
 /// Of probes; the others ask for any version.
 static constexpr double newest_probe_share = 0.5;
 static constexpr double new_connection_share = 0.2;
+/// Of requests that may be repeated, those without a body.
+static constexpr double bodiless_share = 0.5;
 /// Of requests whose caller leaves early, and how soon.
 static constexpr double leaving_share = 0.05;
 static constexpr Duration longest_stay = 500ms;
 /// How much later than its time a request may have its answer, on a busy machine.
 static constexpr Duration answer_lateness = 6s;
+/// Before the end of its grace a host may break off what it has not ended: the sixth that rule LOST names.
+static constexpr Duration last_of_grace = Deployment::stop_grace / 6;
 /// How soon a change of the configuration is in force on a host that nothing has touched.
 static constexpr Duration configuration_lateness = 6s;
 
@@ -43,12 +51,19 @@
 
 double Caller::draw() { return boost::random::uniform_real_distribution<double>(0, 1)(this->random); }
 
+Duration Caller::draw_rest()
+{
+    if (this->draw() < idle_rest_share)
+        return idle_timeout + AK::from_seconds((2 * this->draw() - 1) * AK::to_seconds(idle_rest_spread));
+    return AK::from_seconds(this->draw() * AK::to_seconds(longest_rest));
+}
+
 void Caller::rest()
 {
     if (this->is_stopping)
         return;
     auto self = this->shared_from_this();
-    this->timer.expires_after(AK::from_seconds(this->draw() * AK::to_seconds(longest_rest)));
+    this->timer.expires_after(this->draw_rest());
     this->timer.async_wait([self](boost::system::error_code error) {
         if (!error && !self->is_stopping)
             self->send();
@@ -69,15 +84,17 @@
 
 SentRequest Caller::announce(CallKind kind, std::string const& attempt, std::string target)
 {
-    SentRequest sent { kind, this->host.name, this->host.daemon->life(), std::move(target), "question of " + attempt,
-        Deployment::now() };
+    bool const has_body = kind != CallKind::Tariff || this->draw() >= bodiless_share;
+    SentRequest sent { kind, this->host.name, this->host.daemon->life(), std::move(target),
+        has_body ? "question of " + attempt : "", Deployment::now() };
     this->checker.sent(attempt, sent);
     return sent;
 }
 
 static Http::Request make_request(std::string const& attempt, SentRequest const& sent)
 {
-    Http::Request request(Http::Verb::post, sent.target, Http::http_1_1);
+    auto const verb = sent.body.empty() ? Http::Verb::get : Http::Verb::post;
+    Http::Request request(verb, sent.target, Http::http_1_1);
     request.set(Http::Name::host, caller_host);
     request.set("Lilactiller-Attempt-Id", attempt);
     request.set("Lilactiller-Deadline-Ms", std::to_string(AK::to_milliseconds(route_of(sent.kind).timeout)));
@@ -125,8 +142,7 @@
         make_request(attempt, sent),
         [self, attempt, sent, version](SeenAnswer const& answer) {
             self->check_probe(version, sent, answer);
-            self->checker.answered(attempt, answer);
-            self->rest();
+            self->settle(attempt, sent, answer);
         },
         route_of(sent.kind).timeout + answer_lateness);
 }
@@ -143,13 +159,22 @@
         this->checker.violation(this->host.name + " does not know version " + std::to_string(version) + " in time");
 }
 
+void Caller::connect()
+{
+    auto const& endpoint = this->is_slow ? this->host.slow_caller_link->endpoint() : this->host.callers;
+    this->connection = std::make_shared<Http::BackendConnection>(this->loop, endpoint);
+}
+
 void Caller::exchange(Http::Request request, std::function<void(SeenAnswer)> on_end, Duration patience)
 {
     bool const is_new = !this->connection || !this->connection->is_reusable() || this->draw() < new_connection_share;
     if (is_new)
-        this->connection = std::make_shared<Http::BackendConnection>(this->loop, this->host.callers);
+        this->connect();
+    if (this->is_slow)
+        this->host.slow_caller_link->set_tail(request.body().size(), this->draw_rest());
     this->is_waiting = true;
     auto answer = std::make_shared<SeenAnswer>();
+    answer->is_on_kept_connection = !is_new;
     auto self = this->shared_from_this();
     auto finish = [self, answer, on_end = std::move(on_end)] {
         self->is_waiting = false;
@@ -163,8 +188,10 @@
             return Http::HeadVerdict::Take;
         },
         [answer](std::string_view piece) { answer->body += piece; },
-        [answer, finish](Http::ExchangeEnd end, std::string const&) {
+        [answer, finish](Http::ExchangeEnd end, std::string const& reason) {
             answer->is_complete = end == Http::ExchangeEnd::Complete;
+            answer->end = end;
+            answer->end_reason = reason;
             finish();
         },
     };
@@ -194,10 +221,52 @@
     if (answer.is_success() && answer.is_complete)
         ++this->served_count;
     this->check_planned_stop(attempt, sent, answer);
+    this->settle(attempt, sent, std::move(answer));
+}
+
+void Caller::settle(std::string const& attempt, SentRequest const& sent, SeenAnswer answer)
+{
+    this->checker.ended(attempt, this->ending_of(attempt, sent, answer), answer);
     this->checker.answered(attempt, std::move(answer));
     this->rest();
 }
 
+bool Caller::is_host_gone(SentRequest const& sent) const
+{
+    bool const has_ended_by_itself = !this->host.daemon->is_running() && !this->host.stopping_since;
+    return this->host.was_killed || has_ended_by_itself || sent.host_life != this->host.daemon->life();
+}
+
+Ending Caller::refusal(SentRequest const& sent) const
+{
+    if (this->is_host_gone(sent) || !this->host.daemon->is_running())
+        return Ending::RefusedHostDown;
+    return this->host.stopping_since ? Ending::RefusedHostStopping : Ending::RefusedHostUp;
+}
+
+Ending Caller::ending_of(std::string const& attempt, SentRequest const& sent, SeenAnswer const& answer) const
+{
+    if (answer.is_complete)
+        return Ending::Whole;
+    if (answer.was_left)
+        return Ending::CallerLeft;
+    if (answer.end == Http::ExchangeEnd::NotConnected)
+        return this->refusal(sent);
+    if (this->is_host_gone(sent))
+        return Ending::ClosedHostGone;
+    auto const& stop = this->host.stopping_since;
+    if (stop && Deployment::now() - *stop >= Deployment::stop_grace - last_of_grace)
+        return Ending::ClosedGraceOver;
+    // A stream whose head has been passed on cannot be given another answer; every other request can.
+    bool const is_stream = sent.kind == CallKind::Draft && answer.is_success();
+    bool const had_time = Deployment::now() - sent.sent_at < route_of(sent.kind).timeout;
+    if (is_stream && (!had_time || this->deployment.engine_may_have_cut(attempt, sent.sent_at)))
+        return Ending::ClosedStreamBroken;
+    if (stop)
+        return Ending::ClosedHostStopping;
+    return Deployment::is_calm_for(this->host, sent.sent_at) ? Ending::ClosedHostCalm : Ending::ClosedHostHarmed;
+}
+
 void Caller::check_promptness(std::string const& attempt, SentRequest const& sent, SeenAnswer const& answer)
 {
     if (answer.was_left && Deployment::is_calm_for(this->host, sent.sent_at))
--- a/Tests/Soak/Caller.h
+++ b/Tests/Soak/Caller.h
@@ -19,6 +19,8 @@
 
     /// Begins with a rest; the loop goes on from there. The object must be held by a std::shared_ptr.
     void start() { this->rest(); }
+    /// Sends bodies later than heads from now on.
+    void send_slowly() { this->is_slow = true; }
     /// Sends no more; what is under way goes on to its end.
     void stop() { this->is_stopping = true; }
     [[nodiscard]] bool is_idle() const { return !this->is_waiting; }
@@ -34,12 +36,19 @@
     void exchange(Http::Request, std::function<void(SeenAnswer)> on_end, Duration patience);
     void leave_after(Duration patience, std::function<void()> on_left);
     void ended(std::string const& attempt, SentRequest const&, SeenAnswer);
+    void settle(std::string const& attempt, SentRequest const&, SeenAnswer);
+    [[nodiscard]] Ending ending_of(std::string const& attempt, SentRequest const&, SeenAnswer const&) const;
+    [[nodiscard]] Ending refusal(SentRequest const&) const;
+    [[nodiscard]] bool is_host_gone(SentRequest const&) const;
+    void connect();
     void check_probe(u64 version, SentRequest const&, SeenAnswer const&);
     void check_promptness(std::string const& attempt, SentRequest const&, SeenAnswer const&);
     void check_planned_stop(std::string const& attempt, SentRequest const&, SeenAnswer const&);
     /// Makes a request known to the checker, as it is sent next.
     [[nodiscard]] SentRequest announce(CallKind, std::string const& attempt, std::string target);
     [[nodiscard]] double draw();
+    /// Mostly short; the others end about when the host's patience with an idle connection does.
+    [[nodiscard]] Duration draw_rest();
 
     Http::asio::io_context& loop;
     Deployment& deployment;
@@ -54,6 +63,7 @@
     u32 served_count { 0 };
     bool is_waiting { false };
     bool is_stopping { false };
+    bool is_slow { false };
 };
 
 }
--- a/Tests/Soak/Configuration.cpp
+++ b/Tests/Soak/Configuration.cpp
@@ -73,7 +73,7 @@
             route_entry(route_of(CallKind::Tariff), "probe-" + std::to_string(version), probe_path(version)));
     Json::array const keys { organisation_key };
     Json::object const limits { { "max_header_bytes", 4096 }, { "max_body_bytes", 65'536 },
-        { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15'000 } };
+        { "header_timeout_ms", 3000 }, { "idle_timeout_ms", AK::to_milliseconds(idle_timeout) } };
     Json::object const tenant { { "name", organisation }, { "api_keys", keys }, { "priority", 1 } };
     return Json::serialize(Json::object { { "version", this->current }, { "routes", routes },
         { "services", services() }, { "limits", limits }, { "tenants", Json::array { tenant } } });
--- a/Tests/Soak/Configuration.h
+++ b/Tests/Soak/Configuration.h
@@ -38,6 +38,9 @@
 inline constexpr auto organisation_key = "plaza-key";
 inline constexpr auto plain_service = "lanes";
 inline constexpr auto engine_service = "models";
+/// After which hosts close callers' connections without a request: a few hundred milliseconds, so that their closes
+/// cross requests all the time; longer than a caller's usual rest.
+inline constexpr Duration idle_timeout = 300ms;
 
 /// The operator's configuration as it grows: each version adds a probe route, and none is taken away.
 class Configuration {
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -44,6 +44,7 @@
     host->domain = domain;
     host->callers = Test::free_endpoint();
     host->readiness = Test::free_endpoint();
+    host->slow_caller_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), host->callers);
     host->platform_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), this->store_endpoint);
     host->peer_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), Test::free_endpoint());
     host->settings_path = this->directory + '/' + host->name + ".yaml";
@@ -83,6 +84,7 @@
     if (host.daemon->is_running())
         return;
     host.is_end_expected = false;
+    host.was_killed = false;
     host.stopping_since.reset();
     host.daemon->start();
 }
@@ -90,9 +92,22 @@
 void Deployment::kill_host(HostPlace& host)
 {
     host.is_end_expected = true;
+    host.was_killed = true;
     host.daemon->send_signal(SIGKILL);
 }
 
+void Deployment::freeze_host(HostPlace& host, Duration duration)
+{
+    host.frozen_until = std::max(host.frozen_until, now() + duration);
+    host.daemon->send_signal(SIGSTOP);
+    auto timer = std::make_shared<Http::asio::steady_timer>(this->loop, duration);
+    timer->async_wait([timer, &host](boost::system::error_code error) {
+        // A longer freeze may have begun meanwhile.
+        if (!error && now() >= host.frozen_until)
+            host.daemon->send_signal(SIGCONT);
+    });
+}
+
 void Deployment::stop_host(HostPlace& host)
 {
     host.is_end_expected = true;
@@ -176,6 +191,7 @@
 void Deployment::end_runner(RunnerPlace& place)
 {
     place.has_ended = true;
+    place.ended_at = now();
     place.runner->end();
     place.link->reset_all();
     this->checker.note_running(place.id, {}, false, now());
@@ -207,6 +223,26 @@
     return total;
 }
 
+bool Deployment::was_moved(std::string const& attempt) const
+{
+    return std::ranges::any_of(this->runners, [&](auto const& place) {
+        auto const& orders = place.runner->copy_orders();
+        return std::ranges::find(orders, attempt) != orders.end();
+    });
+}
+
+bool Deployment::engine_may_have_cut(std::string const& attempt, Instant instant) const
+{
+    auto const reached = this->checker.runners_of(attempt);
+    bool const is_moved = this->was_moved(attempt);
+    return std::ranges::any_of(this->runners, [&](auto const& place) {
+        // A stream that moves may end at an engine that it has not reached yet, or by a spoiled answer to its going on.
+        bool const is_concerned = reached.contains(place.id) || (is_moved && place.service == engine_service);
+        bool const has_failed = place.ended_at >= instant || place.harmed_until >= instant;
+        return is_concerned && (has_failed || (is_moved && place.spoils_answers));
+    });
+}
+
 void Deployment::tick()
 {
     auto const at = now();
@@ -228,7 +264,7 @@
         if (is_overdue && is_calm_since(host, *host.stopping_since)) {
             this->checker.violation(host.name + " did not end within its grace after SIGTERM");
             host.stopping_since.reset();
-            host.daemon->send_signal(SIGKILL);
+            this->kill_host(host);
         }
         return;
     }
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -23,6 +23,8 @@
     std::string domain;
     Http::tcp::endpoint callers;
     Http::tcp::endpoint readiness;
+    /// For a caller whose bodies come later than their heads. Nothing else is done to it.
+    std::unique_ptr<FaultProxy> slow_caller_link;
     std::unique_ptr<FaultProxy> platform_link;
     std::unique_ptr<FaultProxy> peer_link;
     std::unique_ptr<Daemon> daemon;
@@ -31,6 +33,9 @@
     std::optional<Instant> stopping_since;
     /// The soak itself ends the process or keeps it down, so that its end is no finding.
     bool is_end_expected { false };
+    /// In the process's present life.
+    bool was_killed { false };
+    Instant frozen_until {};
     /// Faults that touch this host last until.
     Instant harmed_until {};
 };
@@ -45,6 +50,9 @@
     /// The store has taken that it leaves.
     std::optional<Instant> leaving_since;
     bool has_ended { false };
+    Instant ended_at {};
+    /// Was told to, some time; the next requests that reach it get what it was told.
+    bool spoils_answers { false };
     Instant harmed_until {};
 };
 
@@ -71,6 +79,8 @@
     void start_host(HostPlace&);
     void kill_host(HostPlace&);
     void stop_host(HostPlace&);
+    /// Halts the process for this long; counts as no harm in itself.
+    void freeze_host(HostPlace&, Duration);
     /// Writes the settings file anew; `ratio` is a setting that can change while the process runs.
     void write_settings(HostPlace const&, double ratio) const;
     /// Faults touch the host from now on for this long.
@@ -116,6 +126,9 @@
     }
     /// Of all backend servers there have been, by attempt.
     [[nodiscard]] std::map<std::string, u32> runs() const;
+    /// Whether what an engine did, or what was done to it, can have ended a stream that was under way since `instant`.
+    /// Leaving alone cannot: streams move.
+    [[nodiscard]] bool engine_may_have_cut(std::string const& attempt, Instant instant) const;
     /// Null when no host has the name.
     [[nodiscard]] HostPlace const* find_host(std::string const& name) const;
     [[nodiscard]] static Instant now() { return std::chrono::steady_clock::now(); }
@@ -129,6 +142,7 @@
 
 private:
     void make_host(std::string const& domain, u32 number);
+    [[nodiscard]] bool was_moved(std::string const& attempt) const;
     void check_leaving(RunnerPlace const&, std::string const& attempt);
     void look_after(HostPlace&);
 
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -66,6 +66,7 @@
         }
         std::array<char, buffer_bytes> bytes {};
         size_t size { 0 };
+        size_t written { 0 };
         boost::system::error_code end;
         bool is_waiting { false };
         Http::asio::steady_timer timer;
@@ -83,6 +84,7 @@
                 auto& pump = self->pumps[index_of(direction)];
                 pump.end = error;
                 pump.size = size;
+                pump.written = 0;
                 self->pass_on(direction);
             });
     }
@@ -96,8 +98,14 @@
         }
         if (this->state->delay == 0s)
             return this->write(direction);
+        this->write_after(this->state->delay, direction);
+    }
+
+    void write_after(Duration delay, Direction direction)
+    {
         auto self = this->shared_from_this();
-        pump.timer.expires_after(this->state->delay);
+        auto& pump = this->pumps[index_of(direction)];
+        pump.timer.expires_after(delay);
         pump.timer.async_wait([self, direction](boost::system::error_code error) {
             if (!error)
                 self->write(direction);
@@ -112,14 +120,33 @@
         if (pump.end)
             return this->reset();
         auto self = this->shared_from_this();
-        Http::asio::async_write(this->sink(direction), Http::asio::buffer(pump.bytes.data(), pump.size),
-            [self, direction](boost::system::error_code error, size_t) {
+        Http::asio::async_write(this->sink(direction),
+            Http::asio::buffer(pump.bytes.data() + pump.written, this->next_size(direction)),
+            [self, direction](boost::system::error_code error, size_t size) {
                 if (error)
                     return self->reset();
-                self->read(direction);
+                self->written(direction, size);
             });
     }
 
+    /// All that is left, or what comes before the tail.
+    [[nodiscard]] size_t next_size(Direction direction) const
+    {
+        auto const& pump = this->pumps[index_of(direction)];
+        auto const tail = this->state->tail_size;
+        bool const is_parted = direction == Direction::ToTarget && pump.written == 0 && pump.size > tail;
+        return is_parted ? pump.size - tail : pump.size - pump.written;
+    }
+
+    void written(Direction direction, size_t size)
+    {
+        auto& pump = this->pumps[index_of(direction)];
+        pump.written += size;
+        if (pump.written == pump.size)
+            return this->read(direction);
+        this->write_after(this->state->tail_delay, direction);
+    }
+
     void half_close(Direction direction)
     {
         boost::system::error_code ignored;
@@ -161,6 +188,12 @@
 
 void FaultProxy::set_delay(Duration delay) { this->state->delay = delay; }
 
+void FaultProxy::set_tail(size_t size, Duration delay)
+{
+    this->state->tail_size = size;
+    this->state->tail_delay = delay;
+}
+
 void FaultProxy::hold(Direction direction) { this->state->is_held[index_of(direction)] = true; }
 
 void FaultProxy::hold_all() { this->state->is_held = { true, true }; }
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -31,6 +31,9 @@
     [[nodiscard]] Http::tcp::endpoint const& target_endpoint() const { return this->target; }
     /// Every piece of bytes that is read from now on is this late.
     void set_delay(Duration);
+    /// Of every piece of bytes to the target that is read from now on, the last `size` are this much later than the
+    /// rest.
+    void set_tail(size_t size, Duration delay);
     /// Lets nothing pass in this direction, and does not tell of ends either.
     void hold(Direction);
     void hold_all();
@@ -43,6 +46,8 @@
     struct State {
         Duration delay { 0 };
         std::array<bool, 2> is_held {};
+        size_t tail_size { 0 };
+        Duration tail_delay { 0 };
     };
     class Link;
 
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -16,6 +16,15 @@
 
 static constexpr Duration shortest_fault = 300ms;
 static constexpr Duration longest_fault = 4s;
+/// Stalls of one host after another: about its idle time-out, so that the ends of its timers and the requests of its
+/// callers wait for it together. Pauses between their beginnings are chosen; of four hosts each has a stall
+/// about every 3.6 s (reckoned).
+static constexpr Duration shortest_stall = idle_timeout / 2;
+static constexpr Duration longest_stall = idle_timeout * 3 / 2;
+static constexpr Duration shortest_stall_pause = 300ms;
+static constexpr Duration longest_stall_pause = 1500ms;
+/// After SIGTERM: `balancer_lag` of Libraries/LibServing/Host.h.
+static constexpr Duration idle_close_delay = 2500ms;
 /// Between a process's end and its next start.
 static constexpr Duration longest_restart_delay = 1500ms;
 /// Until the platform takes the entry of a crashed backend server off its list.
@@ -71,6 +80,7 @@
     : loop(loop)
     , deployment(deployment)
     , random(seed)
+    , stall_random(~seed)
 {
     auto const kinds = kinds_of(static_cast<Mix>(seed % mix_count));
     for (u32 i = 0; i < count; ++i)
@@ -83,6 +93,7 @@
     this->started_at = Deployment::now();
     for (auto const& entry : this->entries)
         this->after(entry.at, [this, begin = entry.begin] { (this->*begin)(); });
+    this->stall_hosts();
 }
 
 void FaultSchedule::heal()
@@ -113,16 +124,23 @@
     });
 }
 
-u32 FaultSchedule::draw_number(u32 below)
+static u32 draw_below(boost::random::mt19937& random, u32 below)
 {
-    return boost::random::uniform_int_distribution<u32>(0, below - 1)(this->random);
+    return boost::random::uniform_int_distribution<u32>(0, below - 1)(random);
 }
 
-Duration FaultSchedule::draw_duration(Duration shortest, Duration longest)
+static Duration draw_between(boost::random::mt19937& random, Duration shortest, Duration longest)
 {
     boost::random::uniform_int_distribution<i64> milliseconds(
         AK::to_milliseconds(shortest), AK::to_milliseconds(longest));
-    return std::chrono::milliseconds(milliseconds(this->random));
+    return std::chrono::milliseconds(milliseconds(random));
+}
+
+u32 FaultSchedule::draw_number(u32 below) { return draw_below(this->random, below); }
+
+Duration FaultSchedule::draw_duration(Duration shortest, Duration longest)
+{
+    return draw_between(this->random, shortest, longest);
 }
 
 Duration FaultSchedule::draw_fault_time() { return this->draw_duration(shortest_fault, longest_fault); }
@@ -187,6 +205,19 @@
     // Started again by the time its grace is over; its end does no harm in itself.
     auto delay = Deployment::stop_grace + this->draw_duration(shortest_fault, longest_restart_delay);
     this->after(delay, [this, &host] { this->deployment.start_host(host); });
+    // Requests then wait for the host when it looks for connections to close.
+    this->after(
+        idle_close_delay - idle_timeout / 2, [this, &host] { this->deployment.freeze_host(host, idle_timeout); });
+}
+
+void FaultSchedule::stall_hosts()
+{
+    auto& hosts = this->deployment.hosts;
+    auto const number = draw_below(this->stall_random, static_cast<u32>(hosts.size()));
+    auto const duration = draw_between(this->stall_random, shortest_stall, longest_stall);
+    this->deployment.freeze_host(*hosts.at(number), duration);
+    this->after(
+        draw_between(this->stall_random, shortest_stall_pause, longest_stall_pause), [this] { this->stall_hosts(); });
 }
 
 void FaultSchedule::freeze_host()
@@ -195,8 +226,7 @@
     auto duration = this->draw_fault_time();
     this->note("freeze " + host.name);
     this->deployment.harm(host, duration + aftermath);
-    host.daemon->send_signal(SIGSTOP);
-    this->after(duration, [&host] { host.daemon->send_signal(SIGCONT); });
+    this->deployment.freeze_host(host, duration);
 }
 
 void FaultSchedule::reload_host()
@@ -425,6 +455,7 @@
         return;
     this->note(place->id + " spoils answers");
     this->deployment.harm_all(aftermath);
+    place->spoils_answers = true;
     // The end is drawn anew each time: two to four in a row are likelier than one or six.
     for (u32 i = 0; i <= this->draw_number(most_spoiled_answers); ++i)
         place->runner->add_fault(faults.at(this->draw_number(static_cast<u32>(faults.size()))));
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -30,7 +30,8 @@
         Begin begin { nullptr };
     };
 
-    /// What a seed draws from. The fewer things are harmed, the more of the checks that ask for calm apply.
+    /// What a seed draws from; stalls come with each. The fewer things are harmed, the more of the checks that ask for
+    /// calm apply.
     enum class Mix : u8 {
         /// Planned work only: stops, changes of settings and configuration, backend servers that leave.
         Planned,
@@ -47,6 +48,8 @@
     void stop_host();
     void freeze_host();
     void reload_host();
+    /// Halts one host after another for a moment, all through the schedule. It is no harm and excuses nothing.
+    void stall_hosts();
     // Of the platform.
     void platform_busy();
     void platform_silent();
@@ -88,6 +91,8 @@
     Http::asio::io_context& loop;
     Deployment& deployment;
     boost::random::mt19937 random;
+    /// Of its own, so that what a seed draws besides does not depend on stalls.
+    boost::random::mt19937 stall_random;
     std::vector<Entry> entries;
     Instant started_at {};
     bool is_over { false };
--- a/Tests/Soak/PromiseChecker.cpp
+++ b/Tests/Soak/PromiseChecker.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <AK/Error.h>
 #include <Tests/Soak/PromiseChecker.h>
 #include <xxhash.h>
 
@@ -24,6 +25,35 @@
     return "id: " + std::to_string(number) + "\ndata: token of " + attempt + "\n\n";
 }
 
+std::string_view to_string(Ending ending)
+{
+    switch (ending) {
+    case Ending::Whole:
+        return "whole";
+    case Ending::CallerLeft:
+        return "caller-left";
+    case Ending::RefusedHostDown:
+        return "refused-down";
+    case Ending::RefusedHostStopping:
+        return "refused-stopping";
+    case Ending::RefusedHostUp:
+        return "refused-up";
+    case Ending::ClosedHostGone:
+        return "closed-gone";
+    case Ending::ClosedGraceOver:
+        return "closed-grace-over";
+    case Ending::ClosedStreamBroken:
+        return "closed-stream-broken";
+    case Ending::ClosedHostStopping:
+        return "closed-stopping";
+    case Ending::ClosedHostHarmed:
+        return "closed-harmed";
+    case Ending::ClosedHostCalm:
+        return "closed-calm";
+    }
+    VERIFY(false);
+}
+
 void PromiseChecker::violation(std::string text) { this->found.push_back(std::move(text)); }
 
 std::string PromiseChecker::host_of(std::string const& attempt) const
@@ -32,6 +62,12 @@
     return known == this->requests.end() ? std::string() : known->second.host;
 }
 
+std::set<std::string> PromiseChecker::runners_of(std::string const& attempt) const
+{
+    auto known = this->runners_by_attempt.find(attempt);
+    return known == this->runners_by_attempt.end() ? std::set<std::string>() : known->second;
+}
+
 void PromiseChecker::sent(std::string const& attempt, SentRequest request)
 {
     this->requests.emplace(attempt, std::move(request));
@@ -43,6 +79,7 @@
     auto known = this->requests.find(received.attempt);
     if (known == this->requests.end())
         return this->violation(runner + " got the attempt '" + received.attempt + "' that no caller sent");
+    this->runners_by_attempt[received.attempt].insert(runner);
     auto const& request = known->second;
     auto header = [&](std::string const& name) {
         auto found = received.headers.find(name);
@@ -67,6 +104,29 @@
     this->answers.emplace(attempt, std::move(answer));
 }
 
+void PromiseChecker::ended(std::string const& attempt, Ending ending, SeenAnswer const& answer)
+{
+    ++this->endings[ending];
+    bool const is_by_host = ending == Ending::ClosedHostStopping || ending == Ending::ClosedHostHarmed
+        || ending == Ending::ClosedHostCalm;
+    if (!is_by_host)
+        return;
+    this->closed_by_host[attempt] = std::string(to_string(ending)) + ", "
+        + (answer.is_on_kept_connection ? "kept" : "new") + " connection, status " + std::to_string(answer.status)
+        + ", " + Http::describe(answer.end, answer.end_reason);
+}
+
+void PromiseChecker::check_closed()
+{
+    // At the end only: what was passed on may reach its backend server later than the caller sees the close.
+    for (auto const& [attempt, seen] : this->closed_by_host) {
+        if (!this->runners_by_attempt.contains(attempt))
+            continue;
+        this->violation(attempt + " was passed on by " + this->host_of(attempt)
+            + ", which then closed its caller's connection without an answer (" + seen + ')');
+    }
+}
+
 void PromiseChecker::check_success(std::string const& attempt, SentRequest const& request, SeenAnswer const& answer)
 {
     if (!answer.has_stamp)
@@ -131,6 +191,7 @@
 
 void PromiseChecker::finish(std::map<std::string, u32> const& runs)
 {
+    this->check_closed();
     for (auto const& [attempt, count] : runs) {
         auto known = this->requests.find(attempt);
         if (known == this->requests.end())
--- a/Tests/Soak/PromiseChecker.h
+++ b/Tests/Soak/PromiseChecker.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <LibHttp/BackendConnection.h>
 #include <StandIns/PlatformRunner/PlatformRunner.h>
 #include <Tests/Soak/Configuration.h>
 #include <map>
@@ -24,6 +25,29 @@
     Instant sent_at {};
 };
 
+/// How an exchange ended for its caller, and why. A slow caller's link takes connections for its host, so that what
+/// would be refused is closed there.
+enum class Ending : u8 {
+    Whole,
+    CallerLeft,
+    /// The connection could not be made.
+    RefusedHostDown,
+    RefusedHostStopping,
+    RefusedHostUp,
+    /// The connection ended with no answer or a cut one: on a process that was killed or has ended by itself,
+    ClosedHostGone,
+    /// at the end of a planned stop's grace,
+    ClosedGraceOver,
+    /// after what an engine did, or what was done to it, in the middle of a stream, or after the route's time,
+    ClosedStreamBroken,
+    /// on a living host during a planned stop, after a fault that may be felt, and otherwise.
+    ClosedHostStopping,
+    ClosedHostHarmed,
+    ClosedHostCalm,
+};
+
+std::string_view to_string(Ending);
+
 /// What its caller saw of the answer.
 struct SeenAnswer {
     /// 0: no answer head came.
@@ -34,6 +58,10 @@
     bool is_complete { false };
     /// The caller closed the connection itself.
     bool was_left { false };
+    Http::ExchangeEnd end { Http::ExchangeEnd::Complete };
+    std::string end_reason;
+    /// The connection had served an earlier request.
+    bool is_on_kept_connection { false };
 
     [[nodiscard]] bool has(Http::Status wanted) const { return this->status == static_cast<unsigned>(wanted); }
     [[nodiscard]] bool is_success() const { return this->status >= 200 && this->status < 300; }
@@ -46,6 +74,9 @@
     /// A backend server has read a request.
     void reached(std::string const& runner, std::string const& service, StandIn::PlatformRunner::Received const&);
     void answered(std::string const& attempt, SeenAnswer);
+    /// Counts how an exchange ended. A living host answers what it passes on, whatever befell it, the platform or the
+    /// backend server: a request whose connection it closed must never reach a backend server, before or after.
+    void ended(std::string const& attempt, Ending, SeenAnswer const&);
     /// Called all the time with the attempts that each engine works on. `is_excused` when its link is harmed, so that
     /// the end of its work may not have reached it.
     void note_running(
@@ -61,10 +92,13 @@
     /// How many events a generation has: the same for the same attempt.
     static u64 planned_events(std::string const& attempt);
 
+    /// Backend servers that have read the request, by name.
+    [[nodiscard]] std::set<std::string> runners_of(std::string const& attempt) const;
     /// The host that an attempt was sent to; empty for one that no caller sent.
     [[nodiscard]] std::string host_of(std::string const& attempt) const;
     /// Requests by status, for the report; 0 where no answer came.
     [[nodiscard]] std::map<unsigned, u32> const& counts() const { return this->status_counts; }
+    [[nodiscard]] std::map<Ending, u32> const& ending_counts() const { return this->endings; }
 
 private:
     /// Two engines may be at work on one generation for this long, until the first one has seen its connection end.
@@ -72,10 +106,15 @@
 
     void check_success(std::string const& attempt, SentRequest const&, SeenAnswer const&);
     void check_stream(std::string const& attempt, SeenAnswer const&);
+    void check_closed();
 
     std::map<std::string, SentRequest> requests;
     std::map<std::string, SeenAnswer> answers;
     std::map<unsigned, u32> status_counts;
+    std::map<Ending, u32> endings;
+    std::map<std::string, std::set<std::string>> runners_by_attempt;
+    /// Attempts whose connection a living host closed, with what their callers saw.
+    std::map<std::string, std::string> closed_by_host;
     /// By attempt and by engine.
     std::map<std::string, std::map<std::string, Instant>> running_since;
     /// Versions whose route was served, by host and life of its process.
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -89,6 +89,8 @@
                 auto name = host->name + "-caller-" + std::to_string(i);
                 auto& caller = this->callers.emplace_back(std::make_shared<Caller>(this->loop, this->deployment,
                     this->checker, *host, name, this->seed * caller_seeds + static_cast<u32>(this->callers.size())));
+                if (i == 0)
+                    caller->send_slowly();
                 caller->start();
             }
         }
@@ -169,9 +171,18 @@
             stop_patience, "the planned end of all hosts");
     }
 
+    void report_endings() const
+    {
+        std::cout << "seed " << this->seed << ": ends:";
+        for (auto const& [ending, count] : this->checker.ending_counts())
+            std::cout << ' ' << to_string(ending) << "=" << count;
+        std::cout << std::endl;
+    }
+
     bool report()
     {
         this->checker.finish(this->deployment.runs());
+        this->report_endings();
         std::cout << "seed " << this->seed << ": answers by status:";
         for (auto const& [status, count] : this->checker.counts())
             std::cout << ' ' << status << "=" << count;
