--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -194,7 +194,10 @@
     {
         fixture.context->closing = true;
         caller.send(KeptCaller::get_request);
-        fixture.serve_to_the_end();
+        ::Test::run_until(fixture.loop, [&] {
+            fixture.answer_all();
+            return caller.is_closed();
+        });
         CHECK(caller.bytes().find("Connection: close\r\n") != std::string::npos);
     }
 }
