--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -4,7 +4,6 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <AK/Error.h>
 #include <LibHttp/CallerConnection.h>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -26,52 +25,6 @@
 /// crosses the close. Longer than the way of a request from another region (12 ms) and its repeats on a lossy link.
 static constexpr Duration idle_promise_margin = 1s;
 
-std::string_view to_string(ConnectionPhase phase)
-{
-    switch (phase) {
-    case ConnectionPhase::BetweenRequests:
-        return "between_requests";
-    case ConnectionPhase::ReadingHead:
-        return "reading_head";
-    case ConnectionPhase::ReadingBody:
-        return "reading_body";
-    case ConnectionPhase::Answering:
-        return "answering";
-    case ConnectionPhase::Closed:
-        return "closed";
-    }
-    VERIFY(false);
-}
-
-std::string_view to_string(CloseReason reason)
-{
-    switch (reason) {
-    case CloseReason::Answered:
-        return "answered";
-    case CloseReason::EndedByCaller:
-        return "ended_by_caller";
-    case CloseReason::Idle:
-        return "idle";
-    case CloseReason::PlannedStop:
-        return "planned_stop";
-    case CloseReason::RoomNeeded:
-        return "room_needed";
-    case CloseReason::WriteFailed:
-        return "write_failed";
-    case CloseReason::TooMuchWaiting:
-        return "too_much_waiting";
-    case CloseReason::Aborted:
-        return "aborted";
-    }
-    VERIFY(false);
-}
-
-/// Whether a request has begun to arrive and is not answered to its end.
-static bool has_request(ConnectionPhase phase)
-{
-    return phase != ConnectionPhase::BetweenRequests && phase != ConnectionPhase::Closed;
-}
-
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context)
     : socket(std::move(socket))
     , timer(this->socket.get_executor())
--- /dev/null
+++ b/Libraries/LibHttp/ConnectionPhase.cpp
@@ -0,0 +1,57 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <AK/Error.h>
+#include <LibHttp/ConnectionPhase.h>
+
+namespace Http {
+
+std::string_view to_string(ConnectionPhase phase)
+{
+    switch (phase) {
+    case ConnectionPhase::BetweenRequests:
+        return "between_requests";
+    case ConnectionPhase::ReadingHead:
+        return "reading_head";
+    case ConnectionPhase::ReadingBody:
+        return "reading_body";
+    case ConnectionPhase::Answering:
+        return "answering";
+    case ConnectionPhase::Closed:
+        return "closed";
+    }
+    VERIFY(false);
+}
+
+std::string_view to_string(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Answered:
+        return "answered";
+    case CloseReason::EndedByCaller:
+        return "ended_by_caller";
+    case CloseReason::Idle:
+        return "idle";
+    case CloseReason::PlannedStop:
+        return "planned_stop";
+    case CloseReason::RoomNeeded:
+        return "room_needed";
+    case CloseReason::WriteFailed:
+        return "write_failed";
+    case CloseReason::TooMuchWaiting:
+        return "too_much_waiting";
+    case CloseReason::Aborted:
+        return "aborted";
+    }
+    VERIFY(false);
+}
+
+bool has_request(ConnectionPhase phase)
+{
+    return phase != ConnectionPhase::BetweenRequests && phase != ConnectionPhase::Closed;
+}
+
+}
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -12,6 +12,7 @@
 #include <LibServing/HostDirectory.h>
 #include <LibServing/NewsRows.h>
 #include <LibServing/PeerLink.h>
+#include <LibServing/PlannedStop.h>
 #include <LibServing/RequestDesk.h>
 #include <boost/asio/signal_set.hpp>
 
@@ -70,7 +71,6 @@
               this->settings.follower)
         , signals(loop, SIGTERM, SIGINT, SIGHUP)
         , tick_timer(loop)
-        , stop_timer(loop)
     {
     }
 
@@ -117,11 +117,6 @@
     }
 
 private:
-    /// How long the balancer in front of the hosts may take to notice that one is not ready: two questions a second
-    /// apart, and their answers.
-    static constexpr Duration balancer_lag = 2500ms;
-    /// Left of the grace for the last answers to leave.
-    static constexpr Duration stop_margin = 300ms;
     static constexpr Duration tick_period = 50ms;
     /// A fifth of the tightest goal of a plain call (100 ms).
     static constexpr Duration shortest_noted_stall = 20ms;
@@ -435,39 +430,8 @@
 
     void begin_stop()
     {
-        this->stop_began = this->context.now();
-        this->context.leaving = true;
-        this->callers_context->closing = true;
-        this->log.event(Core::EventNumber::ProcessLeaving, this->settings.host.value())
-            .with("open_requests", this->callers_context->open_requests);
-        this->check_stop();
-    }
-
-    void check_stop()
-    {
-        auto elapsed = this->context.now() - this->stop_began;
-        bool const had_stopped_accepting = !this->callers->is_accepting();
-        if (elapsed >= balancer_lag) {
-            this->callers->stop_accepting();
-            this->callers->close_idle_connections(Http::CloseReason::PlannedStop);
-        }
-        // A request that still waits unread in a connection's socket counts, too.
-        bool const is_drained = had_stopped_accepting && this->callers->open_connections() == 0;
-        if (is_drained || elapsed >= this->settings.stop_grace - stop_margin)
-            return this->stop_now();
-        this->stop_timer.expires_after(tick_period);
-        this->stop_timer.async_wait([this](boost::system::error_code error) {
-            if (!error)
-                this->check_stop();
-        });
-    }
-
-    void stop_now()
-    {
-        this->log.event(Core::EventNumber::ProcessStopped, this->settings.host.value())
-            .with("open_requests", this->callers_context->open_requests);
-        this->log.flush();
-        this->loop.stop();
+        this->stop.emplace(this->context, *this->callers, *this->callers_context, [this] { this->loop.stop(); });
+        this->stop->begin();
     }
 
     Http::asio::io_context& loop;
@@ -491,9 +455,8 @@
     std::optional<Http::CallerServer> metrics;
     Http::asio::signal_set signals;
     Http::asio::steady_timer tick_timer;
-    Http::asio::steady_timer stop_timer;
     Instant started_at {};
-    Instant stop_began {};
+    std::optional<PlannedStop> stop;
     bool backends_known { false };
     bool said_ready { false };
 };
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -166,8 +166,8 @@
 soak_guard "a cut stream does not look whole" Libraries/LibServing/Generation.h \
     "this->abandon();
         this->exchange().abort();" "this->abandon(); this->exchange().end_stream();"
-soak_guard "a planned stop waits" Libraries/LibServing/Host.h \
-    "if (is_drained || elapsed >= this->settings.stop_grace - stop_margin)" "if (true)"
+soak_guard "a planned stop waits" Libraries/LibServing/PlannedStop.cpp \
+    "if (is_drained || elapsed >= this->context.settings.stop_grace - last_answers_margin)" "if (true)"
 soak_guard "leaving servers get nothing new" Libraries/LibServing/BackendChooser.cpp \
     "backend.availability == Availability::Serving &&" ""
 
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -23,7 +23,7 @@
 static constexpr Duration longest_stall = idle_timeout * 3 / 2;
 static constexpr Duration shortest_stall_pause = 300ms;
 static constexpr Duration longest_stall_pause = 1500ms;
-/// After SIGTERM: `balancer_lag` of Libraries/LibServing/Host.h.
+/// After SIGTERM: `balancer_lag` of Libraries/LibServing/PlannedStop.cpp.
 static constexpr Duration idle_close_delay = 2500ms;
 /// Between a process's end and its next start.
 static constexpr Duration longest_restart_delay = 1500ms;
