--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -29,18 +29,21 @@
         if (!this->is_accepting())
             return;
         if (error)
-            return this->make_room();
+            return this->accept_later(error);
         this->accept();
     });
 }
 
-void CallerServer::make_room()
+void CallerServer::accept_later(beast::error_code error)
 {
     // A new caller has a request; a connection that rests may never have another.
-    this->close_idle_connections(CloseReason::RoomNeeded);
+    bool const is_out_of_descriptors = error == boost::system::errc::too_many_files_open
+        || error == boost::system::errc::too_many_files_open_in_system;
+    if (is_out_of_descriptors)
+        this->close_idle_connections(CloseReason::RoomNeeded);
     this->retry_timer.expires_after(accept_retry_delay);
-    this->retry_timer.async_wait([this](beast::error_code error) {
-        if (!error && this->acceptor.is_open())
+    this->retry_timer.async_wait([this](beast::error_code timer_error) {
+        if (!timer_error && this->is_accepting())
             this->accept();
     });
 }
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -27,8 +27,8 @@
 
 private:
     void accept();
-    /// No connection could be accepted, as when descriptors have run out: ends idle ones, and tries again soon.
-    void make_room();
+    /// Tries again soon; when descriptors have run out, ends idle connections first.
+    void accept_later(beast::error_code);
     void serve(tcp::socket);
 
     tcp::acceptor acceptor;
