--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -13,11 +13,11 @@
 // Seen: lookups on kept connections were handed to backend servers, and their callers' connections closed in the same
 // millisecond with no answer; the runs went on to their ends.
 //
-// How: a connection counted as one without a request until its request's body had completed. Its idle timer or the
-// close of idle connections on a planned stop, whose turn came between head and body, closed it, and the body's
-// completion, which was queued already, handed the request on.
+// How it can come about: a connection counted as one without a request until its request's body had completed. Its idle
+// timer or the close of idle connections on a planned stop, whose turn came between head and body, closed it, and the
+// body's completion, which was queued already, handed the request on.
 //
-// Proved by: this test, which lost all 15 requests either way.
+// Proved by: this test, which lost all 15 requests either way. What set it off where it was seen is not known.
 SCENARIO("a request on a kept connection is answered, or it is not taken")
 {
     CallerFixture fixture;
@@ -83,7 +83,7 @@
 
     WHEN("it has been idle for too long")
     {
-        // Not those that are waiting: a time-out holds from the request before.
+        // It holds from this caller's next wait on; the others wait by the longer one.
         fixture.context->limits.idle_timeout = short_idle_timeout;
         caller.send(KeptCaller::get_request);
         fixture.wait_for_taken(1);
