--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -155,6 +155,11 @@
     Libraries/LibHttp/CallerConnection.cpp "this->set_timer(this->context->limits.idle_timeout, &CallerConnection::body_too_slow);" ""
 guard "an end behind bytes is noticed" TestLibHttp "Scenario: a caller that leaves is noticed" \
     Libraries/LibHttp/CallerConnection.cpp "if (peer_has_closed(this->socket))" "if (false)"
+guard "room is made for new callers" TestLibHttp "Scenario: a new caller is served when idle ones hold all descriptors" \
+    Libraries/LibHttp/CallerServer.cpp "if (is_out_of_descriptors)" "if (false)"
+guard "an idle time-out is the promised one" TestLibHttp \
+    "Scenario: a connection is closed without an answer between requests only" \
+    Libraries/LibHttp/CallerConnection.cpp "this->idle_patience = this->context->limits.idle_timeout;" ""
 guard "a request has one end" TestPlatform "Scenario: a call to a plain service goes through a host on the users' platform" \
     Libraries/LibServing/Flow.h "!error && !this->is_over" "!error"
 
