LibAccount, Utilities: Tell what became of requests from the hosts' logs

E2001 tells the route's goal for it, E2203 the goal for pauses, and E2102 says 'none' where an engine has not reported, instead of the time since the clock began.

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -67,13 +67,20 @@
             .with("try", this->tried.size())
             .with("engine_tokens", estimated_tokens(chosen, this->context.now()))
             .with("engine_unread", chosen.engine.unread_tokens())
-            .with("report_age_ms", this->context.now() - chosen.engine.report_heard_at)
+            .with("report_age_ms", this->report_age(chosen))
             .with("prompt", this->demand().prompt)
             .with("expected_output", this->need().expected_output)
             .with("revision", this->call.routing->revision())
             .with("left_ms", this->time_left());
     }
 
+    [[nodiscard]] std::string report_age(Backend const& engine) const
+    {
+        if (!engine.engine.report)
+            return "none";
+        return std::to_string(AK::to_milliseconds(this->context.now() - engine.engine.report_heard_at));
+    }
+
     void dispatch_to(BackendPointer const& target, std::optional<Continuation> continuation)
     {
         this->backend = target;
@@ -369,6 +376,7 @@
             .with("organisation", this->call.organisation)
             .with("events", this->order.count())
             .with("longest_gap_ms", this->longest_gap)
+            .with("pause_goal_ms", this->call.route->pause_goal)
             .with("held_ms", this->held_for());
     }
 
--- a/Libraries/LibServing/RequestDesk.h
+++ b/Libraries/LibServing/RequestDesk.h
@@ -30,6 +30,7 @@
             .with("route", call.value().route->name)
             .with("organisation", call.value().organisation)
             .with("revision", call.value().routing->revision())
+            .with("goal_ms", call.value().route->latency_goal)
             .with("left_ms", call.value().deadline - this->context.now());
         if (call.value().route->kind == CallKind::Generation && call.value().service->engine)
             std::make_shared<Generation<D>>(this->context, std::move(call.value()))->start();
--- /dev/null
+++ b/Utilities/requestaccount.cpp
@@ -0,0 +1,127 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibAccount/RequestAccount.h>
+#include <algorithm>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <numeric>
+
+DEFINE_uint64(span_ms, 1000, "requests are counted together that were received within so many milliseconds");
+DEFINE_bool(stories, false, "print every line about each generation that was broken off, and why it was");
+
+/// Reads what can be read; says of which lines it cannot.
+static void read_log(std::istream& input, std::string const& name, Account::RequestAccount& account)
+{
+    size_t number = 0;
+    for (std::string text; std::getline(input, text);) {
+        ++number;
+        auto line = Account::parse_log_line(text);
+        if (!line)
+            std::cerr << name << ':' << number << ": " << line.error().message << "; it is left out" << std::endl;
+        else if (line.value())
+            account.take(std::move(*line.value()));
+    }
+}
+
+static std::array<std::string_view, Account::outcome_count> outcome_names()
+{
+    std::array<std::string_view, Account::outcome_count> names;
+    for (size_t i = 0; i < names.size(); ++i)
+        names[i] = to_string(static_cast<Account::Outcome>(i));
+    return names;
+}
+
+static void print_rows(std::vector<Account::Row> const& rows)
+{
+    constexpr double milliseconds_per_second = 1000;
+    std::cout << "| from second | route | tries |";
+    for (auto name : outcome_names())
+        std::cout << ' ' << name << " |";
+    std::cout << "\n|---|---|---|";
+    for (size_t i = 0; i < Account::outcome_count; ++i)
+        std::cout << "---|";
+    std::cout << '\n';
+    for (auto const& row : rows) {
+        std::cout << "| " << static_cast<double>(row.from) / milliseconds_per_second << " | " << row.route << " | "
+                  << std::accumulate(row.counts.begin(), row.counts.end(), 0U) << " |";
+        for (auto count : row.counts)
+            std::cout << ' ' << count << " |";
+        std::cout << '\n';
+    }
+}
+
+static void print_reasons(std::vector<Account::RequestStory> const& stories)
+{
+    std::map<std::tuple<std::string, std::string_view, std::string>, u32> counts;
+    for (auto const& story : stories) {
+        if (!story.reason.empty())
+            ++counts[{ story.route, to_string(story.outcome), story.reason }];
+    }
+    std::cout << "\n| route | outcome | reason | tries |\n|---|---|---|---|\n";
+    for (auto const& [key, count] : counts) {
+        auto const& [route, outcome, reason] = key;
+        std::cout << "| " << route << " | " << outcome << " | " << reason << " | " << count << " |\n";
+    }
+}
+
+static void print_ceiling(std::vector<Account::RequestStory> const& stories)
+{
+    auto count = [&](auto holds) { return std::ranges::count_if(stories, holds); };
+    std::cout << "\nOf " << stories.size() << " tries, nothing here could have served "
+              << count([](auto const& story) { return story.outcome == Account::Outcome::HostEnded; })
+              << " whose host ended first and " << count([](auto const& story) { return story.every_server_failed(); })
+              << " that backend servers failed.\n";
+}
+
+static void print_stories(std::vector<Account::RequestStory> const& stories)
+{
+    for (auto const& story : stories) {
+        if (!story.is_generation || story.outcome != Account::Outcome::BrokenOff)
+            continue;
+        std::cout << '\n' << story.id << " at " << story.host << ": " << story.reason << '\n';
+        for (auto const& line : story.lines) {
+            std::cout << "  " << line.milliseconds - story.received_at << " ms E" << static_cast<u32>(line.event);
+            for (auto const& [key, value] : line.values) {
+                if (key != "ms" && key != "event" && key != "subject")
+                    std::cout << ' ' << key << '=' << value;
+            }
+            std::cout << '\n';
+        }
+    }
+}
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("[FILE ...]: what became of the requests in hosts' structured logs; - or none for standard "
+                            "input");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_span_ms == 0) {
+        std::cerr << "--span_ms is 0; give at least 1" << std::endl;
+        return 2;
+    }
+    Account::RequestAccount account;
+    bool all_opened = true;
+    for (int i = 1; i < argc; ++i) {
+        std::ifstream file(argv[i]);
+        all_opened = all_opened && file;
+        if (!file)
+            std::cerr << argv[i] << ": cannot be opened; check its name and rights" << std::endl;
+        read_log(file, argv[i], account);
+    }
+    if (argc == 1)
+        read_log(std::cin, "standard input", account);
+    auto stories = account.stories();
+    if (!stories.empty()) {
+        print_rows(count_by_time(stories, FLAGS_span_ms));
+        print_reasons(stories);
+        print_ceiling(stories);
+    }
+    if (FLAGS_stories)
+        print_stories(stories);
+    return all_opened ? 0 : 1;
+}
