--- a/Meta/ablate.py
+++ b/Meta/ablate.py
@@ -36,7 +36,7 @@
          "0 / unread_tokens_scale")]),
     "own-domain": ("other failure domains cost nothing", [
         (SERVING + "Generation.h", "other_domain_cost = 0.3", "other_domain_cost = 0"),
-        (SERVING + "GenerationMove.h", "other_domain_cost = 0.5", "other_domain_cost = 0"),
+        (SERVING + "GenerationMove.h", "other_domain_cost = 1.5", "other_domain_cost = 0"),
         (SERVING + "ServiceCall.h", "other_domain_cost = 0.3", "other_domain_cost = 0")]),
     "suspicion": ("backend servers that fail are not avoided", [
         (SERVING + "BackendTable.cpp", "health.avoid_until = now + avoidance;", "(void)now;")]),
