--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -73,7 +73,7 @@
         this->phase_changed = nullptr;
         this->timer.cancel();
         this->reservation.reset();
-        this->drop_uncopied_claim();
+        this->drop_link_claims();
         this->drop_connection();
         this->is_settled = true;
     }
@@ -196,13 +196,13 @@
             .with("took_ms", this->context.now() - this->asked_at);
         if (is_last)
             return this->enter(Phase::HandedOver);
-        this->drop_uncopied_claim();
+        this->drop_link_claims();
         this->enter(Phase::Copied);
         this->wait_for_handover();
     }
 
     /// The links of the source and of the target have nothing more to carry for this generation.
-    void drop_uncopied_claim()
+    void drop_link_claims()
     {
         this->uncopied.reset();
         this->incoming.reset();
@@ -211,7 +211,7 @@
 
     void run_has_ended()
     {
-        this->drop_uncopied_claim();
+        this->drop_link_claims();
         this->log_failure("the generation does not run there any more");
         this->reservation.reset();
         this->enter(Phase::Failed);
@@ -288,7 +288,7 @@
         if (this->current == Phase::HandingOver && this->copy)
             return this->enter(Phase::HandedOver);
         this->reservation.reset();
-        this->drop_uncopied_claim();
+        this->drop_link_claims();
         this->enter(Phase::Failed);
     }
 
