LibServing: Be not ready while no server of a service can be reached

Cause: a domain that is cut off and has no server of the lookups' service refuses them one after another, two connection time-outs each, though hosts of the other domains could serve them; callers' retries come to the same domain. Change: a host whose silent domains hold all servers of a service, none of which could be connected to lately, says that it is not ready, so that callers are sent to the nearest domains.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -58,6 +58,7 @@
     { BackendServerChanged, "backend_server_changed", Information },
     { BackendServerGone, "backend_server_gone", Information },
     { BackendServerSuspected, "backend_server_suspected", Warning },
+    { ServicesOutOfReach, "services_out_of_reach", Warning },
     { ServiceCallDispatched, "service_call_dispatched", Information },
     { ServiceCallEnded, "service_call_ended", Information },
     { ClaimRefused, "claim_refused", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -58,6 +58,7 @@
     BackendServerChanged = 2306,
     BackendServerGone = 2307,
     BackendServerSuspected = 2308,
+    ServicesOutOfReach = 2309,
     ServiceCallDispatched = 2401,
     ServiceCallEnded = 2402,
     ClaimRefused = 2403,
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -132,6 +132,7 @@
     backend.health.told_avoidance.clear();
     backend.health.failures_in_a_row = 0;
     backend.health.avoid_until = {};
+    backend.health.unreachable_at = {};
     backend.health.failure_share *= 1 - newest_request_weight;
 }
 
@@ -140,6 +141,8 @@
     auto& health = backend.health;
     health.failure_share += (1 - health.failure_share) * newest_request_weight;
     ++health.failures_in_a_row;
+    if (is_unreachable)
+        health.unreachable_at = now;
     auto counted = is_unreachable ? health.failures_in_a_row
         : health.failures_in_a_row > tolerated_failures_in_a_row
         ? health.failures_in_a_row - tolerated_failures_in_a_row
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -53,6 +53,8 @@
     double failure_share { 0 };
     u32 failures_in_a_row { 0 };
     Instant avoid_until {};
+    /// When the last connection could not be made; nothing after a success.
+    std::optional<Instant> unreachable_at;
     /// Until when other hosts avoid it, because they could not connect to it.
     std::map<MemberId, Instant> told_avoidance;
 };
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -14,6 +14,7 @@
 #include <LibServing/PeerLink.h>
 #include <LibServing/PlannedStop.h>
 #include <LibServing/RequestDesk.h>
+#include <LibServing/ServiceReach.h>
 #include <boost/asio/signal_set.hpp>
 
 namespace Serving {
@@ -146,7 +147,7 @@
 
     [[nodiscard]] bool is_ready() const
     {
-        return !this->context.leaving && this->context.routing && this->backends_known;
+        return !this->context.leaving && this->context.routing && this->backends_known && this->out_of_reach.empty();
     }
 
     Http::Response readiness_answer()
@@ -384,9 +385,25 @@
             this->log.event(Core::EventNumber::LoopStalled, this->settings.host.value()).with("late_ms", lateness);
     }
 
+    void note_reach()
+    {
+        if (!this->context.routing)
+            return;
+        auto now = this->context.now();
+        auto lost = services_out_of_reach(
+            this->context.backends, *this->context.routing, this->context.reach.silent_domains(now), now);
+        if (lost == this->out_of_reach)
+            return;
+        this->out_of_reach = std::move(lost);
+        this->log.event(Core::EventNumber::ServicesOutOfReach, this->settings.host.value())
+            .with("services", this->out_of_reach.size())
+            .with("first", this->out_of_reach.empty() ? ServiceName("none") : this->out_of_reach.front());
+    }
+
     void tick()
     {
         this->backends.tick();
+        this->note_reach();
         this->choose_reader();
         this->context.connections.drop_unusable();
         this->log.flush();
@@ -458,6 +475,7 @@
     Instant started_at {};
     std::optional<PlannedStop> stop;
     bool backends_known { false };
+    std::vector<ServiceName> out_of_reach;
     bool said_ready { false };
 };
 
