--- a/Libraries/LibServing/ServiceReach.cpp
+++ b/Libraries/LibServing/ServiceReach.cpp
@@ -23,6 +23,8 @@
 std::vector<ServiceName> services_out_of_reach(BackendTable const& backends, RoutingTable const& routing,
     std::span<FailureDomainId const> silent_domains, Instant now)
 {
+    if (silent_domains.empty())
+        return {};
     std::map<ServiceName, bool> can_be_reached;
     for (auto const& [id, backend] : backends.all()) {
         auto const& service = backend->server.service;
