--- a/Libraries/LibAccount/RequestAccount.cpp
+++ b/Libraries/LibAccount/RequestAccount.cpp
@@ -142,6 +142,7 @@
         ++row.counts[static_cast<size_t>(story.outcome)];
     }
     std::vector<Row> all;
+    all.reserve(rows.size());
     for (auto& [key, row] : rows)
         all.push_back(std::move(row));
     return all;
