--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -163,6 +163,16 @@
 guard "a request has one end" TestPlatform "Scenario: a call to a plain service goes through a host on the users' platform" \
     Libraries/LibServing/Flow.h "!error && !this->is_over" "!error"
 
+guard "an engine off the list is asked for its end" TestPlatform \
+    "Scenario: an engine that goes off the list without a word is asked until it says when it ends" \
+    Libraries/LibServing/BackendTable.cpp "this->departed[id] = { entry, now };" "(void)now;"
+guard "copies are spread over links" TestLibServing \
+    "Scenario: engines that leave together spread their generations over the links of those that stay" \
+    Libraries/LibServing/BackendChooser.cpp "copy_wait_cost = 0.5" "copy_wait_cost = 0"
+guard "a service is out of reach by two signs" TestLibServing \
+    "Scenario: a domain that has no server of a service is cut off from those that have" \
+    Libraries/LibServing/ServiceReach.cpp "return is_silent && " "return "
+
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
     "this->call.route->kind == CallKind::Repeatable && this->runs() < this->call.route->most_dispatches" "true"
 soak_guard "a refusal is true" Libraries/LibServing/ServiceCall.h \
