LibAccount, docs: Do not call a backend server's failure a bound that nothing could pass

Cause: the account said of every call that ended with a backend server's failure that nothing here could have served it. A repeatable call has two tries, and a third succeeds at times. Change: it is counted as what it is.

--- a/Libraries/LibAccount/RequestAccount.cpp
+++ b/Libraries/LibAccount/RequestAccount.cpp
@@ -38,8 +38,6 @@
     VERIFY(false);
 }
 
-bool RequestStory::every_server_failed() const { return this->outcome == Outcome::FailedByServer; }
-
 static void end(RequestStory& story, LogLine const& line, Outcome outcome, std::string reason = {})
 {
     story.outcome = outcome;
--- a/Libraries/LibAccount/RequestAccount.h
+++ b/Libraries/LibAccount/RequestAccount.h
@@ -48,9 +48,6 @@
     std::string reason;
     /// Every line about it, in the order of its host's log.
     std::vector<LogLine> lines;
-
-    /// All tries at backend servers ended in failures of theirs: nothing here could have served it.
-    [[nodiscard]] bool every_server_failed() const;
 };
 
 /// Puts together what the hosts' logs say of each request.
--- a/Tests/LibAccount/TestRequestAccount.cpp
+++ b/Tests/LibAccount/TestRequestAccount.cpp
@@ -110,7 +110,7 @@
     take("ms=2150 event=E2001 request_received subject=c5 route=lookup goal_ms=150");
     take("ms=3150 event=E2002 request_refused subject=c5 status=504 reason=\"it may have run\"");
     auto stories = account.stories();
-    CHECK(stories[2].every_server_failed());
+    CHECK(stories[2].outcome == Outcome::FailedByServer);
     CHECK(stories[3].outcome == Outcome::Refused);
     CHECK(stories[4].outcome == Outcome::Failed);
 
--- a/Utilities/requestaccount.cpp
+++ b/Utilities/requestaccount.cpp
@@ -69,13 +69,15 @@
     }
 }
 
-static void print_ceiling(std::vector<Account::RequestStory> const& stories)
+/// What bounds a day from outside: more could be served only by engines and servers that do better, or hosts that last.
+static void print_bounds(std::vector<Account::RequestStory> const& stories)
 {
-    auto count = [&](auto holds) { return std::ranges::count_if(stories, holds); };
-    std::cout << "\nOf " << stories.size() << " tries, nothing here could have served "
-              << count([](auto const& story) { return story.outcome == Account::Outcome::HostEnded; })
-              << " whose host ended first and " << count([](auto const& story) { return story.every_server_failed(); })
-              << " that backend servers failed.\n";
+    auto count = [&](Account::Outcome outcome) {
+        return std::ranges::count(stories, outcome, &Account::RequestStory::outcome);
+    };
+    std::cout << "\nOf " << stories.size() << " tries, the host of " << count(Account::Outcome::HostEnded)
+              << " ended first, and " << count(Account::Outcome::FailedByServer)
+              << " were given a backend server's failure after the tries that their route allows.\n";
 }
 
 static void print_stories(std::vector<Account::RequestStory> const& stories)
@@ -119,7 +121,7 @@
     if (!stories.empty()) {
         print_rows(count_by_time(stories, FLAGS_span_ms));
         print_reasons(stories);
-        print_ceiling(stories);
+        print_bounds(stories);
     }
     if (FLAGS_stories)
         print_stories(stories);
