--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -27,6 +27,8 @@
     { MemberLeaving, "member_leaving", Information },
     { MemberLost, "member_lost", Warning },
     { MemberReplaced, "member_replaced", Information },
+    { FailureDomainSilent, "failure_domain_silent", Warning },
+    { FailureDomainHeard, "failure_domain_heard", Information },
     { RevisionInForce, "revision_in_force", Information },
     { ChangeAccepted, "change_accepted", Information },
     { ChangeRefused, "change_refused", Warning },
--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -61,6 +61,23 @@
     /// and meanwhile changes are heard from other processes.
     Duration first_retry { 50ms };
     Duration longest_retry { 1s };
+    /// Between an answer with changes and the next call: changes that come together are then read with one call.
+    Duration pause_after_changes { 0ms };
+    /// Between the calls of a follower that is there for when another one fails.
+    Duration standby_period { 1s };
+    /// How long changes that others know are awaited from them before the platform is asked. After a quarter of it
+    /// others are asked for what they know.
+    Duration news_patience { 0ms };
+};
+
+/// What a follower asks the platform for.
+enum class Following : u8 {
+    /// Nothing but what it has missed: it hears changes from elsewhere.
+    None,
+    /// Changes since its last call, now and then: for when who follows promptly fails.
+    Standby,
+    /// Each change at once.
+    Prompt,
 };
 
 /// Changes of a table, as one process tells them to others that do not read it themselves.
@@ -77,6 +94,8 @@
     std::function<void(std::vector<RowChange>, u64 version)> changed;
     /// Changes that the platform itself has told, for others. After `changed`.
     std::function<void(TableNews const&)> told { [](TableNews const&) {} };
+    /// Changes after this version, which others know, have not come: they may be asked for them.
+    std::function<void(u64 known_version)> missed { [](u64) {} };
     /// The first failed call after a good one, and the first good one after a failure.
     std::function<void(Error const&)> lost;
     std::function<void()> regained;
@@ -97,6 +116,8 @@
         , observer(std::move(observer))
         , timing(timing)
         , retry_timer(loop)
+        , pace_timer(loop)
+        , patience_timer(loop)
         , retry_delay(timing.first_retry)
     {
     }
@@ -107,12 +128,16 @@
         this->list_from({});
     }
 
-    /// Whether the platform is asked for changes all the time.
-    void set_following(bool now_following)
+    void set_following(Following now_following)
     {
-        this->is_following = now_following;
-        if (now_following && !this->is_calling)
-            this->follow(this->timing.wait);
+        auto const before = std::exchange(this->following, now_following);
+        if (before == now_following)
+            return;
+        // A pause that was meant for the former pace is over.
+        if (std::exchange(this->is_pausing, false))
+            this->pace_timer.cancel();
+        if (!this->is_calling)
+            this->call_again();
     }
 
     /// Changes from elsewhere.
@@ -121,21 +146,25 @@
         if (!this->is_listed || news.page.version <= this->known_version)
             return;
         if (news.previous_change > this->known_version)
-            return this->catch_up(news.page.version);
-        std::erase_if(
-            news.page.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
-        this->known_version = news.page.version;
-        this->note_last_change(news.page);
-        if (!news.page.changes.empty())
-            this->observer.changed(std::move(news.page.changes), this->known_version);
+            return this->keep_early(std::move(news));
+        this->take_news(std::move(news));
+        this->take_early();
     }
 
     /// A change of this version is known to exist.
     void catch_up(u64 version)
     {
         this->wanted_version = std::max(this->wanted_version, version);
-        if (this->is_listed && this->wanted_version > this->known_version && !this->is_calling)
-            this->follow(0s);
+        if (!this->is_listed || this->wanted_version <= this->known_version || this->is_calling)
+            return;
+        if (this->timing.news_patience <= 0s)
+            return this->follow(0s);
+        if (this->is_patient)
+            return;
+        this->wait_for_others(this->timing.news_patience / 4, [this] {
+            this->observer.missed(this->known_version);
+            this->wait_for_others(this->timing.news_patience * 3 / 4, [this] { this->follow(0s); });
+        });
     }
 
     /// Version of the newest change that is known; 0 before the table has been read.
@@ -144,6 +173,9 @@
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
 
 private:
+    /// News that wait for those before them; more are read from the platform.
+    static constexpr size_t most_early_news = 64;
+
     void list_from(std::string const& first_key)
     {
         if (first_key.empty())
@@ -175,6 +207,53 @@
         this->call_again();
     }
 
+    /// Does `then` after `patience` if what others know has not come by then.
+    template<typename Then>
+    void wait_for_others(Duration patience, Then then)
+    {
+        this->is_patient = true;
+        this->patience_timer.expires_after(patience);
+        this->patience_timer.async_wait([this, then](boost::system::error_code error) {
+            this->is_patient = false;
+            if (!error && this->wanted_version > this->known_version && !this->is_calling)
+                then();
+        });
+    }
+
+    void take_news(TableNews news)
+    {
+        std::erase_if(
+            news.page.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
+        this->known_version = news.page.version;
+        this->note_last_change(news.page);
+        if (!news.page.changes.empty())
+            this->observer.changed(std::move(news.page.changes), this->known_version);
+    }
+
+    /// News that come by different ways may overtake each other. Those that came too early wait for what they follow.
+    void keep_early(TableNews news)
+    {
+        auto const version = news.page.version;
+        if (this->early_news.size() < most_early_news)
+            this->early_news.push_back(std::move(news));
+        this->catch_up(version);
+    }
+
+    void take_early()
+    {
+        while (true) {
+            std::erase_if(
+                this->early_news, [this](TableNews const& news) { return news.page.version <= this->known_version; });
+            auto next = std::ranges::find_if(this->early_news,
+                [this](TableNews const& news) { return news.previous_change <= this->known_version; });
+            if (next == this->early_news.end())
+                return;
+            auto news = std::move(*next);
+            this->early_news.erase(next);
+            this->take_news(std::move(news));
+        }
+    }
+
     void follow(Duration wait)
     {
         this->is_calling = true;
@@ -184,13 +263,36 @@
     }
 
     /// After a call that went well: the next one, if there is a reason for it.
-    void call_again()
+    void call_again(bool changes_came = false)
     {
-        if (this->is_following)
+        this->is_calling = false;
+        if (!this->is_listed)
+            return;
+        if (this->following == Following::Prompt && changes_came && this->timing.pause_after_changes > 0s)
+            return this->call_after(this->timing.pause_after_changes);
+        if (this->following == Following::Prompt)
             return this->follow(this->timing.wait);
         if (this->wanted_version > this->known_version)
             return this->follow(0s);
-        this->is_calling = false;
+        if (this->following == Following::Standby)
+            this->call_after(this->timing.standby_period);
+    }
+
+    void call_after(Duration pause)
+    {
+        this->is_pausing = true;
+        this->pace_timer.expires_after(pause);
+        this->pace_timer.async_wait([this](boost::system::error_code error) {
+            if (error || !std::exchange(this->is_pausing, false) || this->is_calling)
+                return;
+            if (this->following != Following::None)
+                this->follow(this->wait_of_call());
+        });
+    }
+
+    [[nodiscard]] Duration wait_of_call() const
+    {
+        return this->following == Following::Prompt ? this->timing.wait : Duration(0);
     }
 
     void changes_arrived(Result<ChangePage> page)
@@ -200,18 +302,20 @@
             return this->list_from({});
         }
         if (!page)
-            return this->retry(page.error(), [this] { this->follow(this->timing.wait); });
+            return this->retry(page.error(), [this] { this->follow(this->wait_of_call()); });
         auto& value = page.value();
         if (value.version < this->version_of_call)
-            return this->retry(stale_answer(), [this] { this->follow(this->timing.wait); });
+            return this->retry(stale_answer(), [this] { this->follow(this->wait_of_call()); });
         this->note_success();
         // Some of it may have been heard from elsewhere while the call was under way.
         std::erase_if(
             value.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
         this->known_version = std::max(this->known_version, value.version);
-        if (!value.changes.empty())
+        bool const changes_came = !value.changes.empty();
+        if (changes_came)
             this->take(std::move(value));
-        this->call_again();
+        this->take_early();
+        this->call_again(changes_came);
     }
 
     void take(ChangePage page)
@@ -268,6 +372,8 @@
     FollowerObserver observer;
     FollowerTiming timing;
     boost::asio::steady_timer retry_timer;
+    boost::asio::steady_timer pace_timer;
+    boost::asio::steady_timer patience_timer;
     Duration retry_delay;
     std::vector<Row> listing;
     u64 listing_version { 0 };
@@ -277,8 +383,13 @@
     u64 wanted_version { 0 };
     /// A platform that was empty when it was read is at version 0, too.
     bool is_listed { false };
-    bool is_following { true };
+    Following following { Following::Prompt };
     bool is_calling { false };
+    /// Until the next call of a follower that does not call at once.
+    bool is_pausing { false };
+    /// Changes that others know are awaited from them.
+    bool is_patient { false };
+    std::vector<TableNews> early_news;
     bool reachable { true };
 };
 
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -95,8 +95,14 @@
     GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
 {
     auto capacity = static_cast<double>(std::max<i64>(1, memory.value()));
+    auto wanted = need.prompt.value() + need.expected_output.value();
+    // Hosts that all believe the same would all choose the same engine. What they may have placed unseen is drawn for
+    // each engine, so that they spread over those that are about as good: with 59 deciders of 0.65 placements a second
+    // and beliefs that are 250 ms old, no engine of 104 gets more than 4 of the 39 placements of a second, without it
+    // all of a quarter of a second (the test of this load).
+    auto unseen = inputs.unseen_placements * static_cast<double>(wanted) / capacity;
+    boost::random::uniform_real_distribution<double> share_of_unseen(0, 1);
     return cheapest(candidates, tried, [&](Backend const& backend) {
-        auto wanted = need.prompt.value() + need.expected_output.value();
         auto share = static_cast<double>(estimated_tokens(backend, inputs.now) + wanted) / capacity;
         auto cost = share + static_cast<double>(backend.engine.unread_tokens()) / unread_tokens_scale;
         if (inputs.copied_tokens_per_second)
@@ -106,6 +112,8 @@
             cost += (share - crowded_share) * crowded_cost;
         if (backend.engine.generations() >= backend.server.slots)
             cost += crowded_cost;
+        if (backend.server.failure_domain != inputs.host_failure_domain)
+            cost += unseen * share_of_unseen(random);
         return cost + common_cost(backend, inputs, random);
     });
 }
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -14,6 +14,7 @@
 
 /// What a choice depends on beside the candidates.
 struct ChoiceInputs {
+    /// Backend servers of all other domains cost more; for a copy that of its source.
     FailureDomainId own_failure_domain;
     /// Other failure domains that seem to be cut off from this one.
     std::vector<FailureDomainId> silent_domains;
@@ -23,6 +24,10 @@
     /// Tokens of a copy that an engine's link takes in a second; for a copy only, which has to wait for those before
     /// it.
     std::optional<double> copied_tokens_per_second {};
+    /// The host's own domain: what it believes of others is older, and as many deciders believe the same.
+    FailureDomainId host_failure_domain {};
+    /// Generations that hosts of this domain may have placed in other domains without this one having heard of it.
+    double unseen_placements { 0 };
 };
 
 /// A backend server for a call to a plain service: the least busy by what this host has there and by what it last said
--- a/Libraries/LibServing/EngineLoad.h
+++ b/Libraries/LibServing/EngineLoad.h
@@ -23,6 +23,18 @@
     std::optional<Duration> ends_in;
 };
 
+/// What some hosts have at an engine, by their own word.
+struct EngineWork {
+    u32 generations { 0 };
+    /// Held in its memory, with copies that are on their way there.
+    i64 tokens { 0 };
+    /// Of prompts that are not read yet.
+    i64 unread_tokens { 0 };
+    i64 uncopied_tokens { 0 };
+    i64 incoming_tokens { 0 };
+    bool operator==(EngineWork const&) const = default;
+};
+
 /// Work at an engine, as far as this host knows.
 struct EngineLoad {
     /// Generations of this host: their number, the tokens they hold, and those of their prompts still to be read.
@@ -33,6 +45,8 @@
     u32 peer_generations { 0 };
     i64 peer_tokens { 0 };
     i64 peer_unread_tokens { 0 };
+    /// The part of it that hosts of this host's own failure domain have: what its speaker tells other domains.
+    EngineWork domain_peers;
     /// Tokens of generations that have to leave this engine and are not copied yet: what its link still has to carry.
     i64 own_uncopied_tokens { 0 };
     i64 peer_uncopied_tokens { 0 };
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -99,7 +99,8 @@
     [[nodiscard]] bool looks_after(Backend const& backend) const
     {
         auto const& own_address = this->context.settings.peer_address;
-        return this->context.reach.looks_after(own_address, backend.server.id.value(), this->context.now());
+        return this->context.reach.looks_after(
+            own_address, backend.server.id.value(), backend.server.failure_domain, this->context.now());
     }
 
     [[nodiscard]] bool is_near(Backend const& backend) const
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -53,6 +53,7 @@
         if (!chosen)
             return this->refuse("no engine of the service is known to serve");
         this->tried.push_back(chosen->server.id);
+        this->context.placements.note(this->context.now());
         this->log_placement(*chosen);
         auto prompt = this->demand().prompt.value();
         this->claim.emplace(chosen, prompt, prompt);
@@ -68,12 +69,23 @@
             .with("engine_tokens", estimated_tokens(chosen, this->context.now()))
             .with("engine_unread", chosen.engine.unread_tokens())
             .with("report_age_ms", this->report_age(chosen))
+            .with("belief_age_ms", this->belief_age(chosen))
             .with("prompt", this->demand().prompt)
             .with("expected_output", this->need().expected_output)
             .with("revision", this->call.routing->revision())
             .with("left_ms", this->time_left());
     }
 
+    /// How old what hosts of the engine's domain have told can be; those of this domain tell of each placement at once.
+    [[nodiscard]] std::string belief_age(Backend const& engine) const
+    {
+        auto const& domain = engine.server.failure_domain;
+        if (domain == this->context.settings.failure_domain)
+            return "0";
+        auto age = this->context.reach.domain_age(domain, this->context.now());
+        return age == Duration::max() ? "never" : std::to_string(AK::to_milliseconds(age));
+    }
+
     [[nodiscard]] std::string report_age(Backend const& engine) const
     {
         if (!engine.engine.report)
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -10,7 +10,7 @@
 #include <LibServing/BackendList.h>
 #include <LibServing/EngineReporter.h>
 #include <LibServing/HostDirectory.h>
-#include <LibServing/NewsRows.h>
+#include <LibServing/NewsExchange.h>
 #include <LibServing/PeerLink.h>
 #include <LibServing/PlannedStop.h>
 #include <LibServing/RequestDesk.h>
@@ -70,6 +70,9 @@
               this->make_configuration_observer(), this->settings.follower)
         , backend_follower(loop, this->backend_store, std::string(P::backend_table), this->make_backend_observer(),
               this->settings.follower)
+        , news(this->context, this->peers, this->backends,
+              { { std::string(P::configuration_table), &this->configuration_follower },
+                  { std::string(P::backend_table), &this->backend_follower } })
         , signals(loop, SIGTERM, SIGINT, SIGHUP)
         , tick_timer(loop)
     {
@@ -95,8 +98,8 @@
         if (this->settings.metrics_listen)
             this->metrics.emplace(this->loop, this->endpoint(*this->settings.metrics_listen),
                 make_page([this](Http::Request const&) { return this->metrics_answer(); }));
-        this->configuration_follower.set_following(false);
-        this->backend_follower.set_following(false);
+        this->configuration_follower.set_following(Platform::Following::None);
+        this->backend_follower.set_following(Platform::Following::None);
         this->configuration_follower.start();
         this->backend_follower.start();
         this->reporter.start();
@@ -124,9 +127,6 @@
     /// After its start a host first hears from the others which of them follow the platform's tables: two calls of the
     /// platform and a message each way, some ten milliseconds, with room for a slow start.
     static constexpr Duration settling_time = 500ms;
-    /// Larger news are read from the platform. Sent to a relay's receivers, 100 ms of a link of 10 Mbit/s; a
-    /// configuration of 45 routes is 2.2 KB when packed.
-    static constexpr size_t most_news_bytes = 16 << 10;
 
     static Http::tcp::endpoint endpoint(Address const& address)
     {
@@ -199,7 +199,8 @@
                     this->take_configuration(change.row);
             }
         };
-        observer.told = [this](Platform::TableNews const& news) { this->pass_on_news(P::configuration_table, news); };
+        observer.told = [this](Platform::TableNews const& news) { this->news.tell(P::configuration_table, news); };
+        observer.missed = [this](u64 version) { this->news.ask_others(P::configuration_table, version); };
         return observer;
     }
 
@@ -220,7 +221,8 @@
             for (auto const& change : changes)
                 this->take_backend(change);
         };
-        observer.told = [this](Platform::TableNews const& news) { this->pass_on_news(P::backend_table, news); };
+        observer.told = [this](Platform::TableNews const& news) { this->news.tell(P::backend_table, news); };
+        observer.missed = [this](u64 version) { this->news.ask_others(P::backend_table, version); };
         observer.may_retry = [this] { return this->configuration_follower.is_reachable(); };
         return observer;
     }
@@ -233,75 +235,30 @@
         observer.backend_leaves
             = [this](EngineId const& id, std::optional<Instant> ends_at) { this->backends.leaving(id, ends_at); };
         observer.news
-            = [this](wire::PlatformNews const& news, bool is_from_near) { this->hear_news(news, is_from_near); };
-        observer.progress = [this](std::string const& table, u64 last_change) {
-            if (auto* follower = this->follower_of(table))
-                follower->catch_up(last_change);
-        };
-        observer.own_progress = [this] {
-            return std::vector<std::pair<std::string, u64>> {
-                { std::string(P::configuration_table), this->configuration_follower.last_change() },
-                { std::string(P::backend_table), this->backend_follower.last_change() },
-            };
+            = [this](wire::PlatformNews const& news, bool is_from_near) { this->news.hear(news, is_from_near); };
+        observer.progress = [this](std::string const& table, u64 last_change, Address const& host) {
+            this->news.hear_progress(table, last_change, host);
         };
+        observer.news_since
+            = [this](std::string const& table, u64 version) { return this->news.since(table, version); };
+        observer.own_progress = [this] { return this->news.own_progress(); };
         return observer;
     }
 
-    Platform::ChangeFollower<typename P::Store>* follower_of(std::string_view table)
-    {
-        if (table == P::configuration_table)
-            return &this->configuration_follower;
-        return table == P::backend_table ? &this->backend_follower : nullptr;
-    }
-
-    /// One host of the domain passes on what it reads. A further one that reads too is there for when that one fails:
-    /// until it takes over, the others learn from whole messages that they have missed something.
-    void pass_on_news(std::string_view table, Platform::TableNews const& news)
-    {
-        if (!this->context.reach.is_first_reader(this->peers.address(), this->context.now()))
-            return;
-        wire::PlatformNews message;
-        message.set_table(std::string(table));
-        message.set_previous_change(news.previous_change);
-        message.set_version(news.page.version);
-        message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
-        put_rows(message, news.page.changes, most_news_bytes);
-        this->peers.pass_on(std::move(message));
-    }
-
-    void hear_news(wire::PlatformNews const& message, bool is_from_near)
-    {
-        auto* follower = this->follower_of(message.table());
-        if (!follower)
-            return;
-        bool const is_known = message.version() <= follower->version();
-        // What came from another domain is news to this one, unless its own reader has told it already.
-        if (is_from_near || !is_known)
-            this->peers.relay(message, is_from_near);
-        if (is_known)
-            return;
-        auto rows = rows_of(message);
-        if (!rows)
-            this->log.event(Core::EventNumber::PlatformContentRejected, message.table())
-                .with("reason", rows.error().message);
-        if (!message.has_rows() || !rows)
-            return follower->catch_up(message.version());
-        if (message.recovery_left_milliseconds() > 0)
-            this->backends.platform_regained(std::chrono::milliseconds(message.recovery_left_milliseconds()));
-        Platform::TableNews news;
-        news.previous_change = message.previous_change();
-        news.page.version = message.version();
-        news.page.changes = std::move(rows.value());
-        follower->hear(std::move(news));
-    }
-
+    /// Readers of the configuration each follow it promptly: it changes seldom, and a call that is held costs nothing
+    /// more. Backend servers come and go all the time, and each change would end a call of every reader: one host of
+    /// all domains follows them promptly, and the first reader of each other domain stands by.
     void choose_reader()
     {
         auto now = this->context.now();
-        bool const reads
-            = now - this->started_at >= settling_time && this->context.reach.reads_platform(this->peers.address(), now);
-        this->configuration_follower.set_following(reads);
-        this->backend_follower.set_following(reads);
+        auto const& reach = this->context.reach;
+        auto const& own = this->peers.address();
+        bool const reads = now - this->started_at >= settling_time && reach.reads_platform(own, now);
+        auto followed = Platform::Following::None;
+        if (reads && (reach.platform_lost_here() || reach.is_first_reader(own, now)))
+            followed = reach.leads_readers(own, now) ? Platform::Following::Prompt : Platform::Following::Standby;
+        this->configuration_follower.set_following(reads ? Platform::Following::Prompt : Platform::Following::None);
+        this->backend_follower.set_following(followed);
     }
 
     void note_listed(std::string_view table, size_t count, u64 version)
@@ -385,13 +342,26 @@
             this->log.event(Core::EventNumber::LoopStalled, this->settings.host.value()).with("late_ms", lateness);
     }
 
+    void note_silent_domains(std::vector<FailureDomainId> silent)
+    {
+        auto note = [this](auto const& from, auto const& without, Core::EventNumber event) {
+            for (auto const& domain : from) {
+                if (std::ranges::find(without, domain) == without.end())
+                    this->context.log.event(event, domain.value());
+            }
+        };
+        note(silent, this->silent_domains, Core::EventNumber::FailureDomainSilent);
+        note(this->silent_domains, silent, Core::EventNumber::FailureDomainHeard);
+        this->silent_domains = std::move(silent);
+    }
+
     void note_reach()
     {
+        auto now = this->context.now();
+        this->note_silent_domains(this->context.reach.silent_domains(now));
         if (!this->context.routing)
             return;
-        auto now = this->context.now();
-        auto lost = services_out_of_reach(
-            this->context.backends, *this->context.routing, this->context.reach.silent_domains(now), now);
+        auto lost = services_out_of_reach(this->context.backends, *this->context.routing, this->silent_domains, now);
         if (lost == this->out_of_reach)
             return;
         this->out_of_reach = std::move(lost);
@@ -405,6 +375,7 @@
         this->backends.tick();
         this->note_reach();
         this->choose_reader();
+        this->context.budget.set_known_hosts(static_cast<u32>(this->context.reach.known_hosts()) + 1);
         this->context.connections.drop_unusable();
         this->log.flush();
         this->tick_timer.expires_after(tick_period);
@@ -466,6 +437,7 @@
     typename P::Store backend_store;
     Platform::ChangeFollower<typename P::Store> configuration_follower;
     Platform::ChangeFollower<typename P::Store> backend_follower;
+    NewsExchange<typename P::Store> news;
     std::shared_ptr<Http::CallerContext> callers_context;
     std::optional<Http::CallerServer> callers;
     std::optional<Http::CallerServer> readiness;
@@ -476,6 +448,7 @@
     std::optional<PlannedStop> stop;
     bool backends_known { false };
     std::vector<ServiceName> out_of_reach;
+    std::vector<FailureDomainId> silent_domains;
     bool said_ready { false };
 };
 
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -42,6 +42,10 @@
     settings.follower.wait = reader.duration_or("platform.wait", settings.follower.wait);
     settings.follower.answer_patience
         = reader.duration_or("platform.answer_patience", settings.follower.answer_patience);
+    settings.follower.pause_after_changes
+        = reader.duration_or("platform.pause_after_changes", settings.follower.pause_after_changes);
+    settings.follower.standby_period = reader.duration_or("platform.standby_period", settings.follower.standby_period);
+    settings.follower.news_patience = reader.duration_or("platform.news_patience", settings.follower.news_patience);
     auto& budget = settings.retry_budget;
     budget.ratio = number_or(reader, "retries.ratio", budget.ratio);
     budget.allowance = number_or(reader, "retries.allowance", budget.allowance);
--- /dev/null
+++ b/Libraries/LibServing/NewsExchange.h
@@ -0,0 +1,129 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibServing/BackendList.h>
+#include <LibServing/NewsLog.h>
+#include <LibServing/NewsRows.h>
+#include <LibServing/PeerLink.h>
+
+namespace Serving {
+
+/// What hosts tell each other of the platform's tables, so that few of them ask the platform: who reads a change passes
+/// it on, who has missed one asks others for it, and the platform only when they do not answer.
+template<Platform::ChangeSource Store>
+class NewsExchange {
+public:
+    using Follower = Platform::ChangeFollower<Store>;
+    using Followers = std::map<std::string, Follower*, std::less<>>;
+
+    NewsExchange(ServingContext& context, PeerLink& peers, BackendList& backends, Followers followers)
+        : context(context)
+        , peers(peers)
+        , backends(backends)
+        , followers(std::move(followers))
+    {
+    }
+
+    /// This host has read changes of a table. One host of the domain passes them on. A further one that reads too is
+    /// there for when that one fails: until it takes over, the others learn from whole messages that they have missed
+    /// something.
+    void tell(std::string_view table, Platform::TableNews const& news)
+    {
+        wire::PlatformNews message;
+        message.set_table(std::string(table));
+        message.set_previous_change(news.previous_change);
+        message.set_version(news.page.version);
+        message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
+        put_rows(message, news.page.changes, most_news_bytes);
+        this->logs[message.table()].add(message);
+        if (this->context.reach.is_first_reader(this->peers.address(), this->context.now()))
+            this->peers.pass_on(std::move(message));
+    }
+
+    /// Another host has read changes, or passes on those that a third one has read.
+    void hear(wire::PlatformNews const& message, bool is_from_near)
+    {
+        auto* follower = this->follower_of(message.table());
+        if (!follower)
+            return;
+        bool const is_known = message.version() <= follower->version();
+        // What came from another domain is news to this one, unless its own reader has told it already.
+        if (is_from_near || !is_known)
+            this->peers.relay(message, is_from_near);
+        if (is_known)
+            return;
+        auto rows = rows_of(message);
+        if (!rows)
+            this->context.log.event(Core::EventNumber::PlatformContentRejected, message.table())
+                .with("reason", rows.error().message);
+        if (!message.has_rows() || !rows)
+            return follower->catch_up(message.version());
+        if (message.recovery_left_milliseconds() > 0)
+            this->backends.platform_regained(std::chrono::milliseconds(message.recovery_left_milliseconds()));
+        this->logs[message.table()].add(message);
+        Platform::TableNews news;
+        news.previous_change = message.previous_change();
+        news.page.version = message.version();
+        news.page.changes = std::move(rows.value());
+        follower->hear(std::move(news));
+    }
+
+    /// `host` knows a change of this version of a table.
+    void hear_progress(std::string const& table, u64 last_change, Address const& host)
+    {
+        auto* follower = this->follower_of(table);
+        if (!follower || last_change <= follower->version())
+            return;
+        this->last_ahead = host;
+        follower->catch_up(last_change);
+    }
+
+    /// Changes that other hosts know have not come: the one that said so last is asked for them.
+    void ask_others(std::string_view table, u64 version)
+    {
+        if (this->last_ahead)
+            this->peers.fetch_news(*this->last_ahead, std::string(table), version);
+    }
+
+    /// What this host can give to another one that knows a table up to `version`.
+    [[nodiscard]] std::vector<wire::PlatformNews> since(std::string const& table, u64 version) const
+    {
+        auto log = this->logs.find(table);
+        return log == this->logs.end() ? std::vector<wire::PlatformNews>() : log->second.since(version);
+    }
+
+    /// The newest change of each table that this host knows.
+    [[nodiscard]] std::vector<std::pair<std::string, u64>> own_progress() const
+    {
+        std::vector<std::pair<std::string, u64>> progress;
+        for (auto const& [table, follower] : this->followers)
+            progress.emplace_back(table, follower->last_change());
+        return progress;
+    }
+
+private:
+    /// Larger news are read from the platform. Sent to a relay's receivers, 100 ms of a link of 10 Mbit/s; a
+    /// configuration of 45 routes is 2.2 KB when packed.
+    static constexpr size_t most_news_bytes = 16 << 10;
+
+    Follower* follower_of(std::string_view table) const
+    {
+        auto found = this->followers.find(table);
+        return found == this->followers.end() ? nullptr : found->second;
+    }
+
+    ServingContext& context;
+    PeerLink& peers;
+    BackendList& backends;
+    Followers followers;
+    std::map<std::string, NewsLog> logs;
+    /// The host that last knew a change that this one did not.
+    std::optional<Address> last_ahead;
+};
+
+}
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -7,40 +7,49 @@
 #include <LibServing/PeerLink.h>
 #include <LibServing/Relays.h>
 #include <LibServing/Suspicion.h>
-#include <LibWire/AsioWatch.h>
 #include <algorithm>
 
 namespace Serving {
 
 /// Changes of one moment go out together; near hosts know of a placement within this time and their distance.
-static constexpr Duration near_change_delay = 2ms;
-/// Few hosts of other domains are told as fast. Each one more slows that down, so that the bytes stay the same.
+static constexpr Duration change_delay = 2ms;
+/// Other domains are told as fast of the placements of a few hosts. Each one more slows that down, so that the messages
+/// that a host takes in stay the same: 240 ms at 250 far hosts, four messages a second from each domain.
 static constexpr i64 far_hosts_told_at_once = 12;
-static constexpr Duration far_change_delay_for_each_more = 10ms;
-/// A whole message is some hundred bytes to each peer; this keeps all of them near 1.5 KB a second each way.
+static constexpr Duration change_delay_for_each_more = 1ms;
+/// A whole message is some hundred bytes to each near host; this keeps all of them near 1.5 KB a second each way.
 static constexpr Duration period_for_each_peer = 60ms;
 static constexpr Duration shortest_period = 300ms;
-static constexpr Duration longest_near_period = 1s;
-static constexpr Duration longest_far_period = 10s;
+static constexpr Duration longest_period = 1s;
+/// Between whole messages of the first host that speaks for a domain; of the second one twice as long. A domain of
+/// which nothing is heard for a second counts as silent.
+static constexpr Duration digest_period = 500ms;
 /// Hosts that are silent are still called now and then, in case they come back.
 static constexpr u32 rounds_between_calls_to_silent = 4;
 
-/// Hosts that one sends news of the platform to; each of them passes it on to its part of the rest. Two steps reach a
-/// domain of 72 hosts, and no host's link carries more than so many copies.
+/// Hosts that one sends news of the platform or of other domains to; each of them passes them on to its part of the
+/// rest. Two steps reach a domain of 72 hosts, and no host's link carries more than so many copies.
 static constexpr size_t relay_fan_out = 8;
 /// A host that avoids many backend servers at once is most likely cut off or short of its link itself; the others need
 /// not hear of more than these in a second.
 static constexpr u32 most_avoided_told = 8;
 
+static std::vector<Address> addresses_of(google::protobuf::RepeatedPtrField<std::string> const& texts)
+{
+    std::vector<Address> addresses;
+    for (auto const& text : texts)
+        addresses.emplace_back(text);
+    return addresses;
+}
+
 PeerLink::PeerLink(ServingContext& context, Observer observer)
     : context(context)
     , observer(std::move(observer))
-    , events(context.settings.host)
-    , transport(Wire::watch_on(context.loop), this->events, context.metrics, context.settings.peer_listen, {})
-    , near_timer(context.loop)
-    , far_timer(context.loop)
-    , near_change_timer(context.loop)
-    , far_change_timer(context.loop)
+    , transport(context.loop, context.metrics, context.settings.host, context.settings.peer_listen)
+    , whole_timer(context.loop)
+    , digest_timer(context.loop)
+    , change_timer(context.loop)
+    , domain_change_timer(context.loop)
 {
     this->transport.announce_as(context.settings.peer_address);
     this->context.use_changed = [this] { this->tell_changes_soon(); };
@@ -51,15 +60,17 @@
 
 void PeerLink::start()
 {
-    this->schedule_near();
-    this->schedule_far();
+    this->schedule_whole();
+    this->schedule_digest();
 }
 
 void PeerLink::learn(Address const& peer, FailureDomainId const& domain)
 {
-    if (peer == this->address() || !this->peers.insert(peer).second)
+    if (peer == this->address())
         return;
     this->context.reach.learn(peer, domain);
+    if (domain != this->context.settings.failure_domain || !this->peers.insert(peer).second)
+        return;
     this->send_whole(peer, true);
 }
 
@@ -70,8 +81,8 @@
     leaving.set_backend(backend.server.id.value());
     leaving.set_ends_in_milliseconds(
         backend.ends_at ? AK::to_milliseconds(*backend.ends_at - this->context.now()) : -1);
-    this->broadcast(message, true);
-    this->broadcast(message, false);
+    this->broadcast(message);
+    this->send_elsewhere(std::move(message));
 }
 
 void PeerLink::tell_unreachable(Backend const& backend, Duration avoided)
@@ -87,7 +98,7 @@
     auto& unreachable = *message.add_unreachable();
     unreachable.set_backend(backend.server.id.value());
     unreachable.set_avoided_milliseconds(static_cast<u32>(AK::to_milliseconds(avoided)));
-    this->broadcast(message, true);
+    this->broadcast(message);
 }
 
 std::vector<Address> PeerLink::heard_near() const
@@ -95,21 +106,20 @@
     auto now = this->context.now();
     std::vector<Address> heard;
     for (auto const& address : this->peers) {
-        if (this->context.reach.is_near(address) && this->context.reach.is_heard(address, now))
+        if (this->context.reach.is_heard(address, now))
             heard.push_back(address);
     }
     return heard;
 }
 
-void PeerLink::send_through_relays(wire::PlatformNews news, std::vector<Address> const& receivers)
+template<typename Message>
+void PeerLink::send_through_relays(Message message, std::vector<Address> const& receivers)
 {
     for (auto const& part : split_for_relays(receivers, relay_fan_out)) {
-        news.clear_relay_to();
+        message.clear_relay_to();
         for (size_t i = 1; i < part.size(); ++i)
-            news.add_relay_to(part[i].value());
-        wire::Envelope envelope;
-        *envelope.mutable_platform_news() = news;
-        this->transport.send(part.front(), std::move(envelope));
+            message.add_relay_to(part[i].value());
+        this->send(std::span(&part.front(), 1), message);
     }
 }
 
@@ -117,57 +127,80 @@
 {
     news.set_failure_domain(this->context.settings.failure_domain.value());
     this->send_through_relays(news, this->heard_near());
+    this->send(
+        this->context.reach.receivers_elsewhere(++this->messages_elsewhere, this->context.now()), std::move(news));
+}
+
+void PeerLink::fetch_news(Address const& host, std::string const& table, u64 version)
+{
     wire::Envelope envelope;
-    *envelope.mutable_platform_news() = std::move(news);
-    for (auto const& reader : this->context.reach.readers_elsewhere(this->context.now()))
-        this->transport.send(reader, envelope);
+    envelope.mutable_news_fetch()->set_table(table);
+    envelope.mutable_news_fetch()->set_after(version);
+    this->transport.send(host, std::move(envelope));
+}
+
+void PeerLink::answer_fetch(Address const& peer, wire::NewsFetch const& fetch)
+{
+    for (auto& news : this->observer.news_since(fetch.table(), fetch.after())) {
+        news.set_failure_domain(this->context.settings.failure_domain.value());
+        this->send(std::span(&peer, 1), std::move(news));
+    }
 }
 
 void PeerLink::relay(wire::PlatformNews const& news, bool is_from_near)
 {
-    std::vector<Address> receivers;
-    for (auto const& address : news.relay_to())
-        receivers.emplace_back(address);
     auto own = news;
     own.set_failure_domain(this->context.settings.failure_domain.value());
-    this->send_through_relays(std::move(own), is_from_near ? receivers : this->heard_near());
+    this->send_through_relays(std::move(own), is_from_near ? addresses_of(news.relay_to()) : this->heard_near());
+}
+
+Duration PeerLink::period() const
+{
+    auto wanted = static_cast<i64>(this->peers.size()) * period_for_each_peer;
+    return std::clamp<Duration>(wanted, shortest_period, longest_period);
 }
 
-size_t PeerLink::count(bool near) const
+Duration PeerLink::domain_change_delay() const
 {
-    return static_cast<size_t>(std::ranges::count_if(
-        this->peers, [&](Address const& peer) { return this->context.reach.is_near(peer) == near; }));
+    auto more = std::max<i64>(0, static_cast<i64>(this->context.reach.far_hosts()) - far_hosts_told_at_once);
+    return change_delay + more * change_delay_for_each_more;
 }
 
-Duration PeerLink::period(bool near) const
+size_t PeerLink::own_place_among_speakers() const
 {
-    auto wanted = static_cast<i64>(this->count(near)) * period_for_each_peer;
-    return std::clamp<Duration>(wanted, shortest_period, near ? longest_near_period : longest_far_period);
+    return this->context.reach.speakers_before(this->address(), this->context.now());
 }
 
-void PeerLink::schedule_near()
+void PeerLink::schedule_whole()
 {
-    this->near_timer.expires_after(this->period(true));
-    this->near_timer.async_wait([this](boost::system::error_code error) {
+    this->whole_timer.expires_after(this->period());
+    this->whole_timer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
         for (auto const& name : this->use.forget_silent(this->context.backends, this->context.now()))
             this->context.log.event(Core::EventNumber::MemberLost, name.value());
-        this->tell_whole(true);
-        if (++this->near_rounds % rounds_between_calls_to_silent == 0)
+        this->tell_whole();
+        if (++this->rounds % rounds_between_calls_to_silent == 0)
             this->call_silent_peers();
-        this->schedule_near();
+        this->schedule_whole();
     });
 }
 
-void PeerLink::schedule_far()
+void PeerLink::schedule_digest()
 {
-    this->far_timer.expires_after(this->period(false));
-    this->far_timer.async_wait([this](boost::system::error_code error) {
+    this->context.far_belief_age = this->domain_change_delay();
+    auto const place = std::min(this->own_place_among_speakers(), Reach::speakers_of_domain - 1);
+    auto const period = static_cast<i64>(1 + place) * digest_period;
+    this->digest_timer.expires_after(period);
+    this->digest_timer.async_wait([this, period](boost::system::error_code error) {
         if (error)
             return;
-        this->tell_whole(false);
-        this->schedule_far();
+        if (this->own_place_among_speakers() < Reach::speakers_of_domain) {
+            auto message = this->told_elsewhere.whole(this->context.backends);
+            this->complete_whole(message, period);
+            this->send_elsewhere(std::move(message));
+        }
+        this->schedule_digest();
     });
 }
 
@@ -182,35 +215,36 @@
 
 void PeerLink::tell_changes_soon()
 {
-    if (!std::exchange(this->near_changes_wait, true)) {
-        this->near_change_timer.expires_after(near_change_delay);
-        this->near_change_timer.async_wait([this](boost::system::error_code error) {
-            this->near_changes_wait = false;
-            if (!error)
-                this->tell_changes(true);
-        });
-    }
-    if (!std::exchange(this->far_changes_wait, true)) {
-        auto more = std::max<i64>(0, static_cast<i64>(this->count(false)) - far_hosts_told_at_once);
-        this->far_change_timer.expires_after(near_change_delay + more * far_change_delay_for_each_more);
-        this->far_change_timer.async_wait([this](boost::system::error_code error) {
-            this->far_changes_wait = false;
-            if (!error)
-                this->tell_changes(false);
-        });
-    }
+    this->tell_domain_changes_soon();
+    if (std::exchange(this->changes_wait, true))
+        return;
+    this->change_timer.expires_after(change_delay);
+    this->change_timer.async_wait([this](boost::system::error_code error) {
+        this->changes_wait = false;
+        if (error)
+            return;
+        if (auto changes = this->told.changes(this->context.backends))
+            this->broadcast(*changes);
+    });
 }
 
-void PeerLink::tell_changes(bool to_near)
+/// Only the first speaker tells of changes; the second one's whole messages are enough until it takes over.
+void PeerLink::tell_domain_changes_soon()
 {
-    auto& told = to_near ? this->told_near : this->told_far;
-    if (auto changes = told.changes(this->context.backends))
-        this->broadcast(*changes, to_near);
+    if (std::exchange(this->domain_changes_wait, true))
+        return;
+    this->domain_change_timer.expires_after(this->domain_change_delay());
+    this->domain_change_timer.async_wait([this](boost::system::error_code error) {
+        this->domain_changes_wait = false;
+        if (error || this->own_place_among_speakers() > 0)
+            return;
+        if (auto changes = this->told_elsewhere.changes(this->context.backends))
+            this->send_elsewhere(std::move(*changes));
+    });
 }
 
-wire::HostUse PeerLink::whole_message(Duration period)
+void PeerLink::complete_whole(wire::HostUse& message, Duration period)
 {
-    auto message = OwnUse().whole(this->context.backends);
     message.set_failure_domain(this->context.settings.failure_domain.value());
     message.set_period_milliseconds(static_cast<u32>(AK::to_milliseconds(period)));
     message.set_platform_is_lost(this->context.reach.platform_lost_here());
@@ -219,44 +253,58 @@
         progress.set_table(table);
         progress.set_last_change(last_change);
     }
-    return message;
 }
 
-void PeerLink::tell_whole(bool to_near)
+void PeerLink::tell_whole()
 {
-    auto& told = to_near ? this->told_near : this->told_far;
-    (void)told.whole(this->context.backends);
-    this->broadcast(this->whole_message(this->period(to_near)), to_near);
+    auto message = this->told.whole(this->context.backends);
+    this->complete_whole(message, this->period());
+    this->broadcast(message);
 }
 
-void PeerLink::broadcast(wire::HostUse const& message, bool to_near)
+void PeerLink::broadcast(wire::HostUse const& message) { this->send(this->heard_near(), message); }
+
+void PeerLink::send_elsewhere(wire::HostUse message)
 {
-    auto now = this->context.now();
-    for (auto const& address : this->peers) {
-        if (this->context.reach.is_near(address) == to_near && this->context.reach.is_heard(address, now))
-            this->send(address, message);
-    }
+    message.set_failure_domain(this->context.settings.failure_domain.value());
+    message.set_domain_speaker(this->address().value());
+    this->send(
+        this->context.reach.receivers_elsewhere(++this->messages_elsewhere, this->context.now()), std::move(message));
 }
 
 void PeerLink::send_whole(Address const& peer, bool wants_answer)
 {
-    auto message = this->whole_message(this->period(this->context.reach.is_near(peer)));
+    auto message = OwnUse(UseScope::Host).whole(this->context.backends);
+    this->complete_whole(message, this->period());
     message.set_wants_answer(wants_answer);
-    this->send(peer, message);
+    this->send(std::span(&peer, 1), std::move(message));
 }
 
-void PeerLink::send(Address const& peer, wire::HostUse const& message)
+void PeerLink::send(std::span<Address const> peers, wire::HostUse message)
 {
     wire::Envelope envelope;
-    *envelope.mutable_host_use() = message;
-    this->transport.send(peer, std::move(envelope));
+    *envelope.mutable_host_use() = std::move(message);
+    this->transport.send(peers, std::move(envelope));
+}
+
+void PeerLink::send(std::span<Address const> peers, wire::PlatformNews message)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_platform_news() = std::move(message);
+    this->transport.send(peers, std::move(envelope));
 }
 
 void PeerLink::heard(wire::Envelope const& envelope)
 {
     Address const sender(envelope.sender_address());
-    if (envelope.has_host_use())
-        return this->heard_use(sender, envelope.sender(), envelope.host_use());
+    if (envelope.has_host_use()) {
+        auto const& message = envelope.host_use();
+        if (message.domain_speaker().empty())
+            return this->heard_host(sender, envelope.sender(), message);
+        return this->heard_domain(sender, message);
+    }
+    if (envelope.has_news_fetch())
+        return this->answer_fetch(sender, envelope.news_fetch());
     if (!envelope.has_platform_news())
         return;
     auto const& news = envelope.platform_news();
@@ -264,31 +312,67 @@
     this->observer.news(news, FailureDomainId(news.failure_domain()) == this->context.settings.failure_domain);
 }
 
-void PeerLink::heard_use(Address const& sender, std::string const& name, wire::HostUse const& message)
+void PeerLink::heard_host(Address const& sender, std::string const& name, wire::HostUse const& message)
 {
     auto now = this->context.now();
     if (!this->context.reach.is_heard(sender, now))
         this->context.log.event(Core::EventNumber::MemberJoined, name).with("address", sender);
-    this->peers.insert(sender);
     if (message.is_whole()) {
+        FailureDomainId const domain(message.failure_domain());
         auto period = std::chrono::milliseconds(message.period_milliseconds());
-        this->context.reach.heard(
-            sender, { FailureDomainId(message.failure_domain()), period, message.platform_is_lost() }, now);
+        this->context.reach.heard(sender, { domain, period, message.platform_is_lost() }, now);
+        if (domain == this->context.settings.failure_domain)
+            this->peers.insert(sender);
     } else {
         this->context.reach.heard(sender, now);
     }
     this->use.heard(MemberId(name), message, this->context.backends, now);
+    if (message.engines_size() > 0)
+        this->tell_domain_changes_soon();
     take_suspicions(this->context, MemberId(name), message);
+    this->heard_leaving(message);
+    this->heard_progress(sender, message);
+    if (message.wants_answer())
+        this->send_whole(sender, false);
+}
+
+void PeerLink::heard_domain(Address const& sender, wire::HostUse const& message)
+{
+    FailureDomainId const domain(message.failure_domain());
+    if (domain == this->context.settings.failure_domain)
+        return;
+    auto now = this->context.now();
+    Address const speaker(message.domain_speaker());
+    if (message.is_whole()) {
+        auto period = std::chrono::milliseconds(message.period_milliseconds());
+        this->context.reach.heard(speaker, { domain, period, message.platform_is_lost() }, now);
+    } else {
+        this->context.reach.heard(speaker, now);
+    }
+    // What comes from the speaker itself is for all hosts of this domain.
+    bool const is_relayed = sender != speaker;
+    if (is_relayed)
+        this->context.reach.heard(sender, now);
+    this->send_through_relays(message, is_relayed ? addresses_of(message.relay_to()) : this->heard_near());
+    this->use.heard(MemberId(domain.value()), message, this->context.backends, now);
+    this->heard_leaving(message);
+    this->heard_progress(sender, message);
+}
+
+void PeerLink::heard_progress(Address const& sender, wire::HostUse const& message)
+{
+    for (auto const& progress : message.tables())
+        this->observer.progress(progress.table(), progress.last_change(), sender);
+}
+
+void PeerLink::heard_leaving(wire::HostUse const& message)
+{
     for (auto const& leaving : message.leaving()) {
         std::optional<Instant> ends_at;
         if (leaving.ends_in_milliseconds() >= 0)
-            ends_at = now + std::chrono::milliseconds(leaving.ends_in_milliseconds());
+            ends_at = this->context.now() + std::chrono::milliseconds(leaving.ends_in_milliseconds());
         this->observer.backend_leaves(EngineId(leaving.backend()), ends_at);
     }
-    for (auto const& progress : message.tables())
-        this->observer.progress(progress.table(), progress.last_change());
-    if (message.wants_answer())
-        this->send_whole(sender, false);
 }
 
 }
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -6,18 +6,19 @@
 
 #pragma once
 
-#include <LibCore/EventLog.h>
 #include <LibPlatform/ChangeFollower.h>
 #include <LibServing/PeerUse.h>
 #include <LibServing/ServingContext.h>
-#include <LibWire/PeerTransport.h>
+#include <LibWire/DatagramTransport.h>
 #include <set>
 
 namespace Serving {
 
-/// Talk between the entry hosts. A host learns of the others from the platform's table at its start, tells them that it
-/// is there, and they learn of it from that. Hosts of one failure domain tell each other of every placement at once;
-/// those of other domains as often as their number allows.
+/// Talk between the entry hosts. A host learns of the others from the platform's table at its start, tells those of its
+/// failure domain that it is there, and they learn of it from that. Hosts of one domain tell each other of every
+/// placement at once. Between domains the hosts that speak for them tell what all of their hosts have running, and who
+/// hears that passes it on inside its own domain. So what a host sends, and the connections that it keeps, grow with
+/// its domain and with the number of domains, not with the number of hosts.
 class PeerLink {
 public:
     struct Observer {
@@ -25,8 +26,10 @@
         std::function<void(EngineId const&, std::optional<Instant> ends_at)> backend_leaves;
         /// Changes of a table of the platform. `is_from_near`: from this host's own domain.
         std::function<void(wire::PlatformNews const&, bool is_from_near)> news;
-        /// Another host knows a change of this version of a table.
-        std::function<void(std::string const& table, u64 last_change)> progress;
+        /// Another host knows a change of this version of a table; it can be asked for it.
+        std::function<void(std::string const& table, u64 last_change, Address const& host)> progress;
+        /// What is kept of a table's changes after a version.
+        std::function<std::vector<wire::PlatformNews>(std::string const& table, u64 version)> news_since;
         /// How far this host has followed the platform's tables.
         std::function<std::vector<std::pair<std::string, u64>>()> own_progress;
     };
@@ -46,45 +49,56 @@
     /// Passes on changes of a table that this host has read, to the hosts of this domain and to one of each other
     /// domain.
     void pass_on(wire::PlatformNews);
+    /// Asks another host for the changes of a table after this version.
+    void fetch_news(Address const& host, std::string const& table, u64 version);
     /// Passes on changes that another host has read: within this domain to whom that one names, from another domain to
     /// all of this one.
     void relay(wire::PlatformNews const&, bool is_from_near);
 
 private:
-    void schedule_near();
-    void schedule_far();
+    void schedule_whole();
+    void schedule_digest();
     void call_silent_peers();
     void tell_changes_soon();
-    void tell_changes(bool to_near);
-    void tell_whole(bool to_near);
-    [[nodiscard]] wire::HostUse whole_message(Duration period);
-    [[nodiscard]] size_t count(bool near) const;
-    [[nodiscard]] Duration period(bool near) const;
-    void broadcast(wire::HostUse const&, bool to_near);
+    void tell_domain_changes_soon();
+    void tell_whole();
+    void complete_whole(wire::HostUse&, Duration period);
+    [[nodiscard]] size_t own_place_among_speakers() const;
+    [[nodiscard]] Duration period() const;
+    [[nodiscard]] Duration domain_change_delay() const;
+    void broadcast(wire::HostUse const&);
+    void send_elsewhere(wire::HostUse);
     [[nodiscard]] std::vector<Address> heard_near() const;
-    void send_through_relays(wire::PlatformNews, std::vector<Address> const& receivers);
+    template<typename Message>
+    void send_through_relays(Message, std::vector<Address> const& receivers);
     void send_whole(Address const& peer, bool wants_answer);
-    void send(Address const& peer, wire::HostUse const&);
+    void send(std::span<Address const> peers, wire::HostUse);
+    void send(std::span<Address const> peers, wire::PlatformNews);
+    void answer_fetch(Address const& peer, wire::NewsFetch const&);
     void heard(wire::Envelope const&);
-    void heard_use(Address const& sender, std::string const& name, wire::HostUse const&);
+    void heard_host(Address const& sender, std::string const& name, wire::HostUse const&);
+    void heard_domain(Address const& sender, wire::HostUse const&);
+    void heard_progress(Address const& sender, wire::HostUse const&);
+    void heard_leaving(wire::HostUse const&);
 
     ServingContext& context;
     Observer observer;
-    Core::EventLog events;
-    Wire::PeerTransport transport;
-    Http::asio::steady_timer near_timer;
-    Http::asio::steady_timer far_timer;
-    Http::asio::steady_timer near_change_timer;
-    Http::asio::steady_timer far_change_timer;
+    Wire::DatagramTransport transport;
+    Http::asio::steady_timer whole_timer;
+    Http::asio::steady_timer digest_timer;
+    Http::asio::steady_timer change_timer;
+    Http::asio::steady_timer domain_change_timer;
+    /// Of this host's failure domain.
     std::set<Address> peers;
     PeerUse use;
-    OwnUse told_near;
-    OwnUse told_far;
-    u32 near_rounds { 0 };
+    OwnUse told { UseScope::Host };
+    OwnUse told_elsewhere { UseScope::Domain };
+    u32 rounds { 0 };
+    u64 messages_elsewhere { 0 };
     Instant avoided_told_since {};
     u32 avoided_told { 0 };
-    bool near_changes_wait { false };
-    bool far_changes_wait { false };
+    bool changes_wait { false };
+    bool domain_changes_wait { false };
 };
 
 }
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -5,14 +5,22 @@
  */
 
 #include <LibServing/PeerUse.h>
-#include <set>
 
 namespace Serving {
 
 /// Tokens that running generations gain are told with the next whole message, unless they add up to this much.
 static constexpr i64 notable_token_change = 1000;
 
-void PeerUse::add(Backend& backend, Use const& use, int sign)
+static void add_to(EngineWork& work, EngineWork const& use, int sign)
+{
+    work.generations += static_cast<u32>(sign) * use.generations;
+    work.tokens += sign * use.tokens;
+    work.unread_tokens += sign * use.unread_tokens;
+    work.uncopied_tokens += sign * use.uncopied_tokens;
+    work.incoming_tokens += sign * use.incoming_tokens;
+}
+
+void PeerUse::add(Backend& backend, Use const& use, bool is_near, int sign)
 {
     auto& engine = backend.engine;
     engine.peer_generations += static_cast<u32>(sign) * use.generations;
@@ -20,29 +28,41 @@
     engine.peer_unread_tokens += sign * use.unread_tokens;
     engine.peer_uncopied_tokens += sign * use.uncopied_tokens;
     engine.peer_incoming_tokens += sign * use.incoming_tokens;
+    if (is_near)
+        add_to(engine.domain_peers, use, sign);
 }
 
-void PeerUse::replace(std::map<EngineId, Use>& engines, EngineId const& id, Use const& use, BackendTable& table)
+void PeerUse::replace(Host& host, EngineId const& id, Use const& use, BackendTable& table)
 {
-    auto& known = engines[id];
+    auto& known = host.engines[id];
     if (auto backend = table.find_running(id)) {
-        add(*backend, known, -1);
-        add(*backend, use, 1);
+        add(*backend, known, host.is_near, -1);
+        add(*backend, use, host.is_near, 1);
     }
     known = use;
     if (use == Use {})
-        engines.erase(id);
+        host.engines.erase(id);
+}
+
+void PeerUse::forget_all_but(Host& host, std::set<EngineId> const& named, BackendTable& table)
+{
+    auto engines = host.engines;
+    for (auto const& [id, use] : engines) {
+        if (!named.contains(id))
+            replace(host, id, {}, table);
+    }
 }
 
 void PeerUse::heard(MemberId const& name, wire::HostUse const& message, BackendTable& table, Instant now)
 {
     auto& host = this->hosts[name];
     host.heard_at = now;
+    host.is_near = message.domain_speaker().empty();
     std::set<EngineId> named;
     for (auto const& engine : message.engines()) {
         EngineId const id(engine.engine());
         named.insert(id);
-        replace(host.engines, id,
+        replace(host, id,
             { engine.generations(), engine.tokens(), engine.unread_tokens(), engine.uncopied_tokens(),
                 engine.incoming_tokens() },
             table);
@@ -51,11 +71,7 @@
         return;
     host.silence_limit
         = std::max<Duration>(shortest_silence, 3 * std::chrono::milliseconds(message.period_milliseconds()));
-    auto engines = host.engines;
-    for (auto const& [id, use] : engines) {
-        if (!named.contains(id))
-            replace(host.engines, id, {}, table);
-    }
+    forget_all_but(host, named, table);
 }
 
 std::vector<MemberId> PeerUse::forget_silent(BackendTable& table, Instant now)
@@ -64,9 +80,7 @@
     for (auto& [name, host] : this->hosts) {
         if (now - host.heard_at <= host.silence_limit)
             continue;
-        auto engines = host.engines;
-        for (auto const& [id, use] : engines)
-            replace(host.engines, id, {}, table);
+        forget_all_but(host, {}, table);
         forgotten.push_back(name);
     }
     for (auto const& name : forgotten)
@@ -79,15 +93,18 @@
     for (auto const& [name, host] : this->hosts) {
         auto found = host.engines.find(backend.server.id);
         if (found != host.engines.end())
-            add(backend, found->second, 1);
+            add(backend, found->second, host.is_near, 1);
     }
 }
 
-PeerUse::Use OwnUse::use_of(Backend const& backend)
+PeerUse::Use OwnUse::use_of(Backend const& backend) const
 {
     auto const& engine = backend.engine;
-    return { engine.own_generations, engine.own_tokens + engine.expected_copy_tokens, engine.own_unread_tokens,
-        engine.own_uncopied_tokens, engine.own_incoming_tokens };
+    PeerUse::Use use { engine.own_generations, engine.own_tokens + engine.expected_copy_tokens,
+        engine.own_unread_tokens, engine.own_uncopied_tokens, engine.own_incoming_tokens };
+    if (this->scope == UseScope::Domain)
+        add_to(use, engine.domain_peers, 1);
+    return use;
 }
 
 void OwnUse::append(wire::HostUse& message, EngineId const& id, PeerUse::Use const& use)
--- a/Libraries/LibServing/PeerUse.h
+++ b/Libraries/LibServing/PeerUse.h
@@ -9,6 +9,7 @@
 #include <LibServing/BackendTable.h>
 #include <LibWire/Messages.h>
 #include <map>
+#include <set>
 
 namespace Serving {
 
@@ -20,16 +21,10 @@
     /// taken to be gone or cut off, and what it said is forgotten.
     static constexpr Duration shortest_silence = 3s;
 
-    struct Use {
-        u32 generations { 0 };
-        i64 tokens { 0 };
-        i64 unread_tokens { 0 };
-        i64 uncopied_tokens { 0 };
-        i64 incoming_tokens { 0 };
-        bool operator==(Use const&) const = default;
-    };
+    using Use = EngineWork;
 
-    /// Takes in what `host` says, and adds the difference to the engines in the table.
+    /// Takes in what `host` says, and adds the difference to the engines in the table. What is said of a whole failure
+    /// domain is kept under the domain's name, whichever of its hosts says it.
     void heard(MemberId const& host, wire::HostUse const&, BackendTable&, Instant now);
     /// Forgets hosts that have been silent for too long. Answers their names.
     std::vector<MemberId> forget_silent(BackendTable&, Instant now);
@@ -41,27 +36,43 @@
     struct Host {
         Instant heard_at {};
         Duration silence_limit { shortest_silence };
+        /// One host of this failure domain; else all hosts of another one together.
+        bool is_near { true };
         std::map<EngineId, Use> engines;
     };
 
-    static void replace(std::map<EngineId, Use>& engines, EngineId const&, Use const&, BackendTable&);
-    static void add(Backend&, Use const&, int sign);
+    static void replace(Host&, EngineId const&, Use const&, BackendTable&);
+    static void forget_all_but(Host&, std::set<EngineId> const& named, BackendTable&);
+    static void add(Backend&, Use const&, bool is_near, int sign);
 
     std::map<MemberId, Host> hosts;
 };
 
-/// What this host has running, for the others. With `previous`, only what has changed since; `previous` is brought up
-/// to date.
+/// Whose use of engines is told.
+enum class UseScope : u8 {
+    /// This host's, to those of its failure domain.
+    Host,
+    /// That of all hosts of this failure domain, to other domains.
+    Domain,
+};
+
+/// What this host or its failure domain has running, for others: as a whole, or what has changed since it was told.
 class OwnUse {
 public:
+    explicit OwnUse(UseScope scope = UseScope::Host)
+        : scope(scope)
+    {
+    }
+
     [[nodiscard]] wire::HostUse whole(BackendTable const&);
     /// Empty when nothing worth telling has changed.
     [[nodiscard]] std::optional<wire::HostUse> changes(BackendTable const&);
 
 private:
-    static PeerUse::Use use_of(Backend const&);
+    [[nodiscard]] PeerUse::Use use_of(Backend const&) const;
     static void append(wire::HostUse&, EngineId const&, PeerUse::Use const&);
 
+    UseScope scope;
     std::map<EngineId, PeerUse::Use> told;
 };
 
--- a/Libraries/LibServing/Reach.cpp
+++ b/Libraries/LibServing/Reach.cpp
@@ -11,17 +11,34 @@
 
 namespace Serving {
 
-/// Names the order in which the hosts of a domain are asked to read the platform.
-static constexpr auto reading_duty = "platform";
+/// Names the order in which the hosts of a domain are asked to read the platform, and to speak for the domain.
+static constexpr std::string_view reading_duty = "platform";
 
-static u64 rank(Address const& host, std::string_view subject)
+static u64 hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+/// Of one host for one subject. Hashed once each, since a host asks this for each engine and each host of its domain
+/// several times a second.
+static u64 rank(u64 host_hash, u64 subject_hash)
 {
-    auto text = host.value() + '/';
-    text += subject;
-    return XXH3_64bits(text.data(), text.size());
+    return XXH3_64bits_withSeed(&host_hash, sizeof host_hash, subject_hash);
 }
 
-void Reach::heard(Address const& host, Said const& said, Instant now) { this->hosts[host] = { said, now }; }
+static u64 rank(Address const& host, u64 subject_hash) { return rank(hash_of(host.value()), subject_hash); }
+
+Reach::Host& Reach::entry_of(Address const& host)
+{
+    auto [entry, is_new] = this->hosts.try_emplace(host);
+    if (is_new)
+        entry->second.hash = hash_of(host.value());
+    return entry->second;
+}
+
+void Reach::heard(Address const& host, Said const& said, Instant now)
+{
+    auto& entry = this->entry_of(host);
+    entry.said = said;
+    entry.heard_at = now;
+}
 
 void Reach::heard(Address const& host, Instant now)
 {
@@ -32,7 +49,8 @@
 
 void Reach::learn(Address const& host, FailureDomainId const& domain)
 {
-    this->hosts.try_emplace(host, Host { { domain }, {} });
+    if (!this->hosts.contains(host))
+        this->entry_of(host).said.domain = domain;
 }
 
 bool Reach::is_near(Address const& host) const
@@ -47,23 +65,35 @@
     return known != this->hosts.end() && !is_silent(known->second, now);
 }
 
-std::vector<Address> Reach::able_readers(FailureDomainId const& domain, Instant now) const
+bool Reach::is_able_reader(Host const& host, Instant now) const
 {
-    std::vector<Address> able;
-    for (auto const& [address, host] : this->hosts) {
-        if (host.said.domain == domain && !is_silent(host, now) && !host.said.platform_is_lost)
-            able.push_back(address);
-    }
-    std::ranges::sort(able, std::ranges::greater {}, [](Address const& host) { return rank(host, reading_duty); });
-    return able;
+    return host.said.domain == this->own_domain && !is_silent(host, now) && !host.said.platform_is_lost;
+}
+
+size_t Reach::able_readers(Instant now) const
+{
+    return static_cast<size_t>(
+        std::ranges::count_if(this->hosts, [&](auto const& entry) { return this->is_able_reader(entry.second, now); }));
 }
 
 size_t Reach::able_readers_before(Address const& own_address, Instant now) const
 {
-    auto able = this->able_readers(this->own_domain, now);
-    auto before = std::ranges::count_if(
-        able, [&](Address const& host) { return rank(host, reading_duty) > rank(own_address, reading_duty); });
-    return static_cast<size_t>(before);
+    auto const duty = hash_of(reading_duty);
+    auto const own_rank = rank(own_address, duty);
+    return static_cast<size_t>(std::ranges::count_if(this->hosts, [&](auto const& entry) {
+        return this->is_able_reader(entry.second, now) && rank(entry.second.hash, duty) > own_rank;
+    }));
+}
+
+size_t Reach::speakers_before(Address const& own_address, Instant now) const
+{
+    auto const duty = hash_of(reading_duty);
+    auto const own = std::pair(!this->platform_lost, rank(own_address, duty));
+    return static_cast<size_t>(std::ranges::count_if(this->hosts, [&](auto const& entry) {
+        auto const& host = entry.second;
+        return host.said.domain == this->own_domain && !is_silent(host, now)
+            && std::pair(!host.said.platform_is_lost, rank(host.hash, duty)) > own;
+    }));
 }
 
 bool Reach::is_first_reader(Address const& own_address, Instant now) const
@@ -71,6 +101,16 @@
     return this->able_readers_before(own_address, now) == 0;
 }
 
+bool Reach::leads_readers(Address const& own_address, Instant now) const
+{
+    if (this->platform_lost || !this->is_first_reader(own_address, now))
+        return false;
+    return std::ranges::none_of(this->hosts, [&](auto const& entry) {
+        auto const& host = entry.second;
+        return host.said.domain < this->own_domain && !is_silent(host, now) && !host.said.platform_is_lost;
+    });
+}
+
 bool Reach::reads_platform(Address const& own_address, Instant now) const
 {
     // A host that the platform does not answer goes on asking, to hear when it is back.
@@ -79,24 +119,78 @@
     bool const has_other_domains = std::ranges::any_of(this->hosts, [&](auto const& entry) {
         return entry.second.said.domain != this->own_domain && !is_silent(entry.second, now);
     });
-    bool const needs_one = has_other_domains && this->able_readers(this->own_domain, now).size() + 1 < large_domain;
+    bool const needs_one = has_other_domains && this->able_readers(now) + 1 < large_domain;
     return this->able_readers_before(own_address, now) < (needs_one ? 1 : readers_of_large_domain);
 }
 
-std::vector<Address> Reach::readers_elsewhere(Instant now) const
+std::vector<FailureDomainId> Reach::other_domains() const
 {
     std::set<FailureDomainId> domains;
     for (auto const& [address, host] : this->hosts) {
         if (host.said.domain != this->own_domain)
             domains.insert(host.said.domain);
     }
-    std::vector<Address> readers;
-    for (auto const& domain : domains) {
-        auto able = this->able_readers(domain, now);
-        if (!able.empty())
-            readers.push_back(able.front());
+    return { domains.begin(), domains.end() };
+}
+
+std::vector<Address> Reach::receivers_in(FailureDomainId const& domain, u64 draw, Instant now) const
+{
+    Host const* latest = nullptr;
+    Address receiver;
+    std::vector<std::pair<u64, Address>> drawn;
+    for (auto const& [address, host] : this->hosts) {
+        if (host.said.domain != domain)
+            continue;
+        drawn.emplace_back(rank(host.hash, draw), address);
+        // One that the platform does not answer cannot tell its domain what it has missed.
+        bool const is_better = !latest
+            || std::pair(!host.said.platform_is_lost, host.heard_at)
+                > std::pair(!latest->said.platform_is_lost, latest->heard_at);
+        if (is_silent(host, now) || !is_better)
+            continue;
+        latest = &host;
+        receiver = address;
+    }
+    if (latest)
+        return { receiver };
+    auto const count = std::min(drawn.size(), tried_in_silent_domain);
+    std::ranges::partial_sort(drawn, drawn.begin() + static_cast<std::ptrdiff_t>(count));
+    std::vector<Address> tried;
+    tried.reserve(count);
+    for (size_t i = 0; i < count; ++i)
+        tried.push_back(drawn[i].second);
+    return tried;
+}
+
+std::vector<Address> Reach::receivers_elsewhere(u64 draw, Instant now) const
+{
+    std::vector<Address> receivers;
+    for (auto const& domain : this->other_domains())
+        std::ranges::copy(this->receivers_in(domain, draw, now), std::back_inserter(receivers));
+    return receivers;
+}
+
+size_t Reach::far_hosts() const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        this->hosts, [&](auto const& entry) { return entry.second.said.domain != this->own_domain; }));
+}
+
+size_t Reach::hosts_heard_near(Instant now) const
+{
+    return static_cast<size_t>(std::ranges::count_if(this->hosts, [&](auto const& entry) {
+        return entry.second.said.domain == this->own_domain && !is_silent(entry.second, now);
+    }));
+}
+
+Duration Reach::domain_age(FailureDomainId const& domain, Instant now) const
+{
+    Instant heard_at {};
+    for (auto const& [address, host] : this->hosts) {
+        if (host.said.domain == domain)
+            heard_at = std::max(heard_at, host.heard_at);
     }
-    return readers;
+    return heard_at == Instant {} ? Duration::max() : now - heard_at;
 }
 
 bool Reach::is_cut_off(Instant now) const
@@ -109,11 +203,17 @@
         && std::ranges::all_of(this->hosts, [&](auto const& entry) { return is_silent(entry.second, now); });
 }
 
-bool Reach::looks_after(Address const& own_address, std::string_view subject, Instant now) const
+bool Reach::looks_after(
+    Address const& own_address, std::string_view subject, FailureDomainId const& domain, Instant now) const
 {
-    auto own_rank = rank(own_address, subject);
-    return std::ranges::none_of(this->hosts,
-        [&](auto const& entry) { return !is_silent(entry.second, now) && rank(entry.first, subject) > own_rank; });
+    auto const subject_hash = hash_of(subject);
+    auto precedence = [&](FailureDomainId const& of, u64 host_hash) {
+        return std::pair(of == domain, rank(host_hash, subject_hash));
+    };
+    auto const own = precedence(this->own_domain, hash_of(own_address.value()));
+    return std::ranges::none_of(this->hosts, [&](auto const& entry) {
+        return !is_silent(entry.second, now) && precedence(entry.second.said.domain, entry.second.hash) > own;
+    });
 }
 
 std::vector<FailureDomainId> Reach::silent_domains(Instant now) const
@@ -125,7 +225,7 @@
     };
     std::map<FailureDomainId, Domain> domains;
     for (auto const& [address, host] : this->hosts) {
-        if (host.said.domain == this->own_domain || is_forgotten(host, now))
+        if (is_forgotten(host, now) || host.said.domain == this->own_domain)
             continue;
         auto& domain = domains[host.said.domain];
         domain.heard_at = std::max(domain.heard_at, host.heard_at);
--- a/Libraries/LibServing/Reach.h
+++ b/Libraries/LibServing/Reach.h
@@ -12,7 +12,8 @@
 
 namespace Serving {
 
-/// What this host can tell of partitions from who has been heard of lately.
+/// Who speaks for a failure domain, who reads the platform, and what can be told of partitions, from who has been heard
+/// of lately. Hosts of one domain hear each other; of other domains only those are heard that speak for them.
 class Reach {
 public:
     explicit Reach(FailureDomainId own_domain)
@@ -20,6 +21,13 @@
     {
     }
 
+    /// Hosts of a domain that tell other domains what its hosts have running: a second one is there for when the first
+    /// one falls silent, so that the domain is not taken to be cut off.
+    static constexpr size_t speakers_of_domain = 2;
+    /// Hosts of a domain that has not been heard lately to which something is sent at a time, in the hope that one
+    /// lives.
+    static constexpr size_t tried_in_silent_domain = 2;
+
     /// What a host says of itself in a whole message.
     struct Said {
         FailureDomainId domain;
@@ -42,13 +50,34 @@
     [[nodiscard]] bool reads_platform(Address const& own_address, Instant now) const;
     /// Whether this host is the one of its domain that passes on what it reads.
     [[nodiscard]] bool is_first_reader(Address const& own_address, Instant now) const;
-    /// A host of each other domain that reads the platform for it.
-    [[nodiscard]] std::vector<Address> readers_elsewhere(Instant now) const;
+    /// How many hosts of its domain come before this one in speaking for it; those that the platform answers come
+    /// first.
+    [[nodiscard]] size_t speakers_before(Address const& own_address, Instant now) const;
+    [[nodiscard]] bool is_speaker(Address const& own_address, Instant now) const
+    {
+        return this->speakers_before(own_address, now) < speakers_of_domain;
+    }
+    /// Whether this host is the one of all domains that are heard which is to know changes of the platform first; it
+    /// tells the others.
+    [[nodiscard]] bool leads_readers(Address const& own_address, Instant now) const;
+    /// For each other domain the host that was last heard to speak for it; some of its hosts, drawn anew by each
+    /// `draw`, where none was heard lately.
+    [[nodiscard]] std::vector<Address> receivers_elsewhere(u64 draw, Instant now) const;
+    /// Hosts of other domains that are known, whether they live or not.
+    [[nodiscard]] size_t far_hosts() const;
+    /// Other hosts of this domain.
+    [[nodiscard]] size_t hosts_heard_near(Instant now) const;
+    /// All other hosts, whether they live or not.
+    [[nodiscard]] size_t known_hosts() const { return this->hosts.size(); }
+    /// How long ago a domain was last heard; the longest time for one that never was.
+    [[nodiscard]] Duration domain_age(FailureDomainId const& domain, Instant now) const;
     /// Whether news of backend servers may not come: the platform does not answer, or all other hosts are silent.
     [[nodiscard]] bool is_cut_off(Instant now) const;
-    /// Whether this host is the one among those that it hears which looks after `subject`. Hosts that hear the same
-    /// others agree on it (rendezvous hashing).
-    [[nodiscard]] bool looks_after(Address const& own_address, std::string_view subject, Instant now) const;
+    /// Whether this host is the one among those that it hears which looks after `subject`, something that is in
+    /// `domain`. Hosts of that domain go before all others. Hosts that hear the same others agree on it (rendezvous
+    /// hashing).
+    [[nodiscard]] bool looks_after(
+        Address const& own_address, std::string_view subject, FailureDomainId const& domain, Instant now) const;
     /// Other domains all of whose hosts have fallen silent.
     [[nodiscard]] std::vector<FailureDomainId> silent_domains(Instant now) const;
 
@@ -68,6 +97,8 @@
     struct Host {
         Said said;
         Instant heard_at {};
+        /// Of its address; with that of a subject it gives the host's rank for the subject.
+        u64 hash { 0 };
     };
     [[nodiscard]] static bool is_silent(Host const& host, Instant now)
     {
@@ -75,11 +106,15 @@
     }
     [[nodiscard]] static bool is_forgotten(Host const& host, Instant now)
     {
-        return now - host.heard_at > forgotten_after;
+        return host.heard_at == Instant {} || now - host.heard_at > forgotten_after;
     }
+    Host& entry_of(Address const& host);
+    [[nodiscard]] bool is_able_reader(Host const& host, Instant now) const;
     /// Hosts of this domain that the platform answers and that come before this one in the order of readers.
     [[nodiscard]] size_t able_readers_before(Address const& own_address, Instant now) const;
-    [[nodiscard]] std::vector<Address> able_readers(FailureDomainId const& domain, Instant now) const;
+    [[nodiscard]] size_t able_readers(Instant now) const;
+    [[nodiscard]] std::vector<FailureDomainId> other_domains() const;
+    [[nodiscard]] std::vector<Address> receivers_in(FailureDomainId const& domain, u64 draw, Instant now) const;
 
     FailureDomainId own_domain;
     std::map<Address, Host> hosts;
--- a/Libraries/LibServing/RetryBudget.cpp
+++ b/Libraries/LibServing/RetryBudget.cpp
@@ -13,7 +13,10 @@
 /// length sees more than the whole.
 static constexpr double burst_share = 0.5;
 
-double RetryBudget::allowance_of_this_host() const { return this->limits.allowance / std::max(1U, this->limits.hosts); }
+double RetryBudget::allowance_of_this_host() const
+{
+    return this->limits.allowance / std::max({ 1U, this->limits.hosts, this->known_hosts });
+}
 
 RetryBudget::Account& RetryBudget::refilled(ServiceName const& service, Instant now)
 {
@@ -30,8 +33,9 @@
 void RetryBudget::note_request(ServiceName const& service, Instant now)
 {
     auto& account = this->refilled(service, now);
-    // What requests have earned may not pile up beyond what a window could earn at the usual pace.
-    auto most = this->allowance_of_this_host() * (burst_share + 1);
+    // What requests have earned may not pile up beyond what a window could earn at the usual pace; but it adds up to
+    // one dispatch, however small a part of the allowance each of many hosts has.
+    auto most = std::max(1.0, this->allowance_of_this_host() * (burst_share + 1));
     account.available = std::min(account.available + this->limits.ratio, std::max(most, account.available));
 }
 
--- a/Libraries/LibServing/RetryBudget.h
+++ b/Libraries/LibServing/RetryBudget.h
@@ -22,7 +22,7 @@
         /// Further dispatches in a window on top, for all hosts together.
         double allowance { 50 };
         Duration window { 10s };
-        /// Hosts that share the allowance.
+        /// Hosts that share the allowance, at least.
         u32 hosts { 8 };
     };
 
@@ -33,6 +33,8 @@
 
     /// Takes effect with the next request; what has been earned is kept.
     void set_limits(Limits changed) { this->limits = changed; }
+    /// Hosts that are known to share the allowance; the setting holds until more are known.
+    void set_known_hosts(u32 count) { this->known_hosts = count; }
     /// A request has come; it earns its share of a further dispatch.
     void note_request(ServiceName const&, Instant now);
     /// Takes one further dispatch out of the budget; false when there is none left.
@@ -47,6 +49,7 @@
     [[nodiscard]] double allowance_of_this_host() const;
 
     Limits limits;
+    u32 known_hosts { 0 };
     std::unordered_map<ServiceName, Account> accounts;
 };
 
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -11,6 +11,7 @@
 #include <LibHttp/ConnectionPool.h>
 #include <LibServing/BackendChooser.h>
 #include <LibServing/HostSettings.h>
+#include <LibServing/PlacementPace.h>
 #include <LibServing/Reach.h>
 #include <LibServing/RetryBudget.h>
 #include <LibServing/RoutingTable.h>
@@ -38,6 +39,9 @@
     BackendTable backends;
     RetryBudget budget;
     Reach reach;
+    PlacementPace placements;
+    /// How old what is believed of other domains may be while their hosts are heard.
+    Duration far_belief_age { 0 };
     boost::random::mt19937 random;
     /// Null until a configuration is known.
     std::shared_ptr<RoutingTable const> routing;
@@ -52,8 +56,10 @@
     [[nodiscard]] Instant now() const { return this->clock(); }
     [[nodiscard]] ChoiceInputs choice_inputs(double other_domain_cost) const
     {
-        return { this->settings.failure_domain, this->reach.silent_domains(this->now()), this->now(),
-            other_domain_cost };
+        auto now = this->now();
+        auto const& own_domain = this->settings.failure_domain;
+        return { own_domain, this->reach.silent_domains(now), now, other_domain_cost, {}, own_domain,
+            this->placements.unseen(now, this->reach.hosts_heard_near(now) + 1, this->far_belief_age) };
     }
 };
 
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: BSD-2-Clause
-# BUILD_DIRECTORY RUN_DIRECTORY [--quick | capacity]
+# BUILD_DIRECTORY RUN_DIRECTORY [--quick | capacity | hosts]
 set -euo pipefail
 build_directory=$1
 run_directory=$2
@@ -8,6 +8,9 @@
 if [[ ${1:-} == capacity ]]; then
     exec Meta/capacity.sh "$build_directory" "$run_directory"
 fi
+if [[ ${1:-} == hosts ]]; then
+    exec "$build_directory/Utilities/hostbench"
+fi
 output=$run_directory/bench
 mkdir -p "$output"
 "$build_directory/Utilities/policybench" --output="$output" "$@"
--- a/Meta/lilactiller.sh
+++ b/Meta/lilactiller.sh
@@ -16,6 +16,7 @@
   test               build and run all tests
   bench [--quick]    build and measure the decisions; writes Run/bench
   bench capacity     build and measure the slopes behind docs/CAPACITY.md
+  bench hosts        build and measure what an entry host computes, by the number of hosts and engines
   drill [SEED]       build and run the fleet under load and faults, then check the history of the run
   soak [--seeds N] [--first N] [--jobs N]
                      build, run HostServers under load and faults drawn from seeds, and check the promises meanwhile
@@ -28,7 +29,7 @@
 packages=(g++ cmake ninja-build ccache mold pkg-config git curl libpoco-dev libzmq3-dev cppzmq-dev libprotobuf-dev
     protobuf-compiler libgrpc++-dev libgrpc-dev protobuf-compiler-grpc libboost1.81-dev libgflags-dev
     libgoogle-glog-dev libyaml-cpp-dev librapidcheck-dev catch2 libxxhash-dev libssl-dev clang-format clang-tidy
-    cppcheck gnuplot-nox openssl)
+    cppcheck gnuplot-nox openssl libbenchmark-dev)
 
 setup() {
     local missing=() package
--- a/Tests/LibPlatform/TestChangeFollower.cpp
+++ b/Tests/LibPlatform/TestChangeFollower.cpp
@@ -163,7 +163,7 @@
     }
     GIVEN("a platform that was empty when it was read, and a follower that hears changes from elsewhere")
     {
-        follower.set_following(false);
+        follower.set_following(Following::None);
         source.answer_list(RowPage { {}, false, 0 });
         seen.clear();
         THEN("news are taken")
@@ -179,7 +179,7 @@
     }
     GIVEN("a follower that hears changes from elsewhere")
     {
-        follower.set_following(false);
+        follower.set_following(Following::None);
         source.answer_list(RowPage { { { "a", "1", 3 } }, false, 10 });
         CHECK(source.calls.empty());
         seen.clear();
@@ -222,9 +222,152 @@
         }
         WHEN("it is to follow by itself")
         {
-            follower.set_following(true);
+            follower.set_following(Following::Prompt);
             REQUIRE(source.calls.size() == 1);
             CHECK(source.calls.front().wait > 0s);
         }
     }
 }
+
+/// A follower that has read its table, with its source.
+struct ReadFollower {
+    explicit ReadFollower(FollowerTiming timing, Following following)
+        : follower(this->loop, this->source, "servers", this->make_observer(), timing)
+    {
+        this->follower.set_following(following);
+        this->follower.start();
+        this->source.answer_list(RowPage { { { "a", "1", 3 } }, false, 10 });
+    }
+
+    FollowerObserver make_observer()
+    {
+        FollowerObserver observer;
+        observer.listed = [](std::vector<Row> const&, u64) {};
+        observer.changed = [this](std::vector<RowChange> const& changes, u64) {
+            for (auto const& one : changes)
+                this->seen.push_back(one.row.key);
+        };
+        observer.lost = [](Error const&) {};
+        observer.regained = [] {};
+        return observer;
+    }
+
+    /// Lets the loop run for this long, which is long after all of the timing's spans.
+    void pass(Duration duration)
+    {
+        bool time_has_passed = false;
+        boost::asio::steady_timer timer(this->loop, duration);
+        timer.async_wait([&](boost::system::error_code) { time_has_passed = true; });
+        ::Test::run_until(this->loop, [&] { return time_has_passed; });
+    }
+
+    boost::asio::io_context loop;
+    HandSource source;
+    std::vector<std::string> seen;
+    ChangeFollower<HandSource> follower;
+};
+
+SCENARIO("each call to the platform has its price, so few ask it")
+{
+    FollowerTiming timing;
+    timing.pause_after_changes = 5ms;
+    timing.standby_period = 5ms;
+    GIVEN("a follower that follows promptly")
+    {
+        ReadFollower prompt(timing, Following::Prompt);
+        REQUIRE(prompt.source.calls.size() == 1);
+        CHECK(prompt.source.calls.front().wait == timing.wait);
+        WHEN("a change comes")
+        {
+            prompt.source.answer(ChangePage { { change("b", 12) }, 12 });
+            THEN("those that come with it are waited for before the next call")
+            {
+                CHECK(prompt.source.calls.empty());
+                ::Test::run_until(prompt.loop, [&] { return !prompt.source.calls.empty(); });
+                CHECK(prompt.source.calls.front().after == 12);
+                CHECK(prompt.source.calls.front().wait == timing.wait);
+            }
+            AND_WHEN("it need not follow any more")
+            {
+                prompt.follower.set_following(Following::None);
+                prompt.pass(10 * timing.pause_after_changes);
+                CHECK(prompt.source.calls.empty());
+            }
+        }
+        WHEN("nothing has changed")
+        {
+            prompt.source.answer(ChangePage { {}, 12 });
+            THEN("it asks on at once") { CHECK(prompt.source.calls.size() == 1); }
+        }
+    }
+    GIVEN("a follower that stands by")
+    {
+        ReadFollower standby(timing, Following::Standby);
+        CHECK(standby.source.calls.empty());
+        ::Test::run_until(standby.loop, [&] { return !standby.source.calls.empty(); });
+        THEN("its calls are not held, and come now and then")
+        {
+            CHECK(standby.source.calls.front().wait == 0s);
+            standby.source.answer(ChangePage { { change("b", 12) }, 12 });
+            CHECK(standby.seen == std::vector<std::string> { "b" });
+            CHECK(standby.source.calls.empty());
+            ::Test::run_until(standby.loop, [&] { return !standby.source.calls.empty(); });
+        }
+        WHEN("who followed promptly has failed")
+        {
+            standby.source.answer(ChangePage { {}, 12 });
+            standby.follower.set_following(Following::Prompt);
+            THEN("it follows at once") { CHECK(standby.source.calls.front().wait == timing.wait); }
+        }
+    }
+}
+
+SCENARIO("changes that others know are awaited from them for a while")
+{
+    FollowerTiming timing;
+    timing.news_patience = 5ms;
+    ReadFollower patient(timing, Following::None);
+    WHEN("news overtake those before them")
+    {
+        patient.follower.hear({ 12, { { change("c", 14) }, 14 } });
+        CHECK(patient.seen.empty());
+        AND_WHEN("those come")
+        {
+            patient.follower.hear({ 3, { { change("b", 12) }, 12 } });
+            THEN("both are taken in their order, and the platform is left alone")
+            {
+                CHECK(patient.seen == std::vector<std::string> { "b", "c" });
+                patient.pass(10 * timing.news_patience);
+                CHECK(patient.source.calls.empty());
+            }
+        }
+        AND_WHEN("those are lost")
+        {
+            ::Test::run_until(patient.loop, [&] { return !patient.source.calls.empty(); });
+            THEN("the platform is asked for all of them, once")
+            {
+                CHECK(patient.source.calls.front().after == 10);
+                patient.source.answer(ChangePage { { change("b", 12), change("c", 14) }, 14 });
+                CHECK(patient.seen == std::vector<std::string> { "b", "c" });
+                patient.pass(10 * timing.news_patience);
+                CHECK(patient.source.calls.empty());
+            }
+        }
+    }
+    WHEN("another host knows a later change")
+    {
+        patient.follower.catch_up(12);
+        CHECK(patient.source.calls.empty());
+        AND_WHEN("news of it come")
+        {
+            patient.follower.hear({ 3, { { change("b", 12) }, 12 } });
+            patient.pass(10 * timing.news_patience);
+            CHECK(patient.source.calls.empty());
+        }
+        AND_WHEN("none come")
+        {
+            ::Test::run_until(patient.loop, [&] { return !patient.source.calls.empty(); });
+            CHECK(patient.source.calls.front().wait == 0s);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/LibServing/TestNewsLog.cpp
@@ -0,0 +1,61 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/NewsLog.h>
+#include <catch2/catch.hpp>
+
+using Serving::NewsLog;
+
+static wire::PlatformNews news(u64 previous, u64 version)
+{
+    wire::PlatformNews made;
+    made.set_previous_change(previous);
+    made.set_version(version);
+    made.add_relay_to("10.0.0.9:7200");
+    return made;
+}
+
+static std::vector<u64> versions(std::vector<wire::PlatformNews> const& all)
+{
+    std::vector<u64> found;
+    for (auto const& one : all)
+        found.push_back(one.version());
+    return found;
+}
+
+SCENARIO("hosts keep changes for others that have missed them")
+{
+    NewsLog log;
+    CHECK(log.since(0).empty());
+    log.add(news(3, 10));
+    // They may overtake each other, and come twice.
+    log.add(news(15, 20));
+    log.add(news(10, 15));
+    log.add(news(10, 15));
+    CHECK(versions(log.since(10)) == std::vector<u64> { 15, 20 });
+    CHECK(versions(log.since(12)) == std::vector<u64> { 15, 20 });
+    CHECK(log.since(20).empty());
+    THEN("they are not passed on a second time") { CHECK(log.since(10).front().relay_to_size() == 0); }
+    WHEN("one between is missing")
+    {
+        log.add(news(22, 25));
+        THEN("only what leads up to it is given")
+        {
+            CHECK(log.since(10).empty());
+            CHECK(versions(log.since(22)) == std::vector<u64> { 25 });
+        }
+    }
+    WHEN("many more come")
+    {
+        for (u64 version = 20; version < 20 + NewsLog::most_kept; ++version)
+            log.add(news(version, version + 1));
+        THEN("the oldest are let go")
+        {
+            CHECK(log.since(10).empty());
+            CHECK(log.since(21).size() == NewsLog::most_kept - 1);
+        }
+    }
+}
--- a/Tests/LibServing/TestRetryBudget.cpp
+++ b/Tests/LibServing/TestRetryBudget.cpp
@@ -35,6 +35,18 @@
         now += 10s;
         CHECK(spend_all() == 3);
     }
+    WHEN("more hosts are known than the setting says")
+    {
+        budget.set_known_hosts(295);
+        now += 60s;
+        THEN("its part of the allowance is the smaller") { CHECK(spend_all() == 0); }
+        AND_WHEN("its requests have earned a repeat")
+        {
+            for (int i = 0; i < 6; ++i)
+                budget.note_request(lanes, now);
+            THEN("that is not lost") { CHECK(spend_all() == 1); }
+        }
+    }
     WHEN("another service is asked for") { CHECK(budget.take(ServiceName("others"), now)); }
 }
 
--- /dev/null
+++ b/Tests/Soak/DatagramProxy.cpp
@@ -0,0 +1,66 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Soak/DatagramProxy.h>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Soak {
+
+static Http::asio::ip::udp::endpoint datagram_endpoint(Http::tcp::endpoint const& endpoint)
+{
+    return { endpoint.address(), endpoint.port() };
+}
+
+DatagramProxy::DatagramProxy(Http::asio::io_context& loop, Http::tcp::endpoint listen, Http::tcp::endpoint target)
+    : loop(loop)
+    , listen(listen)
+    , target(target)
+    , socket(loop, datagram_endpoint(listen))
+{
+    this->receive();
+}
+
+void DatagramProxy::set_slow_and_lossy(Duration taken_delay, u32 loses_one_of)
+{
+    this->delay = taken_delay;
+    this->lost_one_of = loses_one_of;
+}
+
+void DatagramProxy::heal()
+{
+    this->is_cut = false;
+    this->set_slow_and_lossy(0s, 0);
+}
+
+void DatagramProxy::receive()
+{
+    this->socket.async_receive_from(
+        Http::asio::buffer(this->buffer), this->sender, [this](boost::system::error_code error, size_t size) {
+            if (error == Http::asio::error::operation_aborted)
+                return;
+            bool const is_lost = this->lost_one_of > 0 && ++this->count % this->lost_one_of == 0;
+            if (!error && !this->is_cut && !is_lost)
+                this->forward({ this->buffer.data(), size });
+            this->receive();
+        });
+}
+
+void DatagramProxy::forward(std::string datagram)
+{
+    auto send = [this, datagram = std::move(datagram)] {
+        boost::system::error_code ignored;
+        this->socket.send_to(Http::asio::buffer(datagram), datagram_endpoint(this->target), 0, ignored);
+    };
+    if (this->delay == 0s)
+        return send();
+    auto timer = std::make_shared<Http::asio::steady_timer>(this->loop, this->delay);
+    timer->async_wait([timer, send](boost::system::error_code error) {
+        if (!error)
+            send();
+    });
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/DatagramProxy.h
@@ -0,0 +1,49 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <AK/Types.h>
+#include <LibHttp/Types.h>
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+
+namespace Soak {
+
+/// Forwards datagrams to a target on loopback, and harms them on demand: late, lost in part, or lost altogether. What
+/// is lost is lost for good, as on a real link.
+class DatagramProxy {
+public:
+    /// Throws boost::system::system_error when `listen` cannot be bound.
+    DatagramProxy(Http::asio::io_context&, Http::tcp::endpoint listen, Http::tcp::endpoint target);
+
+    [[nodiscard]] Http::tcp::endpoint const& endpoint() const { return this->listen; }
+    [[nodiscard]] Http::tcp::endpoint const& target_endpoint() const { return this->target; }
+    /// From now on datagrams are this late, and one of so many is lost.
+    void set_slow_and_lossy(Duration taken_delay, u32 loses_one_of);
+    void hold_all() { this->is_cut = true; }
+    void heal();
+
+private:
+    using Udp = Http::asio::ip::udp;
+    static constexpr size_t largest_datagram_bytes = 65'536;
+
+    void receive();
+    void forward(std::string datagram);
+
+    Http::asio::io_context& loop;
+    Http::tcp::endpoint listen;
+    Http::tcp::endpoint target;
+    Udp::socket socket;
+    Udp::endpoint sender;
+    std::array<char, largest_datagram_bytes> buffer {};
+    bool is_cut { false };
+    Duration delay { 0 };
+    u32 lost_one_of { 0 };
+    u32 count { 0 };
+};
+
+}
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -46,7 +46,7 @@
     host->readiness = Test::free_endpoint();
     host->slow_caller_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), host->callers);
     host->platform_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), this->store_endpoint);
-    host->peer_link = std::make_unique<FaultProxy>(this->loop, Test::free_endpoint(), Test::free_endpoint());
+    host->peer_link = std::make_unique<DatagramProxy>(this->loop, Test::free_endpoint(), Test::free_endpoint());
     host->settings_path = this->directory + '/' + host->name + ".yaml";
     host->daemon
         = std::make_unique<Daemon>(this->program, host->settings_path, this->directory + '/' + host->name + ".log");
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -9,6 +9,7 @@
 #include <StandIns/PlatformRunner/PlatformRunner.h>
 #include <StandIns/PlatformStore/PlatformStore.h>
 #include <Tests/Soak/Daemon.h>
+#include <Tests/Soak/DatagramProxy.h>
 #include <Tests/Soak/FaultProxy.h>
 #include <Tests/Soak/PromiseChecker.h>
 #include <boost/random/mersenne_twister.hpp>
@@ -26,7 +27,7 @@
     /// For a caller whose bodies come later than their heads. Nothing else is done to it.
     std::unique_ptr<FaultProxy> slow_caller_link;
     std::unique_ptr<FaultProxy> platform_link;
-    std::unique_ptr<FaultProxy> peer_link;
+    std::unique_ptr<DatagramProxy> peer_link;
     std::unique_ptr<Daemon> daemon;
     std::string settings_path;
     /// A planned stop is under way since.
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -307,7 +307,8 @@
 
 // --- links
 
-FaultProxy& FaultSchedule::harm_link(HostPlace& host, FaultProxy& link, std::string const& what)
+template<typename Link>
+Link& FaultSchedule::harm_link(HostPlace& host, Link& link, std::string const& what)
 {
     auto duration = this->draw_fault_time();
     this->note(what);
@@ -342,14 +343,16 @@
 {
     auto& host = this->draw_host();
     auto& link = this->harm_link(host, *host.peer_link, "nothing of the other hosts reaches " + host.name);
-    link.hold(FaultProxy::Direction::ToTarget);
+    link.hold_all();
 }
 
 void FaultSchedule::delay_peer_link()
 {
     auto& host = this->draw_host();
-    auto& link = this->harm_link(host, *host.peer_link, "slow links from the other hosts to " + host.name);
-    link.set_delay(this->draw_duration(shortest_link_delay, longest_host_link_delay));
+    auto& link = this->harm_link(host, *host.peer_link, "slow and lossy links from the other hosts to " + host.name);
+    // Three times the share of packets that are lost on the worst days known (2.5 in 100).
+    constexpr u32 loses_one_of = 13;
+    link.set_slow_and_lossy(this->draw_duration(shortest_link_delay, longest_host_link_delay), loses_one_of);
 }
 
 void FaultSchedule::cut_domain()
@@ -361,10 +364,12 @@
         if (host->domain != domain)
             continue;
         this->deployment.harm(*host, duration + aftermath);
-        for (auto* link : { host->platform_link.get(), host->peer_link.get() }) {
-            link->hold_all();
-            this->after(duration, [link] { link->heal(); });
-        }
+        host->platform_link->hold_all();
+        host->peer_link->hold_all();
+        this->after(duration, [place = host.get()] {
+            place->platform_link->heal();
+            place->peer_link->heal();
+        });
     }
 }
 
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -74,7 +74,8 @@
 
     void begin_platform_mode(StandIn::PlatformStore::Mode, std::string const& what);
     /// Answers the link, which the caller harms; it heals by itself.
-    FaultProxy& harm_link(HostPlace&, FaultProxy&, std::string const& what);
+    template<typename Link>
+    Link& harm_link(HostPlace&, Link&, std::string const& what);
     void restart_later(HostPlace&);
     void end_leaving(RunnerPlace&, Duration time_left);
     /// Does nothing once heal() has been called.
--- /dev/null
+++ b/Utilities/hostbench.cpp
@@ -0,0 +1,139 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/BackendChooser.h>
+#include <LibServing/PeerUse.h>
+#include <LibServing/Reach.h>
+#include <benchmark/benchmark.h>
+
+/// What an entry host computes by itself again and again, by the number of hosts and engines of the whole system, which
+/// are spread over five failure domains.
+
+using namespace Serving;
+
+namespace {
+
+constexpr i64 domain_count = 5;
+constexpr Instant now { 100s };
+
+FailureDomainId domain_of(i64 number) { return FailureDomainId("hall-" + std::to_string(number % domain_count)); }
+
+Address address_of(i64 host)
+{
+    return Address("10." + std::to_string(host % domain_count) + ".0." + std::to_string(host / domain_count) + ":7200");
+}
+
+/// Host 0 of the first domain, which hears all of its own domain and two hosts of each other one.
+Reach reach_of_host(i64 hosts)
+{
+    Reach reach(domain_of(0));
+    for (i64 host = 1; host < hosts; ++host) {
+        reach.learn(address_of(host), domain_of(host));
+        if (domain_of(host) == domain_of(0) || host < 2 * domain_count)
+            reach.heard(address_of(host), { domain_of(host), 1s }, now);
+    }
+    return reach;
+}
+
+void add_engines(BackendTable& table, i64 engines)
+{
+    for (i64 i = 0; i < engines; ++i) {
+        BackendServer server;
+        server.id = EngineId("i-" + std::to_string(7'000'000 + i));
+        server.service = ServiceName("models");
+        server.address = Address("10.9.0.1:8000");
+        server.failure_domain = domain_of(i);
+        server.slots = 24;
+        auto backend = table.update(server, now);
+        backend->engine.own_generations = 1;
+        backend->engine.own_tokens = 300 * (i % 50);
+    }
+}
+
+/// Which engines this host asks for their reports: once in 350 ms.
+void round_of_reports(benchmark::State& state)
+{
+    auto const reach = reach_of_host(state.range(0));
+    BackendTable table;
+    add_engines(table, state.range(1));
+    auto const own = address_of(0);
+    for (auto _ : state) {
+        size_t mine = 0;
+        for (auto const& backend : table.running())
+            mine += reach.looks_after(own, backend->server.id.value(), backend->server.failure_domain, now) ? 1 : 0;
+        benchmark::DoNotOptimize(mine);
+    }
+}
+
+/// Whether this host reads the platform, and for whom: twenty times a second.
+void choice_of_reader(benchmark::State& state)
+{
+    auto const reach = reach_of_host(state.range(0));
+    auto const own = address_of(0);
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(reach.reads_platform(own, now));
+        benchmark::DoNotOptimize(reach.leads_readers(own, now));
+        benchmark::DoNotOptimize(reach.silent_domains(now));
+    }
+}
+
+/// One generation's engine.
+void placement(benchmark::State& state)
+{
+    auto const reach = reach_of_host(state.range(0));
+    BackendTable table;
+    add_engines(table, state.range(1));
+    boost::random::mt19937 random(1);
+    for (auto _ : state) {
+        ChoiceInputs const inputs { domain_of(0), reach.silent_domains(now), now, 0.3, {}, domain_of(0), 9 };
+        benchmark::DoNotOptimize(choose_for_generation(table.of_service(ServiceName("models")), {},
+            { TokenCount(3000), TokenCount(500) }, TokenCount(33'620), inputs, random));
+    }
+}
+
+/// A whole message of another domain: made there, sent and taken in here. All other domains together send some ten a
+/// second.
+void domain_message(benchmark::State& state)
+{
+    BackendTable table;
+    add_engines(table, state.range(1) / domain_count);
+    PeerUse use;
+    OwnUse own(UseScope::Domain);
+    size_t bytes = 0;
+    for (auto _ : state) {
+        auto message = own.whole(table);
+        message.set_domain_speaker("10.1.0.1:7200");
+        auto const text = message.SerializeAsString();
+        bytes = text.size();
+        wire::HostUse heard;
+        heard.ParseFromString(text);
+        use.heard(MemberId("hall-1"), heard, table, now);
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+
+}
+
+BENCHMARK(round_of_reports)
+    ->Args({ 30, 13 })
+    ->Args({ 100, 44 })
+    ->Args({ 295, 130 })
+    ->Args({ 300, 3000 })
+    ->Args({ 1000, 3000 });
+BENCHMARK(choice_of_reader)->Args({ 30, 13 })->Args({ 100, 44 })->Args({ 295, 130 })->Args({ 1000, 3000 });
+BENCHMARK(placement)
+    ->Args({ 30, 13 })
+    ->Args({ 100, 44 })
+    ->Args({ 295, 130 })
+    ->Args({ 300, 3000 })
+    ->Args({ 1000, 3000 });
+BENCHMARK(domain_message)
+    ->Args({ 30, 13 })
+    ->Args({ 100, 44 })
+    ->Args({ 295, 130 })
+    ->Args({ 300, 3000 })
+    ->Args({ 1000, 3000 });
+BENCHMARK_MAIN();
