--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -169,6 +169,16 @@
 guard "copies are spread over links" TestLibServing \
     "Scenario: engines that leave together spread their generations over the links of those that stay" \
     Libraries/LibServing/BackendChooser.cpp "copy_wait_cost = 0.5" "copy_wait_cost = 0"
+guard "late beliefs spread the choice" TestLibServing \
+    "Scenario: 59 hosts that believe the same of other domains do not meet at one engine" \
+    Libraries/LibServing/BackendChooser.cpp "cost += unseen * share_of_unseen(random);" ";"
+guard "the allowance is shared by all known hosts" TestLibServing "Scenario: a host keeps to its part of what all may repeat" \
+    Libraries/LibServing/RetryBudget.cpp ", this->known_hosts })" " })"
+guard "missed changes are awaited from others" TestLibPlatform \
+    "Scenario: changes that others know are awaited from them for a while" \
+    Libraries/LibPlatform/ChangeFollower.h "this->timing.news_patience <= 0s" "true"
+guard "one host reads promptly for all" TestLibServing "Scenario: one host of all domains reads changes promptly for all" \
+    Libraries/LibServing/Reach.cpp "host.said.domain < this->own_domain && !is_silent" "false && !is_silent"
 guard "a service is out of reach by two signs" TestLibServing \
     "Scenario: a domain that has no server of a service is cut off from those that have" \
     Libraries/LibServing/ServiceReach.cpp "return is_silent && " "return "
