LibServing, LibAccount: Tell what each host's retry budget decided, and add it up over all hosts

Cause: the logs named repeated dispatches, but neither their service nor whether the budget had granted them, so the sum over hosts could not be set beside what a service saw. E2407 tells each decision with what decided it, two counters by service tell their number, and requestaccount finds the window that came nearest to the bound. No decision changes.

Measured: tests of LibAccount, LibServing and LibCore pass; lint is clean.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -67,6 +67,7 @@
     { CallRetried, "call_retried", Information },
     { CallerLeft, "caller_left", Information },
     { CallerConnectionClosed, "caller_connection_closed", Information },
+    { RepeatDecided, "repeat_decided", Information },
     { LeaseTaken, "lease_taken", Information },
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -67,6 +67,7 @@
     CallRetried = 2404,
     CallerLeft = 2405,
     CallerConnectionClosed = 2406,
+    RepeatDecided = 2407,
     LeaseTaken = 2501,
     LeaseLapsed = 2502,
     OrderSent = 2503,
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -68,7 +68,16 @@
     /// Takes one further dispatch out of the service's budget; false when there is none left.
     [[nodiscard]] bool take_budget()
     {
-        return this->context.budget.take(this->call.service->name, this->context.now());
+        auto const& service = this->call.service->name;
+        auto const decision = this->context.budget.take(service, this->context.now());
+        auto const* counter = decision.is_granted ? "repeats_total" : "repeats_withheld_total";
+        this->context.metrics.add(std::string(counter) + "{service=\"" + service.value() + "\"}");
+        this->context.log.event(Core::EventNumber::RepeatDecided, this->attempt())
+            .with("service", service)
+            .with("granted", static_cast<int>(decision.is_granted))
+            .with("left", decision.left)
+            .with("hosts", decision.hosts);
+        return decision.is_granted;
     }
 
     /// The caller's request as it goes to the backend server that `head` names: without what concerns the caller's
--- a/Libraries/LibServing/RequestDesk.h
+++ b/Libraries/LibServing/RequestDesk.h
@@ -28,6 +28,7 @@
         this->context.metrics.add("requests_total");
         this->context.log.event(Core::EventNumber::RequestReceived, call.value().head.attempt)
             .with("route", call.value().route->name)
+            .with("service", call.value().service->name)
             .with("organisation", call.value().organisation)
             .with("revision", call.value().routing->revision())
             .with("goal_ms", call.value().route->latency_goal)
--- a/Libraries/LibServing/RetryBudget.cpp
+++ b/Libraries/LibServing/RetryBudget.cpp
@@ -13,10 +13,9 @@
 /// length sees more than the whole.
 static constexpr double burst_share = 0.5;
 
-double RetryBudget::allowance_of_this_host() const
-{
-    return this->limits.allowance / std::max({ 1U, this->limits.hosts, this->known_hosts });
-}
+u32 RetryBudget::sharing_hosts() const { return std::max({ 1U, this->limits.hosts, this->known_hosts }); }
+
+double RetryBudget::allowance_of_this_host() const { return this->limits.allowance / this->sharing_hosts(); }
 
 RetryBudget::Account& RetryBudget::refilled(ServiceName const& service, Instant now)
 {
@@ -39,13 +38,13 @@
     account.available = std::min(account.available + this->limits.ratio, std::max(most, account.available));
 }
 
-bool RetryBudget::take(ServiceName const& service, Instant now)
+RetryBudget::Decision RetryBudget::take(ServiceName const& service, Instant now)
 {
     auto& account = this->refilled(service, now);
-    if (account.available < 1)
-        return false;
-    account.available -= 1;
-    return true;
+    bool const is_granted = account.available >= 1;
+    if (is_granted)
+        account.available -= 1;
+    return { is_granted, account.available, this->sharing_hosts() };
 }
 
 }
--- a/Libraries/LibServing/RetryBudget.h
+++ b/Libraries/LibServing/RetryBudget.h
@@ -26,6 +26,15 @@
         u32 hosts { 8 };
     };
 
+    /// What was decided, with what decided it.
+    struct Decision {
+        bool is_granted { false };
+        /// Further dispatches that this host may still make now.
+        double left { 0 };
+        /// Hosts among which the allowance is divided.
+        u32 hosts { 1 };
+    };
+
     explicit RetryBudget(Limits limits)
         : limits(limits)
     {
@@ -37,8 +46,8 @@
     void set_known_hosts(u32 count) { this->known_hosts = count; }
     /// A request has come; it earns its share of a further dispatch.
     void note_request(ServiceName const&, Instant now);
-    /// Takes one further dispatch out of the budget; false when there is none left.
-    [[nodiscard]] bool take(ServiceName const&, Instant now);
+    /// Takes one further dispatch out of the budget, if there is one.
+    [[nodiscard]] Decision take(ServiceName const&, Instant now);
 
 private:
     struct Account {
@@ -46,6 +55,7 @@
         Instant last_refill {};
     };
     Account& refilled(ServiceName const&, Instant now);
+    [[nodiscard]] u32 sharing_hosts() const;
     [[nodiscard]] double allowance_of_this_host() const;
 
     Limits limits;
--- a/Tests/LibServing/TestRetryBudget.cpp
+++ b/Tests/LibServing/TestRetryBudget.cpp
@@ -18,7 +18,7 @@
     Instant now { 100s };
     auto spend_all = [&] {
         int spent = 0;
-        while (budget.take(lanes, now))
+        while (budget.take(lanes, now).is_granted)
             ++spent;
         return spent;
     };
@@ -47,7 +47,7 @@
             THEN("that is not lost") { CHECK(spend_all() == 1); }
         }
     }
-    WHEN("another service is asked for") { CHECK(budget.take(ServiceName("others"), now)); }
+    WHEN("another service is asked for") { CHECK(budget.take(ServiceName("others"), now).is_granted); }
 }
 
 SCENARIO("in no window do repeats exceed the ratio of its requests and the host's part of the allowance")
@@ -66,7 +66,7 @@
                 budget.note_request(lanes, now);
                 seen.emplace_back(now, false);
             }
-            if (step % 3 == 2 && budget.take(lanes, now))
+            if (step % 3 == 2 && budget.take(lanes, now).is_granted)
                 seen.emplace_back(now, true);
             while (!seen.empty() && now - seen.front().first > 10s)
                 seen.pop_front();
--- a/Utilities/requestaccount.cpp
+++ b/Utilities/requestaccount.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibAccount/RepeatAccount.h>
 #include <LibAccount/RequestAccount.h>
 #include <algorithm>
 #include <fstream>
@@ -12,10 +13,18 @@
 #include <numeric>
 
 DEFINE_uint64(span_ms, 1000, "requests are counted together that were received within so many milliseconds");
+DEFINE_double(repeat_ratio, 0.2, "retries.ratio of the hosts' settings");
+DEFINE_double(repeat_allowance, 50, "retries.allowance of the hosts' settings");
+DEFINE_uint64(repeat_window_ms, 10'000, "retries.window of the hosts' settings, in milliseconds");
 DEFINE_bool(stories, false, "print every line about each generation that was broken off, and why it was");
 
+struct Accounts {
+    Account::RequestAccount requests;
+    Account::RepeatAccount repeats;
+};
+
 /// Reads what can be read; says of which lines it cannot.
-static void read_log(std::istream& input, std::string const& name, Account::RequestAccount& account)
+static void read_log(std::istream& input, std::string const& name, Accounts& accounts)
 {
     size_t number = 0;
     for (std::string text; std::getline(input, text);) {
@@ -23,8 +32,10 @@
         auto line = Account::parse_log_line(text);
         if (!line)
             std::cerr << name << ':' << number << ": " << line.error().message << "; it is left out" << std::endl;
-        else if (line.value())
-            account.take(std::move(*line.value()));
+        else if (line.value()) {
+            accounts.repeats.take(*line.value());
+            accounts.requests.take(std::move(*line.value()));
+        }
     }
 }
 
@@ -80,6 +91,19 @@
               << " were given a backend server's failure after the tries that their route allows.\n";
 }
 
+/// Of each service the window that came nearest to what all hosts may repeat, or exceeded it by most.
+static void print_repeats(Account::RepeatAccount const& repeats)
+{
+    Account::RepeatBound const bound { FLAGS_repeat_ratio, FLAGS_repeat_allowance, FLAGS_repeat_window_ms };
+    std::cout << "\n| service | repeats | withheld | worst window from ms | its repeats | its requests | allowed |\n"
+              << "|---|---|---|---|---|---|---|\n";
+    for (auto const& [name, service] : repeats.services()) {
+        auto worst = Account::worst_window(service.requests, service.repeats, bound).value_or(Account::RepeatWindow {});
+        std::cout << "| " << name << " | " << service.repeats.size() << " | " << service.withheld << " | " << worst.from
+                  << " | " << worst.repeats << " | " << worst.requests << " | " << worst.allowed << " |\n";
+    }
+}
+
 static void print_stories(std::vector<Account::RequestStory> const& stories)
 {
     for (auto const& story : stories) {
@@ -102,26 +126,27 @@
     gflags::SetUsageMessage("[FILE ...]: what became of the requests in hosts' structured logs; - or none for standard "
                             "input");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_span_ms == 0) {
-        std::cerr << "--span_ms is 0; give at least 1" << std::endl;
+    if (FLAGS_span_ms == 0 || FLAGS_repeat_window_ms == 0) {
+        std::cerr << "--span_ms and --repeat_window_ms must be at least 1" << std::endl;
         return 2;
     }
-    Account::RequestAccount account;
+    Accounts accounts;
     bool all_opened = true;
     for (int i = 1; i < argc; ++i) {
         std::ifstream file(argv[i]);
         all_opened = all_opened && file;
         if (!file)
             std::cerr << argv[i] << ": cannot be opened; check its name and rights" << std::endl;
-        read_log(file, argv[i], account);
+        read_log(file, argv[i], accounts);
     }
     if (argc == 1)
-        read_log(std::cin, "standard input", account);
-    auto stories = account.stories();
+        read_log(std::cin, "standard input", accounts);
+    auto stories = accounts.requests.stories();
     if (!stories.empty()) {
         print_rows(count_by_time(stories, FLAGS_span_ms));
         print_reasons(stories);
         print_bounds(stories);
+        print_repeats(accounts.repeats);
     }
     if (FLAGS_stories)
         print_stories(stories);
