LibServing, platform: Know a backend server by its id and start, and by a usable entry only

Cause: a backend server was its id. One that started again under it was compared by its row, so that leaving, suspicion, load and what others had there stayed those of its former process. An entry that another writer had left without a state was taken as ready, numbers went unchecked into whole ones (undefined for large ones), and an address that could not be read was dropped without a word. A 421 changed no belief about its sender, which looked empty and drew every host.

Change: id and start name a server in the list, in reports and in talk between hosts; an earlier start changes nothing, and a later one ends what was under way with the former. An entry that lacks a field, or has it in another form or beyond bounds, gets no new work, is counted, and is logged once a minute; what runs there goes on. Who answers 421 gets nothing more from any host until the list has another start or address of it.

Ruled out: ending streams on a 421.

--- a/AK/Identifiers.h
+++ b/AK/Identifiers.h
@@ -16,6 +16,9 @@
 using RouteName = StrongType<struct RouteTag, std::string>;
 using ServiceName = StrongType<struct ServiceTag, std::string>;
 using EngineId = StrongType<struct EngineTag, std::string>;
+/// When a backend server's process started, in Unix milliseconds by its own clock. The id and this name one process: a
+/// later start under the same id is another server, which holds and knows nothing of the former one. 0: not told.
+using ServerStart = StrongType<struct ServerStartTag, i64>;
 using FailureDomainId = StrongType<struct FailureDomainTag, std::string>;
 /// Names one process of the system on one host.
 using MemberId = StrongType<struct MemberTag, std::string>;
@@ -47,5 +50,6 @@
 using AK::OrganisationId;
 using AK::Revision;
 using AK::RouteName;
+using AK::ServerStart;
 using AK::ServiceName;
 using AK::TokenCount;
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -50,7 +50,7 @@
 
 static bool is_candidate(Backend const& backend, std::span<EngineId const> tried)
 {
-    return backend.availability == Availability::Serving && std::ranges::find(tried, backend.server.id) == tried.end();
+    return backend.takes_work() && std::ranges::find(tried, backend.server.id) == tried.end();
 }
 
 template<typename Cost>
--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -15,9 +15,11 @@
 {
 }
 
-void BackendList::listed(std::vector<BackendServer> const& servers)
+void BackendList::listed(std::vector<BackendServer> const& servers, std::vector<EngineId> const& unusable)
 {
-    std::set<EngineId> present;
+    std::set<EngineId> present(unusable.begin(), unusable.end());
+    for (auto const& id : unusable)
+        this->unusable(id);
     for (auto const& server : servers) {
         present.insert(server.id);
         this->changed(server);
@@ -36,28 +38,56 @@
     auto now = this->context.now();
     this->held_removals.erase(server.id);
     auto before = this->context.backends.find(server.id);
+    if (before && before->server == server)
+        before->has_unusable_entry = false;
     bool const was_serving = before && before->availability == Availability::Serving;
     auto backend = this->context.backends.update(server, now);
     if (!backend)
         return;
-    if (!before)
+    backend->has_unusable_entry = false;
+    bool const is_new = backend != before;
+    if (is_new)
         this->observer.appeared(backend);
     this->context.log.event(Core::EventNumber::BackendServerChanged, server.id.value())
         .with("state", to_string(backend->availability))
         .with("service", server.service)
         .with("address", server.address)
         .with("failure_domain", server.failure_domain)
-        .with("slots", server.slots);
-    if (backend->availability == Availability::Leaving && (was_serving || !before)) {
+        .with("slots", server.slots)
+        .with("start", server.start);
+    if (is_new && before && before->server.start < server.start)
+        before->tell_end();
+    bool const begins_to_leave = backend->availability == Availability::Leaving && (was_serving || is_new);
+    if (begins_to_leave) {
         backend->available_since = now;
         this->observer.leaves(backend);
     }
 }
 
-void BackendList::leaving(EngineId const& id, std::optional<Instant> ends_at)
+void BackendList::unusable(EngineId const& id)
+{
+    this->held_removals.erase(id);
+    if (auto backend = this->context.backends.find(id))
+        backend->has_unusable_entry = true;
+}
+
+void BackendList::ended(EngineId const& id, ServerStart start, Address const& address)
+{
+    auto backend = this->context.backends.find_running(id);
+    if (!backend || backend->has_ended || !backend->is_start(start) || backend->server.address != address)
+        return;
+    backend->has_ended = true;
+    this->context.log.event(Core::EventNumber::BackendServerChanged, id.value())
+        .with("state", "ended")
+        .with("address", address)
+        .with("start", start)
+        .with("reason", "another process answers at its address");
+}
+
+void BackendList::leaving(EngineId const& id, ServerStart start, std::optional<Instant> ends_at)
 {
     auto backend = this->context.backends.find(id);
-    if (!backend || backend->availability != Availability::Serving)
+    if (!backend || backend->availability != Availability::Serving || !backend->is_start(start))
         return;
     backend->availability = Availability::Leaving;
     backend->available_since = this->context.now();
--- a/Libraries/LibServing/BackendList.h
+++ b/Libraries/LibServing/BackendList.h
@@ -24,12 +24,18 @@
 
     BackendList(ServingContext& context, Observer observer);
 
-    /// The whole list, at one moment.
-    void listed(std::vector<BackendServer> const&);
+    /// The whole list, at one moment, with the ids of entries that cannot be used.
+    void listed(std::vector<BackendServer> const&, std::vector<EngineId> const& unusable = {});
     void changed(BackendServer const&);
+    /// Its entry cannot be used: it names no server to give work to, until a good entry comes. What runs there goes on,
+    /// since another writer's mistake says nothing of the server.
+    void unusable(EngineId const&);
     void removed(EngineId const&);
-    /// Another host, or the backend server itself, says that it takes no new work.
-    void leaving(EngineId const&, std::optional<Instant> ends_at);
+    /// Another host, or the backend server itself, says that the one which started then takes no new work.
+    void leaving(EngineId const&, ServerStart, std::optional<Instant> ends_at);
+    /// Another process answers where it was: no work is given to it until the list has another start or address of it,
+    /// or has it anew. What is under way is left to its connection: only a later start under its id proves the end.
+    void ended(EngineId const&, ServerStart, Address const&);
     /// The platform answers again; entries that lapsed may come back within `recovery`.
     void platform_regained(Duration recovery);
     [[nodiscard]] Duration recovery_left() const;
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -7,6 +7,7 @@
 #include <AK/Error.h>
 #include <LibServing/BackendTable.h>
 #include <algorithm>
+#include <utility>
 
 namespace Serving {
 
@@ -44,19 +45,28 @@
     auto endpoint = Http::parse_endpoint(server.address.value());
     if (!endpoint)
         return nullptr;
+    if (server.start < this->latest_start_of(server.id))
+        return nullptr;
     auto known = this->find(server.id);
     if (known && known->server == server)
         return nullptr;
-    if (known && known->server.service != server.service) {
+    bool const is_another = known && (known->server.service != server.service || known->server.start < server.start);
+    if (is_another) {
         this->remove(server.id, now);
         known = nullptr;
     }
+    // The process that had the id before has ended: there is nothing more to ask it.
+    if (auto former = this->departed.find(server.id);
+        former != this->departed.end() && former->second.backend->server.start < server.start)
+        this->departed.erase(former);
     if (!known) {
         known = std::make_shared<Backend>();
         known->available_since = now;
         this->by_id[server.id] = known;
         this->by_service[server.service].push_back(known);
     }
+    // Elsewhere it may live on.
+    known->has_ended = known->has_ended && known->server.address == server.address;
     known->server = server;
     known->endpoint = *endpoint;
     // Leaving is final: a list that is behind must not bring a backend server back.
@@ -78,6 +88,12 @@
     return entry;
 }
 
+ServerStart BackendTable::latest_start_of(EngineId const& id) const
+{
+    auto known = this->find_running(id);
+    return known ? known->server.start : ServerStart(0);
+}
+
 BackendPointer BackendTable::find_running(EngineId const& id) const
 {
     if (auto listed = this->find(id))
@@ -118,6 +134,24 @@
     return found == this->by_service.end() ? none : found->second;
 }
 
+std::shared_ptr<Backend::EndObserver> Backend::observe_end(EndObserver observer)
+{
+    std::erase_if(this->end_observers, [](auto const& known) { return known.expired(); });
+    auto token = std::make_shared<EndObserver>(std::move(observer));
+    this->end_observers.push_back(token);
+    return token;
+}
+
+void Backend::tell_end()
+{
+    // Observers may begin to observe this or another backend server.
+    auto const observers = std::exchange(this->end_observers, {});
+    for (auto const& observer : observers) {
+        if (auto held = observer.lock())
+            (*held)();
+    }
+}
+
 bool Backend::is_avoided(Instant now) const
 {
     if (now < this->health.avoid_until)
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -9,6 +9,7 @@
 #include <AK/Identifiers.h>
 #include <LibHttp/Types.h>
 #include <LibServing/EngineLoad.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -29,6 +30,7 @@
 /// A backend server as it describes itself to the platform.
 struct BackendServer {
     EngineId id;
+    ServerStart start;
     ServiceName service;
     Address address;
     FailureDomainId failure_domain;
@@ -67,14 +69,37 @@
     Instant available_since {};
     /// When the process ends, as far as it is known.
     std::optional<Instant> ends_at;
+    /// Its entry in the platform's list cannot be used just now. What runs there goes on; nothing new is given to it.
+    bool has_unusable_entry { false };
+    /// Another process answers where it was, so its own has ended, though the platform still lists it.
+    bool has_ended { false };
     u32 in_flight { 0 };
     std::optional<LoadReport> load;
     Instant load_heard_at {};
     Health health;
     EngineLoad engine;
 
+    /// Whether new work may be given to it at all.
+    [[nodiscard]] bool takes_work() const
+    {
+        return this->availability == Availability::Serving && !this->has_unusable_entry && !this->has_ended;
+    }
     /// By what this host has seen itself, or by the word of several others.
     [[nodiscard]] bool is_avoided(Instant now) const;
+    /// Whether word of the server that started then is about this one. Who does not know the start means any.
+    [[nodiscard]] bool is_start(ServerStart start) const
+    {
+        return start == this->server.start || start == ServerStart(0) || this->server.start == ServerStart(0);
+    }
+
+    /// Told when this process is known to have ended because a later one has its id: what it had under way is lost.
+    using EndObserver = std::function<void()>;
+    /// The observer is forgotten with the token that is answered.
+    [[nodiscard]] std::shared_ptr<EndObserver> observe_end(EndObserver);
+    void tell_end();
+
+private:
+    std::vector<std::weak_ptr<EndObserver>> end_observers;
 };
 
 using BackendPointer = std::shared_ptr<Backend>;
@@ -82,8 +107,9 @@
 /// The backend servers that this host knows, by service.
 class BackendTable {
 public:
-    /// Takes in what the platform says of one; answers what changed, or null when nothing did or when its address
-    /// cannot be read.
+    /// Takes in what the platform says of one; answers what changed, or null when nothing did, when its address cannot
+    /// be read, or when a later start under its id is known. A later start takes the place of the former one, which is
+    /// gone; nothing that was believed of that one holds for it.
     BackendPointer update(BackendServer const&, Instant now);
     /// It is off the list. Answers the entry if it was known.
     BackendPointer remove(EngineId const&, Instant now);
@@ -100,6 +126,8 @@
     [[nodiscard]] std::unordered_map<EngineId, BackendPointer> const& all() const { return this->by_id; }
 
 private:
+    [[nodiscard]] ServerStart latest_start_of(EngineId const&) const;
+
     struct Departed {
         BackendPointer backend;
         Instant at {};
--- a/Libraries/LibServing/EngineLoad.h
+++ b/Libraries/LibServing/EngineLoad.h
@@ -19,6 +19,8 @@
     TokenCount used;
     TokenCount total;
     bool is_leaving { false };
+    /// Of the process that reports.
+    std::optional<ServerStart> start;
     /// How long the process will still run, if it knows.
     std::optional<Duration> ends_in;
 };
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -161,6 +161,12 @@
                 .with("reason", report.error().message);
             return;
         }
+        // A later process may have the address, under this id or another one. An earlier one cannot have it again.
+        if (auto start = report.value().start; start && !backend.is_start(*start)) {
+            if (backend.server.start < *start)
+                this->context.backend_ended(backend);
+            return;
+        }
         backend.engine.report = report.value();
         backend.engine.report_heard_at = now;
         if (report.value().ends_in)
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -134,6 +134,17 @@
     {
         return this->answer_status() >= first_success && this->answer_status() < first_redirection;
     }
+    /// To be called with each dispatch: `on_end` is called when its backend server's process is known to have ended and
+    /// the dispatch was to that one. One that was just sent may be with the process that took its place, which refuses
+    /// it as not its own.
+    void watch_end(Backend& backend, std::function<void()> on_end)
+    {
+        this->end_watch = backend.observe_end([this, sent_at = this->context.now(), on_end = std::move(on_end)] {
+            if (this->answer_head || this->context.now() - sent_at >= longest_refusal)
+                on_end();
+        });
+    }
+
     /// The backend server itself says that it has not run the request and will not.
     [[nodiscard]] bool answer_says_not_run() const { return this->answer.is_not_run || this->answer.is_misdirected; }
     [[nodiscard]] bool is_server_error() const { return this->answer_status() >= first_server_error; }
@@ -163,11 +174,16 @@
         backend.load_heard_at = this->context.now();
     }
 
+    /// A process that is not the one that a request names refuses it in milliseconds, and a second over a link that
+    /// loses packets.
+    static constexpr Duration longest_refusal = 1s;
     /// Where the classes of HTTP's statuses begin (RFC 9110, section 15).
     static constexpr unsigned first_success = 200;
     static constexpr unsigned first_redirection = 300;
     static constexpr unsigned first_server_error = 500;
 
+    /// While a dispatch is under way: hears of the end of its backend server's process.
+    std::shared_ptr<Backend::EndObserver> end_watch;
     ServingContext& context;
     AdmittedCall call;
     Http::asio::steady_timer deadline_timer;
@@ -179,6 +195,9 @@
     bool is_over { false };
 };
 
+/// The end of an exchange whose backend server's process is known to have ended.
+inline constexpr std::string_view replaced_reason = "another process has taken its place";
+
 /// Handovers that failed before anything was run do not count as runs, but there must be an end to them.
 inline constexpr u32 most_handovers = 4;
 
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -99,6 +99,10 @@
         this->forget_answer();
         this->reader = {};
         this->connection = this->context.connections.make_new(target->endpoint);
+        this->watch_end(*target, [weak = this->weak_from_this()] {
+            if (auto self = weak.lock())
+                self->engine_ended();
+        });
         DispatchHead const head { target->server.id, this->call.organisation, this->time_left(),
             std::move(continuation), {} };
         this->connection->exchange(
@@ -189,9 +193,19 @@
             .with("waited_ms", waited);
     }
 
+    /// Its process has ended with what it had under way, whatever the connection still looks like.
+    void engine_ended()
+    {
+        if (!this->connection)
+            return;
+        this->connection->cancel();
+        this->exchange_ended(Http::ExchangeEnd::NoAnswer, std::string(replaced_reason));
+    }
+
     void exchange_ended(Http::ExchangeEnd end, std::string const& reason)
     {
         this->connection = nullptr;
+        this->end_watch = nullptr;
         if (this->move && this->source_has_stopped(end))
             return;
         if (end == Http::ExchangeEnd::Complete && this->is_relayed_answer())
@@ -225,6 +239,8 @@
     {
         if (this->exchange().is_streaming())
             return this->continuation_refused();
+        if (this->answer.is_misdirected)
+            this->context.backend_ended(*this->backend);
         if (this->answer_says_not_run())
             return this->place_again("status " + std::to_string(this->answer_status()), false);
         if (this->is_server_error())
@@ -397,6 +413,7 @@
         if (this->connection)
             this->connection->cancel();
         this->connection = nullptr;
+        this->end_watch = nullptr;
         this->finish();
     }
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -11,6 +11,7 @@
 #include <LibServing/BackendList.h>
 #include <LibServing/EngineReporter.h>
 #include <LibServing/HostDirectory.h>
+#include <LibServing/LogPacer.h>
 #include <LibServing/NewsExchange.h>
 #include <LibServing/PeerLink.h>
 #include <LibServing/PlannedStop.h>
@@ -104,8 +105,15 @@
         this->configuration_follower.start();
         this->backend_follower.start();
         this->reporter.start();
+        this->context.backend_ended = [this](Backend const& backend) {
+            auto const server = backend.server;
+            if (backend.has_ended)
+                return;
+            this->backends.ended(server.id, server.start, server.address);
+            this->peers.tell_ended(server);
+        };
         this->reporter.on_leaving([this](Backend const& backend) {
-            this->backends.leaving(backend.server.id, backend.ends_at);
+            this->backends.leaving(backend.server.id, backend.server.start, backend.ends_at);
             this->peers.tell_leaving(backend);
         });
         this->peers.start();
@@ -233,8 +241,12 @@
     PeerLink::Observer make_peer_observer()
     {
         PeerLink::Observer observer;
-        observer.backend_leaves
-            = [this](EngineId const& id, std::optional<Instant> ends_at) { this->backends.leaving(id, ends_at); };
+        observer.backend_leaves = [this](EngineId const& id, ServerStart start, std::optional<Instant> ends_at) {
+            this->backends.leaving(id, start, ends_at);
+        };
+        observer.backend_ended = [this](EngineId const& id, ServerStart start, Address const& address) {
+            this->backends.ended(id, start, address);
+        };
         observer.news
             = [this](wire::PlatformNews const& news, bool is_from_near) { this->news.hear(news, is_from_near); };
         observer.progress = [this](std::string const& table, u64 last_change, Address const& host) {
@@ -289,14 +301,17 @@
     void take_backends(std::vector<Platform::Row> const& rows)
     {
         std::vector<BackendServer> servers;
+        std::vector<EngineId> unusable;
         for (auto const& row : rows) {
             auto decoded = P::decode_backend_server(row);
-            if (decoded)
+            if (decoded) {
                 servers.push_back(std::move(decoded.value()));
-            else
-                this->reject_row(row, decoded.error());
+                continue;
+            }
+            this->reject_row(row, decoded.error());
+            unusable.emplace_back(row.key);
         }
-        this->backends.listed(servers);
+        this->backends.listed(servers, unusable);
     }
 
     void take_backend(Platform::RowChange const& change)
@@ -304,14 +319,17 @@
         if (change.removed)
             return this->backends.removed(EngineId(change.row.key));
         auto decoded = P::decode_backend_server(change.row);
-        if (!decoded)
-            return this->reject_row(change.row, decoded.error());
-        this->backends.changed(decoded.value());
+        if (decoded)
+            return this->backends.changed(decoded.value());
+        this->reject_row(change.row, decoded.error());
+        this->backends.unusable(EngineId(change.row.key));
     }
 
     void reject_row(Platform::Row const& row, Error const& error)
     {
         this->context.metrics.add("platform_rows_rejected_total");
+        if (!this->rejected_rows.is_due(row.key, this->context.now()))
+            return;
         this->log.event(Core::EventNumber::PlatformContentRejected, row.key).with("reason", error.message);
     }
 
@@ -448,6 +466,8 @@
     Instant started_at {};
     std::optional<PlannedStop> stop;
     bool backends_known { false };
+    /// Entries that cannot be read come again with each heartbeat of whoever writes them.
+    LogPacer rejected_rows { 1min };
     std::vector<ServiceName> out_of_reach;
     std::vector<FailureDomainId> silent_domains;
     bool said_ready { false };
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -79,12 +79,24 @@
     wire::HostUse message;
     auto& leaving = *message.add_leaving();
     leaving.set_backend(backend.server.id.value());
+    leaving.set_start(backend.server.start.value());
     leaving.set_ends_in_milliseconds(
         backend.ends_at ? AK::to_milliseconds(*backend.ends_at - this->context.now()) : -1);
     this->broadcast(message);
     this->send_elsewhere(std::move(message));
 }
 
+void PeerLink::tell_ended(BackendServer const& server)
+{
+    wire::HostUse message;
+    auto& ended = *message.add_ended();
+    ended.set_backend(server.id.value());
+    ended.set_start(server.start.value());
+    ended.set_address(server.address.value());
+    this->broadcast(message);
+    this->send_elsewhere(std::move(message));
+}
+
 void PeerLink::tell_unreachable(Backend const& backend, Duration avoided)
 {
     auto now = this->context.now();
@@ -97,6 +109,7 @@
     wire::HostUse message;
     auto& unreachable = *message.add_unreachable();
     unreachable.set_backend(backend.server.id.value());
+    unreachable.set_start(backend.server.start.value());
     unreachable.set_avoided_milliseconds(static_cast<u32>(AK::to_milliseconds(avoided)));
     this->broadcast(message);
 }
@@ -339,6 +352,7 @@
         this->tell_domain_changes_soon();
     take_suspicions(this->context, MemberId(name), message);
     this->heard_leaving(message);
+    this->heard_ended(message);
     this->heard_progress(sender, message);
     if (message.wants_answer())
         this->send_whole(sender, false);
@@ -362,6 +376,7 @@
     this->send_through_relays(message, is_relayed ? addresses_of(message.relay_to()) : this->heard_near());
     this->use.heard(MemberId(domain.value()), message, this->context.backends, now);
     this->heard_leaving(message);
+    this->heard_ended(message);
     this->heard_progress(sender, message);
 }
 
@@ -371,13 +386,19 @@
         this->observer.progress(progress.table(), progress.last_change(), sender);
 }
 
+void PeerLink::heard_ended(wire::HostUse const& message)
+{
+    for (auto const& ended : message.ended())
+        this->observer.backend_ended(EngineId(ended.backend()), ServerStart(ended.start()), Address(ended.address()));
+}
+
 void PeerLink::heard_leaving(wire::HostUse const& message)
 {
     for (auto const& leaving : message.leaving()) {
         std::optional<Instant> ends_at;
         if (leaving.ends_in_milliseconds() >= 0)
             ends_at = this->context.now() + std::chrono::milliseconds(leaving.ends_in_milliseconds());
-        this->observer.backend_leaves(EngineId(leaving.backend()), ends_at);
+        this->observer.backend_leaves(EngineId(leaving.backend()), ServerStart(leaving.start()), ends_at);
     }
 }
 
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -23,7 +23,11 @@
 public:
     struct Observer {
         /// Another host says that a backend server is leaving.
-        std::function<void(EngineId const&, std::optional<Instant> ends_at)> backend_leaves;
+        std::function<void(EngineId const&, ServerStart, std::optional<Instant> ends_at)> backend_leaves;
+        /// Another host says that another process answers where a backend server was.
+        std::function<void(EngineId const&, ServerStart, Address const&)> backend_ended {
+            [](EngineId const&, ServerStart, Address const&) {}
+        };
         /// Changes of a table of the platform. `is_from_near`: from this host's own domain.
         std::function<void(wire::PlatformNews const&, bool is_from_near)> news;
         /// Another host knows a change of this version of a table; it can be asked for it.
@@ -44,6 +48,8 @@
     void backend_appeared(Backend& backend) { this->use.apply_to(backend); }
     /// Tells the others that a backend server is leaving; the platform may not have told them.
     void tell_leaving(Backend const&);
+    /// Tells the others of a backend server in whose place another process answers.
+    void tell_ended(BackendServer const&);
     /// Tells the hosts of this domain of a backend server that cannot be connected to.
     void tell_unreachable(Backend const&, Duration avoided);
     /// Passes on changes of a table that this host has read, to the hosts of this domain and to one of each other
@@ -80,6 +86,7 @@
     void heard_domain(Address const& sender, wire::HostUse const&);
     void heard_progress(Address const& sender, wire::HostUse const&);
     void heard_leaving(wire::HostUse const&);
+    void heard_ended(wire::HostUse const&);
 
     ServingContext& context;
     Observer observer;
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -32,22 +32,24 @@
         add_to(engine.domain_peers, use, sign);
 }
 
-void PeerUse::replace(Host& host, EngineId const& id, Use const& use, BackendTable& table)
+void PeerUse::replace(Host& host, EngineId const& id, Told const& told, BackendTable& table)
 {
     auto& known = host.engines[id];
     if (auto backend = table.find_running(id)) {
-        add(*backend, known, host.is_near, -1);
-        add(*backend, use, host.is_near, 1);
+        if (backend->is_start(known.start))
+            add(*backend, known.use, host.is_near, -1);
+        if (backend->is_start(told.start))
+            add(*backend, told.use, host.is_near, 1);
     }
-    known = use;
-    if (use == Use {})
+    known = told;
+    if (told.use == Use {})
         host.engines.erase(id);
 }
 
 void PeerUse::forget_all_but(Host& host, std::set<EngineId> const& named, BackendTable& table)
 {
     auto engines = host.engines;
-    for (auto const& [id, use] : engines) {
+    for (auto const& [id, told] : engines) {
         if (!named.contains(id))
             replace(host, id, {}, table);
     }
@@ -63,8 +65,9 @@
         EngineId const id(engine.engine());
         named.insert(id);
         replace(host, id,
-            { engine.generations(), engine.tokens(), engine.unread_tokens(), engine.uncopied_tokens(),
-                engine.incoming_tokens() },
+            { ServerStart(engine.start()),
+                { engine.generations(), engine.tokens(), engine.unread_tokens(), engine.uncopied_tokens(),
+                    engine.incoming_tokens() } },
             table);
     }
     if (!message.is_whole())
@@ -92,8 +95,8 @@
 {
     for (auto const& [name, host] : this->hosts) {
         auto found = host.engines.find(backend.server.id);
-        if (found != host.engines.end())
-            add(backend, found->second, host.is_near, 1);
+        if (found != host.engines.end() && backend.is_start(found->second.start))
+            add(backend, found->second.use, host.is_near, 1);
     }
 }
 
@@ -107,10 +110,11 @@
     return use;
 }
 
-void OwnUse::append(wire::HostUse& message, EngineId const& id, PeerUse::Use const& use)
+void OwnUse::append(wire::HostUse& message, BackendServer const& server, PeerUse::Use const& use)
 {
     auto& engine = *message.add_engines();
-    engine.set_engine(id.value());
+    engine.set_engine(server.id.value());
+    engine.set_start(server.start.value());
     engine.set_generations(use.generations);
     engine.set_tokens(use.tokens);
     engine.set_unread_tokens(use.unread_tokens);
@@ -128,7 +132,7 @@
         auto use = use_of(*backend);
         if (use == PeerUse::Use {})
             continue;
-        append(message, id, use);
+        append(message, backend->server, use);
         this->told[id] = use;
     }
     return message;
@@ -146,7 +150,7 @@
             || std::abs(use.tokens - before.tokens) >= notable_token_change;
         if (!has_changed)
             continue;
-        append(message, id, use);
+        append(message, backend->server, use);
         before = use;
     }
     if (message.engines_size() == 0)
--- a/Libraries/LibServing/PeerUse.h
+++ b/Libraries/LibServing/PeerUse.h
@@ -23,6 +23,12 @@
 
     using Use = EngineWork;
 
+    /// What is said of one engine, and of which of its starts.
+    struct Told {
+        ServerStart start;
+        Use use;
+    };
+
     /// Takes in what `host` says, and adds the difference to the engines in the table. What is said of a whole failure
     /// domain is kept under the domain's name, whichever of its hosts says it.
     void heard(MemberId const& host, wire::HostUse const&, BackendTable&, Instant now);
@@ -38,10 +44,10 @@
         Duration silence_limit { shortest_silence };
         /// One host of this failure domain; else all hosts of another one together.
         bool is_near { true };
-        std::map<EngineId, Use> engines;
+        std::map<EngineId, Told> engines;
     };
 
-    static void replace(Host&, EngineId const&, Use const&, BackendTable&);
+    static void replace(Host&, EngineId const&, Told const&, BackendTable&);
     static void forget_all_but(Host&, std::set<EngineId> const& named, BackendTable&);
     static void add(Backend&, Use const&, bool is_near, int sign);
 
@@ -70,7 +76,7 @@
 
 private:
     [[nodiscard]] PeerUse::Use use_of(Backend const&) const;
-    static void append(wire::HostUse&, EngineId const&, PeerUse::Use const&);
+    static void append(wire::HostUse&, BackendServer const&, PeerUse::Use const&);
 
     UseScope scope;
     std::map<EngineId, PeerUse::Use> told;
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -42,6 +42,10 @@
         this->forget_answer();
         this->connection = this->context.connections.acquire(this->backend->endpoint);
         this->is_on_new_connection = this->connection->is_new();
+        this->watch_end(*this->backend, [weak = this->weak_from_this()] {
+            if (auto self = weak.lock())
+                self->backend_ended();
+        });
         this->log_dispatch();
         DispatchHead const head { this->backend->server.id, this->call.organisation, this->time_left(), {}, {} };
         this->connection->exchange(this->template make_dispatch<D>(head), this->make_observer(),
@@ -95,8 +99,17 @@
         this->try_again(Http::describe(end, reason), is_unreachable);
     }
 
+    /// Its process has ended with what it had under way, whatever the connection still looks like.
+    void backend_ended()
+    {
+        this->connection->cancel();
+        this->exchange_ended(Http::ExchangeEnd::NoAnswer, std::string(replaced_reason));
+    }
+
     void answer_arrived(Backend& used)
     {
+        if (this->answer.is_misdirected)
+            this->context.backend_ended(used);
         if (this->answer_says_not_run())
             return this->try_again(this->answer.is_misdirected ? "misdirected" : "not run", false);
         if (this->is_success() && !this->answer.is_signed) {
@@ -204,6 +217,7 @@
 
     BackendPointer release_backend()
     {
+        this->end_watch = nullptr;
         auto used = std::exchange(this->backend, nullptr);
         if (used && used->in_flight > 0)
             --used->in_flight;
--- a/Libraries/LibServing/Suspicion.cpp
+++ b/Libraries/LibServing/Suspicion.cpp
@@ -31,7 +31,7 @@
     auto now = context.now();
     for (auto const& said : message.unreachable()) {
         auto backend = context.backends.find(EngineId(said.backend()));
-        if (!backend)
+        if (!backend || !backend->is_start(ServerStart(said.start())))
             continue;
         bool const was_avoided = backend->is_avoided(now);
         auto avoidance
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -46,7 +46,8 @@
 std::string PlatformRunner::row(std::string const& service, std::string const& zone, bool is_draining) const
 {
     Json::object const row { { "service", service }, { "addr", this->address() }, { "zone", zone }, { "version", "v1" },
-        { "slots", slots }, { "state", is_draining ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "call_seq", 1 } };
+        { "slots", slots }, { "state", is_draining ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "call_seq", 1 },
+        { "born", this->start } };
     return Json::serialize(row);
 }
 
@@ -251,8 +252,9 @@
 
 void PlatformRunner::answer_report(Http::Exchange& exchange)
 {
-    Json::object report { { "stage", "both" }, { "busy", false }, { "call_seq", 1 }, { "waiting", 0 },
-        { "running", this->generations.size() }, { "kv_used", 0 }, { "kv_total", kv_tokens }, { "handles", 0 } };
+    Json::object report { { "born", this->start }, { "stage", "both" }, { "busy", false }, { "call_seq", 1 },
+        { "waiting", 0 }, { "running", this->generations.size() }, { "kv_used", 0 }, { "kv_total", kv_tokens },
+        { "handles", 0 } };
     if (this->leaves_in) {
         report["state"] = "draining";
         report["leaves_ms"] = *this->leaves_in;
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -75,6 +75,8 @@
         this->copies[handle] = events_made;
         return true;
     }
+    /// The Unix millisecond of its process's start, which its row and /report name.
+    void set_start(i64 milliseconds) { this->start = milliseconds; }
     /// What /report says of the time that is left; nothing if it does not leave.
     void set_leaves_in(std::optional<u64> milliseconds) { this->leaves_in = milliseconds; }
 
@@ -127,6 +129,7 @@
     /// By handle: the events made when the copy was taken, here as the target or the source.
     std::map<std::string, u64> copies;
     bool has_ended { false };
+    i64 start { 1'790'000'000'000 };
     std::vector<std::string> ordered_copies;
     std::optional<u64> leaves_in;
     u32 dropped { 0 };
--- /dev/null
+++ b/Tests/LibServing/TestServerIdentity.cpp
@@ -0,0 +1,280 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/BackendList.h>
+#include <LibServing/PeerUse.h>
+#include <LibServing/Suspicion.h>
+#include <rapidcheck/catch.h>
+
+using namespace Serving;
+
+static EngineId const id("engine-1");
+
+static BackendServer row(i64 start, bool is_leaving = false, int port = 1000)
+{
+    BackendServer made;
+    made.id = id;
+    made.start = ServerStart(start);
+    made.service = ServiceName("models");
+    made.address = Address("127.0.0.1:" + std::to_string(port));
+    made.failure_domain = FailureDomainId("hall-a");
+    made.slots = 8;
+    made.is_leaving = is_leaving;
+    return made;
+}
+
+/// What one host believes of one backend server, from every source that there is.
+struct Believer {
+    Believer()
+    {
+        this->context.clock = [this] { return this->now; };
+    }
+
+    [[nodiscard]] BackendPointer backend() const { return this->context.backends.find(id); }
+    [[nodiscard]] bool takes_work() const { return this->backend() && this->backend()->takes_work(); }
+
+    void peer_has(i64 start, i64 tokens)
+    {
+        wire::HostUse message;
+        message.set_is_whole(true);
+        auto& engine = *message.add_engines();
+        engine.set_engine(id.value());
+        engine.set_start(start);
+        engine.set_tokens(tokens);
+        this->use.heard(MemberId("host-2"), message, this->context.backends, this->now);
+    }
+    void peer_cannot_connect(i64 start, std::string const& peer)
+    {
+        wire::HostUse message;
+        auto& unreachable = *message.add_unreachable();
+        unreachable.set_backend(id.value());
+        unreachable.set_start(start);
+        unreachable.set_avoided_milliseconds(2000);
+        take_suspicions(this->context, MemberId(peer), message);
+    }
+
+    Http::asio::io_context loop;
+    HostSettings settings;
+    Core::StructuredLog log { [](std::string_view text) { return text.size(); } };
+    ServingContext context { loop, settings, log };
+    Instant now { 100s };
+    PeerUse use;
+    std::vector<i64> left;
+    BackendList list { context,
+        { [this](BackendPointer const& backend) { this->use.apply_to(*backend); },
+            [this](BackendPointer const& backend) { this->left.push_back(backend->server.start.value()); } } };
+};
+
+SCENARIO("a backend server that starts again under its id is another server")
+{
+    Believer host;
+    host.list.changed(row(1'000));
+    auto const former = host.backend();
+    former->engine.own_generations = 3;
+    former->engine.own_tokens = 9000;
+    host.peer_has(1'000, 5000);
+    CHECK(former->engine.tokens() == 14'000);
+    int told_ends = 0;
+    auto token = former->observe_end([&] { ++told_ends; });
+
+    WHEN("its new start is listed")
+    {
+        note_failure(*former, host.now, true);
+        host.list.changed(row(1'000, true));
+        host.list.changed(row(2'000));
+        THEN("nothing of the former one holds for it")
+        {
+            REQUIRE(host.backend());
+            CHECK(host.backend() != former);
+            CHECK(host.takes_work());
+            CHECK(host.backend()->engine.tokens() == 0);
+            CHECK_FALSE(host.backend()->is_avoided(host.now));
+            CHECK(host.context.backends.of_service(ServiceName("models")).size() == 1);
+        }
+        THEN("what was under way at the former one has ended") { CHECK(told_ends == 1); }
+        AND_WHEN("a list that lags still has the former one, which was leaving")
+        {
+            host.list.changed(row(1'000, true));
+            CHECK(host.backend()->server.start == ServerStart(2'000));
+            CHECK(host.takes_work());
+        }
+        AND_WHEN("others still speak of the former one")
+        {
+            host.peer_has(1'000, 7000);
+            host.peer_cannot_connect(1'000, "host-2");
+            host.peer_cannot_connect(1'000, "host-3");
+            host.list.leaving(id, ServerStart(1'000), {});
+            host.list.ended(id, ServerStart(1'000), Address("127.0.0.1:1000"));
+            CHECK(host.takes_work());
+            CHECK(host.backend()->engine.tokens() == 0);
+            CHECK_FALSE(host.backend()->is_avoided(host.now));
+        }
+        AND_WHEN("others speak of the new one")
+        {
+            host.peer_has(2'000, 7000);
+            CHECK(host.backend()->engine.tokens() == 7000);
+            host.list.leaving(id, ServerStart(2'000), {});
+            CHECK_FALSE(host.takes_work());
+        }
+        AND_WHEN("its entry goes, and one of the former start comes")
+        {
+            host.list.removed(id);
+            host.list.changed(row(1'000));
+            CHECK_FALSE(host.backend());
+        }
+    }
+    WHEN("others speak of the new start before it is listed here")
+    {
+        host.peer_has(2'000, 7000);
+        THEN("the known one does not have that work") { CHECK(former->engine.tokens() == 9000); }
+        AND_WHEN("it is listed")
+        {
+            host.list.changed(row(2'000));
+            CHECK(host.backend()->engine.tokens() == 7000);
+        }
+    }
+}
+
+SCENARIO("a backend server in whose place another process answers takes no more work")
+{
+    Believer host;
+    host.list.changed(row(1'000));
+    auto const former = host.backend();
+    int told_ends = 0;
+    auto token = former->observe_end([&] { ++told_ends; });
+    host.list.ended(id, ServerStart(1'000), Address("127.0.0.1:1000"));
+    CHECK_FALSE(host.takes_work());
+    THEN("what is under way goes on") { CHECK(told_ends == 0); }
+    WHEN("the list still has it")
+    {
+        host.list.listed({ row(1'000) });
+        host.list.changed(row(1'000, true));
+        CHECK_FALSE(host.takes_work());
+    }
+    WHEN("it is listed at another address")
+    {
+        host.list.changed(row(1'000, false, 1001));
+        CHECK(host.takes_work());
+        AND_WHEN("word of its former address comes late")
+        {
+            host.list.ended(id, ServerStart(1'000), Address("127.0.0.1:1000"));
+            CHECK(host.takes_work());
+        }
+    }
+    WHEN("it is listed with another start")
+    {
+        host.list.changed(row(2'000));
+        CHECK(host.takes_work());
+        CHECK(told_ends == 1);
+    }
+}
+
+SCENARIO("an entry that cannot be used names no server to give work to")
+{
+    Believer host;
+    host.list.listed({ row(1'000) }, { EngineId("never known") });
+    CHECK(host.context.backends.all().size() == 1);
+    host.list.unusable(id);
+    CHECK_FALSE(host.takes_work());
+    THEN("what runs there goes on") { CHECK(host.left.empty()); }
+    WHEN("a good entry comes")
+    {
+        host.list.changed(row(1'000));
+        CHECK(host.takes_work());
+    }
+    WHEN("a good entry says that it leaves")
+    {
+        host.list.changed(row(1'000, true));
+        CHECK_FALSE(host.takes_work());
+        CHECK(host.left == std::vector<i64> { 1'000 });
+    }
+    WHEN("the list is read anew, and it is still unusable")
+    {
+        host.list.listed({}, { id });
+        CHECK_FALSE(host.takes_work());
+        CHECK(host.backend());
+    }
+    WHEN("the entry goes")
+    {
+        host.list.listed({}, {});
+        CHECK_FALSE(host.backend());
+    }
+}
+
+/// What is right to believe of one id, told in any order: each start is a server of its own, and the latest one counts.
+struct Model {
+    i64 start { 0 };
+    bool is_listed { false };
+    bool is_leaving { false };
+    bool is_unusable { false };
+    bool has_ended { false };
+
+    void listed(i64 told, bool leaves)
+    {
+        if (told < this->start)
+            return;
+        bool const is_anew = told > this->start || !this->is_listed;
+        this->start = told;
+        this->is_leaving = leaves || (!is_anew && this->is_leaving);
+        this->has_ended = !is_anew && this->has_ended;
+        this->is_unusable = false;
+        this->is_listed = true;
+    }
+    [[nodiscard]] bool takes_work() const
+    {
+        return this->is_listed && !this->is_leaving && !this->is_unusable && !this->has_ended;
+    }
+};
+
+SCENARIO("words of any start in any order leave what the latest start is")
+{
+    rc::prop("of list, hosts and servers", [](std::vector<std::pair<u8, u8>> const& words) {
+        Believer host;
+        Model model;
+        i64 last_peer_start = 0;
+        i64 last_peer_tokens = 0;
+        for (auto const& [what, which] : words) {
+            i64 const start = 1'000 + which % 4;
+            bool const is_this = model.is_listed && start == model.start;
+            switch (what % 7) {
+            case 0:
+            case 1: {
+                bool const leaves = what % 7 == 1;
+                host.list.changed(row(start, leaves));
+                model.listed(start, leaves);
+                break;
+            }
+            case 2:
+                host.list.leaving(id, ServerStart(start), {});
+                model.is_leaving = model.is_leaving || is_this;
+                break;
+            case 3:
+                host.list.ended(id, ServerStart(start), Address("127.0.0.1:1000"));
+                model.has_ended = model.has_ended || is_this;
+                break;
+            case 4:
+                host.list.unusable(id);
+                model.is_unusable = model.is_listed;
+                break;
+            case 5:
+                host.list.removed(id);
+                model.is_listed = false;
+                break;
+            default:
+                last_peer_start = start;
+                last_peer_tokens = 10 + which;
+                host.peer_has(start, last_peer_tokens);
+            }
+            RC_ASSERT(host.takes_work() == model.takes_work());
+            RC_ASSERT((host.backend() != nullptr) == model.is_listed);
+            if (!model.is_listed)
+                continue;
+            RC_ASSERT(host.backend()->server.start == ServerStart(model.start));
+            auto const expected = last_peer_start == model.start ? last_peer_tokens : 0;
+            RC_ASSERT(host.backend()->engine.peer_tokens == expected);
+        }
+    });
+}
--- a/Tests/Platform/TestGenerations.cpp
+++ b/Tests/Platform/TestGenerations.cpp
@@ -57,6 +57,24 @@
             CHECK(fixture.log_has("event=E2204 stream_failed subject=g1"));
         }
     }
+    WHEN("the list has a later start of the engine, and the former one's connection is silent")
+    {
+        engine.make_events();
+        fixture.until([&] { return call->event_count() == 1; });
+        engine.set_start(1'790'000'005'000);
+        fixture.store.put("servers", "engine-1", engine.row("models", "hall-a"));
+        fixture.until([&] { return call->is_over(); });
+        THEN("the stream ends with the process that made it")
+        {
+            CHECK(call->end == Http::ExchangeEnd::Truncated);
+            CHECK(fixture.log_has("another process has taken its place"));
+        }
+        AND_THEN("the next one is given to the new process")
+        {
+            auto next = fixture.call(HostFixture::generation("g2"));
+            fixture.until([&] { return engine.is_running("g2"); });
+        }
+    }
     WHEN("the caller leaves")
     {
         call->connection->cancel();
--- /dev/null
+++ b/Tests/Platform/TestRows.cpp
@@ -0,0 +1,166 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/json.hpp>
+#include <platform/Dialect.h>
+#include <platform/Rows.h>
+#include <rapidcheck/catch.h>
+
+namespace Json = boost::json;
+
+static Json::object good_entry()
+{
+    return { { "service", "models" }, { "addr", "10.0.0.9:8080" }, { "zone", "hall-a" }, { "version", "v1" },
+        { "slots", 24 }, { "state", "ready" }, { "cold_left_ms", 1500.5 }, { "stage", "both" },
+        { "models", Json::array {} }, { "call_seq", 4 }, { "born", 1'790'000'000'123 } };
+}
+
+static Result<Serving::BackendServer> decode(std::string const& value)
+{
+    return Adapter::decode_backend_server({ "i-1", value, 7 });
+}
+
+static Result<Serving::BackendServer> decode(Json::object const& entry) { return decode(Json::serialize(entry)); }
+
+/// Nothing that is decoded may leave these bounds, whatever the entry was.
+static bool is_refused_or_usable(Result<Serving::BackendServer> const& read)
+{
+    if (!read)
+        return true;
+    auto const& server = read.value();
+    return server.slots >= 1 && server.slots <= 100'000 && server.warm_up_left >= 0s && server.warm_up_left <= 24h
+        && server.start >= ServerStart(0) && !server.service.value().empty() && !server.failure_domain.value().empty()
+        && Http::parse_endpoint(server.address.value());
+}
+
+SCENARIO("a backend server's entry is read, or names no server")
+{
+    auto entry = good_entry();
+    auto read = decode(entry);
+    REQUIRE(read);
+    CHECK(read.value().id == EngineId("i-1"));
+    CHECK(read.value().start == ServerStart(1'790'000'000'123));
+    CHECK(read.value().slots == 24);
+    CHECK_FALSE(read.value().is_leaving);
+    CHECK(read.value().warm_up_left == 1500500us);
+
+    WHEN("it is draining")
+    {
+        entry["state"] = "draining";
+        CHECK(decode(entry).value().is_leaving);
+    }
+    WHEN("it does not tell its start")
+    {
+        entry.erase("born");
+        CHECK(decode(entry).value().start == ServerStart(0));
+    }
+    WHEN("it has fields that are not known")
+    {
+        entry["colour"] = Json::array { 1, 2 };
+        CHECK(decode(entry));
+    }
+    WHEN("a field is missing")
+    {
+        entry.erase(GENERATE("service", "addr", "zone", "slots", "state", "cold_left_ms"));
+        CHECK_FALSE(decode(entry));
+    }
+    WHEN("a field has another type")
+    {
+        auto const* name = GENERATE("service", "addr", "zone", "slots", "state", "cold_left_ms", "born");
+        entry[name] = GENERATE(0, 1, 2) == 0 ? Json::value(Json::array {}) : Json::value(nullptr);
+        CHECK_FALSE(decode(entry));
+    }
+    WHEN("a number is absurd")
+    {
+        auto const* name = GENERATE("slots", "cold_left_ms", "born");
+        entry[name] = GENERATE(-1.0, -1e300, 1e300, 1e19);
+        CHECK_FALSE(decode(entry));
+    }
+    WHEN("a number that must be whole is not")
+    {
+        entry[GENERATE("slots", "born")] = 12.5;
+        CHECK_FALSE(decode(entry));
+    }
+    WHEN("its state is not named")
+    {
+        entry["state"] = GENERATE("", "READY", "starting");
+        CHECK_FALSE(decode(entry));
+    }
+    WHEN("its address is none")
+    {
+        entry["addr"] = GENERATE("", "10.0.0.9", "10.0.0.9:", "10.0.0.9:99999", "somewhere:80", "10.0.0.9:80 ");
+        CHECK_FALSE(decode(entry));
+    }
+    WHEN("its bytes are no entry")
+    {
+        CHECK_FALSE(decode(std::string(GENERATE("", "null", "[]", "{", "\xff\xfe", "{\"service\":\"\xc3\x28\"}"))));
+        CHECK_FALSE(decode(std::string(100'000, '[')));
+    }
+}
+
+static bool is_refused_or_usable(Result<Serving::Configuration> const& read)
+{
+    if (!read)
+        return true;
+    return std::ranges::all_of(read.value().routes, [](Serving::Route const& route) {
+        return !route.services.empty() && route.timeout >= 0s && route.latency_goal >= 0s;
+    });
+}
+
+/// Changes some bytes of a text, or cuts it.
+static std::string damaged(std::string text, std::vector<std::pair<u32, u8>> const& changes)
+{
+    for (auto const& [where, what] : changes) {
+        if (text.empty())
+            break;
+        if (what == 0)
+            text.resize(where % text.size());
+        else
+            text[where % text.size()] = static_cast<char>(what);
+    }
+    return text;
+}
+
+SCENARIO("whatever bytes an entry holds, it is read within bounds or names no server")
+{
+    rc::prop("damaged entries", [](std::vector<std::pair<u32, u8>> const& changes) {
+        RC_ASSERT(is_refused_or_usable(decode(damaged(Json::serialize(good_entry()), changes))));
+    });
+    rc::prop("any number in any field", [](double number) {
+        auto entry = good_entry();
+        auto const names
+            = std::to_array<std::string>({ "service", "addr", "zone", "slots", "state", "cold_left_ms", "born" });
+        entry[*rc::gen::elementOf(names)] = number;
+        RC_ASSERT(is_refused_or_usable(decode(entry)));
+    });
+    rc::prop("any bytes", [](std::string const& bytes) { RC_ASSERT(!decode(bytes)); });
+}
+
+SCENARIO("whatever bytes the configuration or a report holds, nothing is thrown")
+{
+    Json::object const configuration { { "version", 7 },
+        { "routes",
+            Json::array { Json::object { { "name", "r" }, { "host", "h" }, { "path_prefix", "/a/" }, { "kind", "safe" },
+                { "timeout_ms", 600 }, { "service", "lanes" }, { "max_attempts", 2 }, { "priority", 1 } } } },
+        { "services",
+            Json::array { Json::object { { "name", "lanes" }, { "max_conns", 5 },
+                { "engine", Json::object { { "slots", 8 }, { "kv_capacity", 30000 }, { "handle_s", 5.0 } } } } } },
+        { "limits", Json::object { { "max_header_bytes", 4096 }, { "idle_timeout_ms", 15000 } } },
+        { "tenants", Json::array { Json::object { { "name", "plaza" }, { "api_keys", Json::array { "k" } } } } } };
+    REQUIRE(Adapter::decode_configuration({ "config", Json::serialize(configuration), 7 }));
+    rc::prop("damaged configurations", [&](std::vector<std::pair<u32, u8>> const& changes) {
+        auto read = Adapter::decode_configuration({ "config", damaged(Json::serialize(configuration), changes), 7 });
+        RC_ASSERT(is_refused_or_usable(read));
+    });
+    Json::object const report { { "stage", "both" }, { "waiting", 1 }, { "running", 12 }, { "kv_used", 41000 },
+        { "kv_total", 90000 }, { "state", "draining" }, { "leaves_ms", 1500 }, { "born", 17 } };
+    REQUIRE(Adapter::Dialect::decode_engine_report(Json::serialize(report)).value().start == ServerStart(17));
+    rc::prop("damaged reports", [&](std::vector<std::pair<u32, u8>> const& changes) {
+        auto read = Adapter::Dialect::decode_engine_report(damaged(Json::serialize(report), changes));
+        bool const is_refused_or_usable = !read || read.value().used >= TokenCount(0);
+        RC_ASSERT(is_refused_or_usable);
+    });
+}
--- a/Tests/Platform/TestWholePath.cpp
+++ b/Tests/Platform/TestWholePath.cpp
@@ -117,6 +117,38 @@
             CHECK(first.runs().empty());
         }
     }
+    WHEN("another process answers at the runner's address")
+    {
+        first.add_fault(Fault::Misdirected);
+        auto refused = fixture.finished_call(HostFixture::request("/lookup/1", "a1"));
+        CHECK(refused->status == 503);
+        THEN("no caller's request is sent there again")
+        {
+            auto const seen = first.received().size();
+            CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "a2"))->status == 503);
+            CHECK(first.received().size() == seen);
+            CHECK(fixture.log_has("E2306 backend_server_changed subject=lane-1 state=ended"));
+        }
+        AND_WHEN("the list has a later start of the runner")
+        {
+            first.set_start(1'790'000'005'000);
+            fixture.store.put("servers", "lane-1", first.row("lanes", "hall-a"));
+            fixture.until([&] { return fixture.log_has("start=1790000005000"); });
+            CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "a3"))->status == 200);
+        }
+    }
+    WHEN("another writer spoils the runner's entry")
+    {
+        fixture.store.put("servers", "lane-1", R"({"service":"lanes","addr":17})");
+        fixture.until([&] { return fixture.log_has("E1304 platform_content_rejected subject=lane-1"); });
+        CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "a1"))->status == 503);
+        AND_WHEN("it is as it was again")
+        {
+            fixture.store.put("servers", "lane-1", first.row("lanes", "hall-a"));
+            fixture.until(
+                [&] { return fixture.finished_call(HostFixture::request("/lookup/1", "a2"))->status == 200; });
+        }
+    }
     WHEN("the answer to a call that may run once only is lost")
     {
         auto& second = fixture.add_runner("lane-2", "lanes");
