LibServing: Take a refusal for news, and tell it to all hosts

Cause: an answer that says "not run" (503, 429) changed no belief about its sender. An engine that refuses runs little, looked the emptiest to every host and drew them all, and each further try of a request was drawn as well.

Change: who refuses is avoided for 250 ms, twice as long with each refusal that follows, 4 s at most; the other hosts are told once a time and believe one word, with the start that it is about. Where all are avoided they are chosen as before, so that no service is emptied. The soak spoils entries of backend servers.

--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -154,7 +154,7 @@
 
 bool Backend::is_avoided(Instant now) const
 {
-    if (now < this->health.avoid_until)
+    if (now < this->health.avoid_until || now < this->health.refused_until)
         return true;
     auto others
         = std::ranges::count_if(this->health.told_avoidance, [now](auto const& told) { return now < told.second; });
@@ -166,6 +166,8 @@
     backend.health.told_avoidance.clear();
     backend.health.failures_in_a_row = 0;
     backend.health.avoid_until = {};
+    backend.health.refusals_in_a_row = 0;
+    backend.health.refused_until = {};
     backend.health.unreachable_at = {};
     backend.health.failure_share *= 1 - newest_request_weight;
 }
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -9,6 +9,7 @@
 #include <LibHttp/Exchange.h>
 #include <LibServing/Answers.h>
 #include <LibServing/Dialect.h>
+#include <LibServing/Refusal.h>
 #include <LibServing/Suspicion.h>
 #include <functional>
 #include <optional>
@@ -165,6 +166,14 @@
         Serving::suspect(this->context, backend, { is_unreachable, this->attempt(), std::string(reason) });
     }
 
+    /// `backend` has answered that it did not run this request: it is full or will not, or it is not who it was.
+    void refused_by(Backend& backend)
+    {
+        if (this->answer.is_misdirected)
+            return this->context.backend_ended(backend);
+        note_refusal(this->context, backend, this->attempt(), "status " + std::to_string(this->answer_status()));
+    }
+
     /// Keeps what the backend server says of its load, if it says anything.
     void note_load(Backend& backend, AnswerHead const& answer)
     {
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -239,10 +239,10 @@
     {
         if (this->exchange().is_streaming())
             return this->continuation_refused();
-        if (this->answer.is_misdirected)
-            this->context.backend_ended(*this->backend);
-        if (this->answer_says_not_run())
+        if (this->answer_says_not_run()) {
+            this->refused_by(*this->backend);
             return this->place_again("status " + std::to_string(this->answer_status()), false);
+        }
         if (this->is_server_error())
             this->suspect(*this->backend, false, "status " + std::to_string(this->answer_status()));
         this->finish();
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/PeerLink.h>
+#include <LibServing/Refusal.h>
 #include <LibServing/Relays.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
@@ -55,6 +56,7 @@
     this->context.use_changed = [this] { this->tell_changes_soon(); };
     this->context.backend_unreachable
         = [this](Backend const& backend, Duration avoided) { this->tell_unreachable(backend, avoided); };
+    this->context.backend_refuses = [this](Backend const& backend) { this->tell_refusing(backend); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->heard(envelope); });
 }
 
@@ -86,6 +88,17 @@
     this->send_elsewhere(std::move(message));
 }
 
+void PeerLink::tell_refusing(Backend const& backend)
+{
+    wire::HostUse message;
+    auto& refusing = *message.add_refusing();
+    refusing.set_backend(backend.server.id.value());
+    refusing.set_start(backend.server.start.value());
+    refusing.set_refusals(backend.health.refusals_in_a_row);
+    this->broadcast(message);
+    this->send_elsewhere(std::move(message));
+}
+
 void PeerLink::tell_ended(BackendServer const& server)
 {
     wire::HostUse message;
@@ -353,6 +366,7 @@
     take_suspicions(this->context, MemberId(name), message);
     this->heard_leaving(message);
     this->heard_ended(message);
+    take_refusals(this->context, message);
     this->heard_progress(sender, message);
     if (message.wants_answer())
         this->send_whole(sender, false);
@@ -377,6 +391,7 @@
     this->use.heard(MemberId(domain.value()), message, this->context.backends, now);
     this->heard_leaving(message);
     this->heard_ended(message);
+    take_refusals(this->context, message);
     this->heard_progress(sender, message);
 }
 
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -48,6 +48,8 @@
     void backend_appeared(Backend& backend) { this->use.apply_to(backend); }
     /// Tells the others that a backend server is leaving; the platform may not have told them.
     void tell_leaving(Backend const&);
+    /// Tells the others of a backend server that refuses requests.
+    void tell_refusing(Backend const&);
     /// Tells the others of a backend server in whose place another process answers.
     void tell_ended(BackendServer const&);
     /// Tells the hosts of this domain of a backend server that cannot be connected to.
--- /dev/null
+++ b/Libraries/LibServing/Refusal.cpp
@@ -0,0 +1,59 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Refusal.h>
+#include <algorithm>
+
+namespace Serving {
+
+/// How long a backend server is avoided after one refusal; doubles with each that follows. One that is full for a
+/// moment has room again within some requests' time.
+static constexpr Duration first_avoidance = 250ms;
+/// One that refuses on is tried once in this time by one of all hosts: a try costs its request a further dispatch, and
+/// a backend server that takes work again waits for it.
+static constexpr Duration longest_avoidance = 4s;
+
+static Duration avoidance_after(u32 refusals)
+{
+    constexpr u32 most_doublings = 4;
+    return std::min(longest_avoidance, first_avoidance * (1 << std::min(refusals - 1, most_doublings)));
+}
+
+static void log_avoidance(
+    ServingContext& context, Backend const& backend, std::string_view request, std::string_view reason)
+{
+    context.log.event(Core::EventNumber::BackendServerSuspected, backend.server.id.value())
+        .with("request", request)
+        .with("avoided_ms", backend.health.refused_until - context.now())
+        .with("refusals_in_a_row", backend.health.refusals_in_a_row)
+        .with("reason", reason);
+}
+
+void note_refusal(ServingContext& context, Backend& backend, std::string const& request, std::string_view reason)
+{
+    auto& health = backend.health;
+    // Where all are avoided they are tried all the same; that is no news, and the time of the next try stays.
+    if (context.now() < health.refused_until)
+        return;
+    ++health.refusals_in_a_row;
+    health.refused_until = context.now() + avoidance_after(health.refusals_in_a_row);
+    log_avoidance(context, backend, request, reason);
+    context.backend_refuses(backend);
+}
+
+void take_refusals(ServingContext& context, wire::HostUse const& message)
+{
+    for (auto const& said : message.refusing()) {
+        auto backend = context.backends.find(EngineId(said.backend()));
+        if (!backend || !backend->is_start(ServerStart(said.start())) || said.refusals() == 0)
+            continue;
+        auto& health = backend->health;
+        health.refusals_in_a_row = std::max(health.refusals_in_a_row, said.refusals());
+        health.refused_until = std::max(health.refused_until, context.now() + avoidance_after(said.refusals()));
+    }
+}
+
+}
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -108,10 +108,10 @@
 
     void answer_arrived(Backend& used)
     {
-        if (this->answer.is_misdirected)
-            this->context.backend_ended(used);
-        if (this->answer_says_not_run())
+        if (this->answer_says_not_run()) {
+            this->refused_by(used);
             return this->try_again(this->answer.is_misdirected ? "misdirected" : "not run", false);
+        }
         if (this->is_success() && !this->answer.is_signed) {
             this->suspect(used, false, "unsigned");
             this->may_have_run = true;
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -192,6 +192,24 @@
 guard "hosts of other domains are counted as these say" TestLibServing \
     "Scenario: hosts of all domains count one that has joined" \
     Libraries/LibServing/Reach.cpp "return told > 0 ? told : known;" "return known;"
+guard "a later start is another server" TestLibServing "Scenario: words of any start in any order leave what the latest start is" \
+    Libraries/LibServing/BackendTable.cpp " || known->server.start < server.start);" ");"
+guard "an earlier start changes nothing" TestLibServing "Scenario: words of any start in any order leave what the latest start is" \
+    Libraries/LibServing/BackendTable.cpp "server.start < this->latest_start_of(server.id)" "false"
+guard "others' work counts for the start that they name" TestLibServing \
+    "Scenario: words of any start in any order leave what the latest start is" \
+    Libraries/LibServing/PeerUse.cpp "if (backend->is_start(told.start))" ""
+guard "a later start ends what the former had" TestPlatform "Scenario: a generation is relayed event by event" \
+    Libraries/LibServing/BackendList.cpp "before->tell_end();" ";"
+guard "who answers for another gets no more" TestPlatform \
+    "Scenario: a call to a plain service goes through a host on the users' platform" \
+    Libraries/LibServing/BackendList.cpp "backend->has_ended = true;" ""
+guard "an unusable entry gets no work" TestLibServing "Scenario: an entry that cannot be used names no server to give work to" \
+    Libraries/LibServing/BackendList.cpp "backend->has_unusable_entry = true;" ";"
+guard "a state that is not named is no state" TestPlatform "Scenario: a backend server's entry is read, or names no server" \
+    platform/Rows.cpp 'state != "ready" && state != "draining"' "false"
+guard "a refusal is believed" TestLibServing "Scenario: engines that refuse do not draw all hosts because they look empty" \
+    Libraries/LibServing/BackendTable.cpp " || now < this->health.refused_until" ""
 guard "the table of hosts is read to its end" TestLibServing \
     "Scenario: a host learns of all hosts that have written themselves into the platform's table" \
     Libraries/LibServing/HostDirectory.h "page.value().more && " "false && "
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -174,6 +174,11 @@
         servers_table, place.id, place.runner->row(place.service, place.domain, place.leaving_since.has_value()));
 }
 
+void Deployment::put_entry(RunnerPlace const& place, std::string const& value)
+{
+    this->store.put(servers_table, place.id, value);
+}
+
 void Deployment::drain(RunnerPlace& place, Duration time_left)
 {
     place.leaving_since = now();
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -106,6 +106,8 @@
     /// Takes its row off the list for good; from then on it counts as leaving.
     void remove_row(RunnerPlace&);
     void put_row(RunnerPlace const&);
+    /// Writes its entry in its place.
+    void put_entry(RunnerPlace const&, std::string const& value);
     /// Breaks its connections; its row stays.
     void end_runner(RunnerPlace&);
     /// Those that take work, of one service.
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -81,6 +81,7 @@
     , deployment(deployment)
     , random(seed)
     , stall_random(~seed)
+    , entry_random(seed ^ 0x5eed)
 {
     auto const kinds = kinds_of(static_cast<Mix>(seed % mix_count));
     for (u32 i = 0; i < count; ++i)
@@ -94,11 +95,13 @@
     for (auto const& entry : this->entries)
         this->after(entry.at, [this, begin = entry.begin] { (this->*begin)(); });
     this->stall_hosts();
+    this->spoil_entries();
 }
 
 void FaultSchedule::heal()
 {
     this->is_over = true;
+    this->restore_entry();
     this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving);
     this->deployment.store.set_behind(0);
     for (auto& host : this->deployment.hosts) {
@@ -220,6 +223,33 @@
         draw_between(this->stall_random, shortest_stall_pause, longest_stall_pause), [this] { this->stall_hosts(); });
 }
 
+void FaultSchedule::spoil_entries()
+{
+    static constexpr std::array<std::string_view, 6> values { "", "no entry", R"({"service":"models"})",
+        R"({"service":7,"addr":[],"zone":null,"slots":1e300,"state":"ready","cold_left_ms":-1,"born":1.5})",
+        R"({"service":"models","addr":"nowhere","zone":"","slots":0,"state":"resting","cold_left_ms":0})", "\xff\xfe" };
+    this->restore_entry();
+    std::vector<RunnerPlace*> living;
+    for (auto& place : this->deployment.runners) {
+        if (!place.has_ended && !place.leaving_since)
+            living.push_back(&place);
+    }
+    auto const value = values.at(draw_below(this->entry_random, values.size()));
+    if (!living.empty()) {
+        this->spoilt = living.at(draw_below(this->entry_random, static_cast<u32>(living.size())));
+        this->deployment.put_entry(*this->spoilt, std::string(value));
+    }
+    this->after(
+        draw_between(this->entry_random, shortest_stall_pause, longest_stall_pause), [this] { this->spoil_entries(); });
+}
+
+void FaultSchedule::restore_entry()
+{
+    auto* place = std::exchange(this->spoilt, nullptr);
+    if (place && !place->has_ended && !place->leaving_since)
+        this->deployment.put_row(*place);
+}
+
 void FaultSchedule::freeze_host()
 {
     auto& host = this->draw_host();
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -50,6 +50,10 @@
     void reload_host();
     /// Halts one host after another for a moment, all through the schedule. It is no harm and excuses nothing.
     void stall_hosts();
+    /// Another writer spoils the entry of one backend server after another, all through the schedule. The server lives
+    /// on, so that it is no harm either.
+    void spoil_entries();
+    void restore_entry();
     // Of the platform.
     void platform_busy();
     void platform_silent();
@@ -92,8 +96,11 @@
     Http::asio::io_context& loop;
     Deployment& deployment;
     boost::random::mt19937 random;
-    /// Of its own, so that what a seed draws besides does not depend on stalls.
+    /// Of their own, so that what a seed draws besides does not depend on stalls and spoilt entries.
     boost::random::mt19937 stall_random;
+    boost::random::mt19937 entry_random;
+    /// Whose entry is spoilt just now.
+    RunnerPlace* spoilt { nullptr };
     std::vector<Entry> entries;
     Instant started_at {};
     bool is_over { false };
