LibServing: Take an entry without a start as of the server that is known; count hosts twice a second

Cause: an entry that names no start was taken for one of an earlier process and ignored, with its word that the server leaves. And the number of hosts that share the retry allowance was counted anew every 50 ms, by a walk over all known hosts.

Measured: the new test of such entries passes, and the tests of LibServing.

--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -38,7 +38,7 @@
     auto now = this->context.now();
     this->held_removals.erase(server.id);
     auto before = this->context.backends.find(server.id);
-    if (before && before->server == server)
+    if (before && before->is_start(server.start))
         before->has_unusable_entry = false;
     bool const was_serving = before && before->availability == Availability::Serving;
     auto backend = this->context.backends.update(server, now);
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -40,14 +40,18 @@
     VERIFY(false);
 }
 
-BackendPointer BackendTable::update(BackendServer const& server, Instant now)
+BackendPointer BackendTable::update(BackendServer const& told, Instant now)
 {
-    auto endpoint = Http::parse_endpoint(server.address.value());
+    auto endpoint = Http::parse_endpoint(told.address.value());
     if (!endpoint)
         return nullptr;
+    auto server = told;
+    auto known = this->find(server.id);
+    // An entry that does not tell its start is about the one that is known: it may say that this one leaves.
+    if (known && server.start == ServerStart(0))
+        server.start = known->server.start;
     if (server.start < this->latest_start_of(server.id))
         return nullptr;
-    auto known = this->find(server.id);
     if (known && known->server == server)
         return nullptr;
     bool const is_another = known && (known->server.service != server.service || known->server.start < server.start);
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -133,6 +133,8 @@
     static constexpr Duration tick_period = 50ms;
     /// A fifth of the tightest goal of a plain call (100 ms).
     static constexpr Duration shortest_noted_stall = 20ms;
+    /// Hosts that join have no part of the allowance for the first ten seconds, so half a second is soon enough.
+    static constexpr Duration share_period = 500ms;
     /// After its start a host first hears from the others which of them follow the platform's tables: two calls of the
     /// platform and a message each way, some ten milliseconds, with room for a slow start.
     static constexpr Duration settling_time = 500ms;
@@ -394,7 +396,7 @@
         this->backends.tick();
         this->note_reach();
         this->choose_reader();
-        share_allowance(this->context.budget, this->context.reach, this->context.now());
+        this->share_allowance_now_and_then();
         this->context.connections.drop_unusable();
         this->log.flush();
         this->tick_timer.expires_after(tick_period);
@@ -406,6 +408,16 @@
         });
     }
 
+    /// A walk over all hosts that are known, for a number that changes when hosts come and go.
+    void share_allowance_now_and_then()
+    {
+        auto const now = this->context.now();
+        if (now < this->next_share)
+            return;
+        this->next_share = now + share_period;
+        share_allowance(this->context.budget, this->context.reach, now);
+    }
+
     void await_signal()
     {
         this->signals.async_wait([this](boost::system::error_code error, int number) {
@@ -464,6 +476,7 @@
     Http::asio::signal_set signals;
     Http::asio::steady_timer tick_timer;
     Instant started_at {};
+    Instant next_share {};
     std::optional<PlannedStop> stop;
     bool backends_known { false };
     /// Entries that cannot be read come again with each heartbeat of whoever writes them.
--- a/Tests/LibServing/TestServerIdentity.cpp
+++ b/Tests/LibServing/TestServerIdentity.cpp
@@ -138,6 +138,22 @@
     }
 }
 
+SCENARIO("an entry that does not tell its start is about the server that is known")
+{
+    Believer host;
+    host.list.changed(row(1'000));
+    host.list.unusable(id);
+    host.list.changed(row(0));
+    CHECK(host.takes_work());
+    auto const known = host.backend();
+    host.list.changed(row(0, true));
+    CHECK(host.backend() == known);
+    CHECK_FALSE(host.takes_work());
+    CHECK(host.left == std::vector<i64> { 1'000 });
+    host.list.changed(row(2'000));
+    CHECK(host.takes_work());
+}
+
 SCENARIO("a backend server in whose place another process answers takes no more work")
 {
     Believer host;
