LibServing, platform: Send nothing new to a failure domain that the operator has emptied

Change: Evacuations keeps the word of the highest version of each domain, from lists and changes of the table that hosts read or pass on to each other; the table of backend servers marks those of an emptied domain, and Backend::takes_work, which every choice asks already, says no. A copy that waits at a target whose domain is emptied is given up and another target chosen; engines there are not asked for reports unless they leave with a generation of this host. A service of which only emptied servers can be reached does not count as reached. Bytes that are no order empty nothing.

Ruled out: a bound of its own for the spread; the table's news reach all hosts with the configuration.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -61,6 +61,8 @@
     { BackendServerGone, "backend_server_gone", Information },
     { BackendServerSuspected, "backend_server_suspected", Warning },
     { ServicesOutOfReach, "services_out_of_reach", Warning },
+    { DomainEvacuated, "domain_evacuated", Warning },
+    { DomainEvacuationTakenBack, "domain_evacuation_taken_back", Information },
     { ServiceCallDispatched, "service_call_dispatched", Information },
     { ServiceCallEnded, "service_call_ended", Information },
     { ClaimRefused, "claim_refused", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -61,6 +61,8 @@
     BackendServerGone = 2307,
     BackendServerSuspected = 2308,
     ServicesOutOfReach = 2309,
+    DomainEvacuated = 2310,
+    DomainEvacuationTakenBack = 2311,
     ServiceCallDispatched = 2401,
     ServiceCallEnded = 2402,
     ClaimRefused = 2403,
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -94,6 +94,24 @@
 
 ServerStart BackendTable::latest_start_of(EngineId const& id) const
 {
+void BackendTable::set_evacuated(FailureDomainId const& domain, bool is_evacuated)
+{
+    if (is_evacuated)
+        this->evacuated.insert(domain);
+    else
+        this->evacuated.erase(domain);
+    for (auto const& backend : this->running()) {
+        if (backend->server.failure_domain == domain)
+            backend->is_evacuated = is_evacuated;
+    }
+}
+
+size_t BackendTable::count_in(FailureDomainId const& domain) const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        this->by_id, [&](auto const& entry) { return entry.second->server.failure_domain == domain; }));
+}
+
     auto known = this->find_running(id);
     return known ? known->server.start : ServerStart(0);
 }
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <set>
 #include <vector>
 
 namespace Serving {
@@ -78,6 +79,8 @@
     /// Another process answers where it was, so its own has ended, though the platform still lists it.
     bool has_ended { false };
     u32 in_flight { 0 };
+    /// The operator wants nothing sent to its failure domain. What runs there goes on.
+    bool is_evacuated { false };
     std::optional<LoadReport> load;
     Instant load_heard_at {};
     Health health;
@@ -86,7 +89,8 @@
     /// Whether new work may be given to it at all.
     [[nodiscard]] bool takes_work() const
     {
-        return this->availability == Availability::Serving && !this->has_unusable_entry && !this->has_ended;
+        return this->availability == Availability::Serving && !this->has_unusable_entry && !this->has_ended
+            && !this->is_evacuated;
     }
     /// By what this host has seen itself, or by the word of several others.
     [[nodiscard]] bool is_avoided(Instant now) const;
@@ -124,6 +128,12 @@
     [[nodiscard]] BackendPointer find_running(EngineId const&) const;
     /// All of those.
     [[nodiscard]] std::vector<BackendPointer> running() const;
+    /// Whether the operator wants nothing sent to the backend servers of a failure domain, those that are still to come
+    /// among them.
+    void set_evacuated(FailureDomainId const&, bool is_evacuated);
+    /// Backend servers on the list that are in this failure domain.
+    [[nodiscard]] size_t count_in(FailureDomainId const&) const;
+
     /// Lets go of those that cannot run any more.
     void forget_ended(Instant now);
     [[nodiscard]] std::vector<BackendPointer> const& of_service(ServiceName const&) const;
@@ -143,6 +153,7 @@
 };
 
 void note_success(Backend&);
+    std::set<FailureDomainId> evacuated;
 /// `is_unreachable` when no request could be handed over, which says more than one failed answer. Answers for how
 /// long the backend server is avoided.
 Duration note_failure(Backend&, Instant now, bool is_unreachable);
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -83,6 +83,8 @@
     {
         if (backend.availability != Availability::Serving)
             return this->wants_end_of(backend);
+        if (backend.is_evacuated)
+            return false;
         if (is_cut_off && backend.engine.own_generations > 0)
             return true;
         if (is_cut_off && this->rounds % rounds_to_ask_near == 0 && this->is_near(backend))
--- /dev/null
+++ b/Libraries/LibServing/Evacuations.cpp
@@ -0,0 +1,68 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Evacuations.h>
+#include <algorithm>
+
+namespace Serving {
+
+void Evacuations::listed(std::map<FailureDomainId, u64> const& orders, u64 version)
+{
+    if (version < this->listed_version)
+        return;
+    std::vector<FailureDomainId> missing;
+    for (auto const& [domain, word] : this->words) {
+        if (word.is_in_force && !orders.contains(domain))
+            missing.push_back(domain);
+    }
+    for (auto const& domain : missing)
+        this->taken_back(domain, version);
+    for (auto const& [domain, order_version] : orders)
+        this->ordered(domain, order_version);
+    this->listed_version = version;
+}
+
+void Evacuations::ordered(FailureDomainId const& domain, u64 version)
+{
+    this->take(domain, { version, true, this->context.now() });
+}
+
+void Evacuations::taken_back(FailureDomainId const& domain, u64 version)
+{
+    this->take(domain, { version, false, this->context.now() });
+}
+
+bool Evacuations::is_evacuated(FailureDomainId const& domain) const
+{
+    auto known = this->words.find(domain);
+    return known != this->words.end() && known->second.is_in_force;
+}
+
+void Evacuations::take(FailureDomainId const& domain, EvacuationWord word)
+{
+    bool const is_new = !this->words.contains(domain);
+    if (is_new && word.version <= this->listed_version)
+        return;
+    auto const known = this->words.try_emplace(domain, word).first;
+    if (!is_new && word.version <= known->second.version)
+        return;
+    bool const changes = is_new ? word.is_in_force : word.is_in_force != known->second.is_in_force;
+    auto const former = std::exchange(known->second, word);
+    if (!changes)
+        return;
+    this->context.backends.set_evacuated(domain, word.is_in_force);
+    this->context.metrics.set("domains_evacuated",
+        static_cast<double>(
+            std::ranges::count_if(this->words, [](auto const& entry) { return entry.second.is_in_force; })));
+    auto const event
+        = word.is_in_force ? Core::EventNumber::DomainEvacuated : Core::EventNumber::DomainEvacuationTakenBack;
+    this->context.log.event(event, domain.value())
+        .with("row_version", word.version)
+        .with("backends", this->context.backends.count_in(domain))
+        .with("in_force_for_ms", word.is_in_force ? Duration(0) : word.heard_at - former.heard_at);
+}
+
+}
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -257,6 +257,8 @@
     void consider_handover()
     {
         auto now = this->context.now();
+        if (this->chosen->is_evacuated)
+            return this->leave_target();
         auto ends_at = this->source_ends_at();
         if (now < ends_at - handover_margin)
             return this->consider_handover_at(ends_at - handover_margin);
@@ -272,6 +274,16 @@
     }
 
     void enter(Phase phase)
+    /// The generation may not go on there any more: the operator has emptied the target's failure domain.
+    void leave_target()
+    {
+        this->log_failure("the target's failure domain has been evacuated");
+        this->drop_copy();
+        this->copy.reset();
+        this->current = Phase::Copying;
+        this->copy_to_next_target();
+    }
+
     {
         this->current = phase;
         // The observer may let go of this object, and withdraw() of the observer.
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -10,6 +10,7 @@
 #include <LibServing/AllowanceShare.h>
 #include <LibServing/BackendList.h>
 #include <LibServing/EngineReporter.h>
+#include <LibServing/Evacuations.h>
 #include <LibServing/HostDirectory.h>
 #include <LibServing/LogPacer.h>
 #include <LibServing/NewsExchange.h>
@@ -39,6 +40,12 @@
     {
         T::decode_configuration(row)
         } -> std::same_as<Result<Configuration>>;
+    {
+        T::evacuated_domain(row.key)
+        } -> std::same_as<std::optional<FailureDomainId>>;
+    {
+        T::check_evacuation(row)
+        } -> std::same_as<Result<void>>;
     {
         T::decode_backend_server(row)
         } -> std::same_as<Result<BackendServer>>;
@@ -62,6 +69,7 @@
         , backends(this->context,
               { [this](BackendPointer const& backend) { this->peers.backend_appeared(*backend); },
                   [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); } })
+        , evacuations(this->context)
         , directory_store(loop, this->settings.platform.value())
         , directory(loop, this->directory_store, this->settings.host, this->settings.peer_address,
               this->settings.failure_domain,
@@ -201,11 +209,14 @@
         auto observer = this->make_observer(P::configuration_table);
         observer.listed = [this](std::vector<Platform::Row> const& rows, u64 version) {
             this->note_listed(P::configuration_table, rows.size(), version);
+            // Before the configuration, with which this host becomes ready.
+            this->evacuations.listed(this->evacuations_in(rows), version);
             for (auto const& row : rows)
                 this->take_configuration(row);
         };
         observer.changed = [this](std::vector<Platform::RowChange> const& changes, u64) {
             for (auto const& change : changes) {
+                this->take_evacuation(change);
                 if (!change.removed)
                     this->take_configuration(change.row);
             }
@@ -281,6 +292,37 @@
         this->log.event(Core::EventNumber::TableListed, table).with("rows", count).with("version", version);
     }
 
+    [[nodiscard]] bool is_evacuation(Platform::Row const& row)
+    {
+        if (!P::evacuated_domain(row.key))
+            return false;
+        auto checked = P::check_evacuation(row);
+        if (!checked)
+            this->reject_row(row, checked.error());
+        return static_cast<bool>(checked);
+    }
+
+    std::map<FailureDomainId, u64> evacuations_in(std::vector<Platform::Row> const& rows)
+    {
+        std::map<FailureDomainId, u64> orders;
+        for (auto const& row : rows) {
+            if (this->is_evacuation(row))
+                orders[*P::evacuated_domain(row.key)] = row.version;
+        }
+        return orders;
+    }
+
+    void take_evacuation(Platform::RowChange const& change)
+    {
+        auto domain = P::evacuated_domain(change.row.key);
+        if (!domain)
+            return;
+        if (!change.removed && this->is_evacuation(change.row))
+            return this->evacuations.ordered(*domain, change.row.version);
+        // Bytes that another writer has put there are no order of the operator's.
+        this->evacuations.taken_back(*domain, change.row.version);
+    }
+
     void take_configuration(Platform::Row const& row)
     {
         if (!P::is_configuration(row))
@@ -463,6 +505,7 @@
     PeerLink peers;
     BackendList backends;
     typename P::Store directory_store;
+    Evacuations evacuations;
     HostDirectory<typename P::Store> directory;
     typename P::Store configuration_store;
     typename P::Store backend_store;
--- a/Libraries/LibServing/ServiceReach.cpp
+++ b/Libraries/LibServing/ServiceReach.cpp
@@ -28,7 +28,7 @@
     std::map<ServiceName, bool> can_be_reached;
     for (auto const& [id, backend] : backends.all()) {
         auto const& service = backend->server.service;
-        if (backend->availability != Availability::Serving || !routing.find_service(service))
+        if (!backend->takes_work() || !routing.find_service(service))
             continue;
         auto& reached = can_be_reached[service];
         reached = reached || !is_out_of_reach(*backend, silent_domains, now);
--- /dev/null
+++ b/Tests/LibServing/TestEvacuations.cpp
@@ -0,0 +1,227 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Evacuations.h>
+#include <LibServing/ServiceReach.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Serving;
+
+namespace {
+
+FailureDomainId const hall_a("hall-a");
+FailureDomainId const hall_b("hall-b");
+
+/// A host's beliefs with one engine in each of two failure domains.
+struct Beliefs {
+    Beliefs()
+        : log([](std::string_view text) { return text.size(); })
+        , context(loop, settings, log)
+        , evacuations(context)
+    {
+        this->context.clock = [this] { return this->now; };
+        this->add("a1", hall_a);
+        this->add("b1", hall_b);
+    }
+
+    void add(std::string const& id, FailureDomainId const& domain)
+    {
+        BackendServer server;
+        server.id = EngineId(id);
+        server.service = ServiceName("models");
+        server.address = Address("127.0.0.1:1000");
+        server.failure_domain = domain;
+        server.slots = 24;
+        this->context.backends.update(server, this->now);
+    }
+
+    [[nodiscard]] std::string generation_goes_to()
+    {
+        auto chosen = choose_for_generation(this->context.backends.of_service(ServiceName("models")), {},
+            { TokenCount(1000), TokenCount(100) }, TokenCount(20'000), this->context.choice_inputs(0),
+            this->context.random);
+        return chosen ? chosen->server.id.value() : "none";
+    }
+    [[nodiscard]] std::string call_goes_to()
+    {
+        auto chosen = choose_for_call(this->context.backends.of_service(ServiceName("models")), {},
+            this->context.choice_inputs(0), this->context.random);
+        return chosen ? chosen->server.id.value() : "none";
+    }
+
+    Http::asio::io_context loop;
+    HostSettings settings;
+    Core::StructuredLog log;
+    ServingContext context;
+    Evacuations evacuations;
+    Instant now { 100s };
+};
+
+}
+
+SCENARIO("nothing new is sent to a failure domain that the operator has emptied")
+{
+    Beliefs host;
+    WHEN("one domain is emptied")
+    {
+        host.evacuations.ordered(hall_a, 7);
+        THEN("generations, copies and calls go to the other one, however full it is")
+        {
+            host.context.backends.find(EngineId("b1"))->engine.own_tokens = 50'000;
+            host.context.backends.find(EngineId("b1"))->in_flight = 100;
+            CHECK(host.generation_goes_to() == "b1");
+            CHECK(host.call_goes_to() == "b1");
+        }
+        THEN("a backend server that appears there gets nothing either")
+        {
+            host.add("a2", hall_a);
+            CHECK_FALSE(host.context.backends.find(EngineId("a2"))->takes_work());
+        }
+        THEN("one that is listed elsewhere from now on gets work")
+        {
+            host.add("a1", hall_b);
+            CHECK(host.context.backends.find(EngineId("a1"))->takes_work());
+        }
+        AND_WHEN("the order is taken back")
+        {
+            host.evacuations.taken_back(hall_a, 9);
+            CHECK(host.context.backends.find(EngineId("a1"))->takes_work());
+            THEN("an older word of it does not bring it back")
+            {
+                host.evacuations.ordered(hall_a, 8);
+                CHECK_FALSE(host.evacuations.is_evacuated(hall_a));
+            }
+            THEN("a newer one does")
+            {
+                host.evacuations.ordered(hall_a, 10);
+                CHECK(host.evacuations.is_evacuated(hall_a));
+            }
+        }
+        AND_WHEN("the other one is emptied too")
+        {
+            host.evacuations.ordered(hall_b, 8);
+            THEN("nothing is sent at all")
+            {
+                CHECK(host.generation_goes_to() == "none");
+                CHECK(host.call_goes_to() == "none");
+            }
+        }
+    }
+    WHEN("a list names orders")
+    {
+        host.evacuations.ordered(hall_a, 7);
+        host.evacuations.listed({ { hall_b, 9 } }, 12);
+        THEN("those that it does not name are taken back")
+        {
+            CHECK_FALSE(host.evacuations.is_evacuated(hall_a));
+            CHECK(host.evacuations.is_evacuated(hall_b));
+        }
+        THEN("a word from before the list that it does not know is over")
+        {
+            host.evacuations.ordered(FailureDomainId("hall-c"), 11);
+            CHECK_FALSE(host.evacuations.is_evacuated(FailureDomainId("hall-c")));
+        }
+        THEN("an older list changes nothing")
+        {
+            host.evacuations.listed({}, 10);
+            CHECK(host.evacuations.is_evacuated(hall_b));
+        }
+    }
+    WHEN("a list is older than what has been heard")
+    {
+        host.evacuations.ordered(hall_a, 7);
+        host.evacuations.listed({}, 5);
+        CHECK(host.evacuations.is_evacuated(hall_a));
+    }
+    WHEN("an order names a domain in which nobody is known")
+    {
+        host.evacuations.ordered(FailureDomainId("hall-z"), 7);
+        CHECK(host.generation_goes_to() != "none");
+        THEN("it holds for those that come")
+        {
+            host.add("z1", FailureDomainId("hall-z"));
+            CHECK_FALSE(host.context.backends.find(EngineId("z1"))->takes_work());
+        }
+    }
+}
+
+SCENARIO("words of orders to empty domains in any order leave what the table says last")
+{
+    CHECK(rc::check([] {
+        // The table's history: at each version one domain's order is given or taken back.
+        struct Change {
+            FailureDomainId domain;
+            bool is_order { false };
+        };
+        std::vector<Change> history;
+        auto const length = *rc::gen::inRange(1, 20);
+        for (int i = 0; i < length; ++i)
+            history.push_back({ *rc::gen::arbitrary<bool>() ? hall_a : hall_b, *rc::gen::arbitrary<bool>() });
+
+        Beliefs host;
+        auto tell = [&](size_t version) {
+            auto const& change = history[version - 1];
+            if (change.is_order)
+                host.evacuations.ordered(change.domain, version);
+            else
+                host.evacuations.taken_back(change.domain, version);
+        };
+        auto state_at = [&](size_t version) {
+            std::map<FailureDomainId, u64> orders;
+            for (size_t i = 1; i <= version; ++i) {
+                auto const& change = history[i - 1];
+                if (change.is_order)
+                    orders[change.domain] = i;
+                else
+                    orders.erase(change.domain);
+            }
+            return orders;
+        };
+        // Any words and lists, repeated and out of order; then all that the table has said, once, in any order.
+        auto const words = *rc::gen::container<std::vector<int>>(rc::gen::inRange(-length, length + 1));
+        for (auto word : words) {
+            if (word > 0)
+                tell(static_cast<size_t>(word));
+            else if (word < 0)
+                host.evacuations.listed(state_at(static_cast<size_t>(-word)), static_cast<u64>(-word));
+        }
+        for (int i = 1; i <= length; ++i)
+            tell(static_cast<size_t>(i));
+        auto const last = state_at(history.size());
+        for (auto const& domain : { hall_a, hall_b }) {
+            RC_ASSERT(host.evacuations.is_evacuated(domain) == last.contains(domain));
+            for (auto const& [id, backend] : host.context.backends.all()) {
+                if (backend->server.failure_domain == domain)
+                    RC_ASSERT(backend->takes_work() != last.contains(domain));
+            }
+        }
+    }));
+}
+
+SCENARIO("a host beside an emptied domain is not ready while it reaches no other server of a service")
+{
+    Beliefs host;
+    Configuration configuration;
+    configuration.services.push_back({ ServiceName("models"), 64, {} });
+    RoutingTable const routing(std::move(configuration));
+    std::vector<FailureDomainId> const silent { hall_b };
+    auto unreachable = host.context.backends.find(EngineId("b1"));
+    unreachable->health.unreachable_at = host.now;
+    auto lost = [&] { return services_out_of_reach(host.context.backends, routing, silent, host.now); };
+    CHECK(lost().empty());
+    WHEN("its own domain is emptied, and the other one is cut off")
+    {
+        host.evacuations.ordered(hall_a, 7);
+        CHECK(lost() == std::vector { ServiceName("models") });
+    }
+    WHEN("all domains are emptied")
+    {
+        host.evacuations.ordered(hall_a, 7);
+        host.evacuations.ordered(hall_b, 8);
+        THEN("callers are refused at once, since no other host could do more") { CHECK(lost().empty()); }
+    }
+}
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -110,7 +110,7 @@
                 + R"("idle_timeout_ms":15000},"tenants":[{"name":"plaza","api_keys":["plaza-key"],"priority":1}]})");
     }
 
-    PlatformRunner& add_runner(std::string const& id, std::string const& service)
+    PlatformRunner& add_runner(std::string const& id, std::string const& service, std::string const& domain = "hall-a")
     {
         auto& runner = this->runners.emplace_back(this->loop, free_endpoint(), id);
         runner.on_copy = [this](std::string const& target, std::string const& handle, u64 made) {
@@ -119,7 +119,7 @@
             });
         };
         this->services[id] = service;
-        this->store.put("servers", id, runner.row(service, "hall-a"));
+        this->store.put("servers", id, runner.row(service, domain));
         return runner;
     }
     void drain(PlatformRunner& runner)
@@ -127,6 +127,13 @@
         this->store.put("servers", runner.id(), runner.row(this->services[runner.id()], "hall-a", true));
     }
 
+    /// The operator's order that a failure domain gets nothing.
+    void evacuate(std::string const& domain, std::string const& value = "{}")
+    {
+        this->store.put("op", "evacuate/" + domain, value);
+    }
+    void take_back_evacuation(std::string const& domain) { this->store.remove("op", "evacuate/" + domain); }
+
     /// It goes off the list without having said that it leaves, and runs on.
     void take_off_list(PlatformRunner& runner) { this->store.remove("servers", runner.id()); }
 
--- a/Tests/Platform/TestBeliefs.cpp
+++ b/Tests/Platform/TestBeliefs.cpp
@@ -107,3 +107,113 @@
     engine.finish_all();
     first.until([&] { return second.believed_use_of(EngineId("engine-1")).peer_generations == 0; });
 }
+
+SCENARIO("the operator's order that a failure domain gets nothing is obeyed")
+{
+    HostFixture fixture;
+    auto& lane_a = fixture.add_runner("lane-a", "lanes", "hall-a");
+    auto& lane_b = fixture.add_runner("lane-b", "lanes", "hall-b");
+    auto status_of = [&](std::string const& attempt) {
+        return fixture.finished_call(HostFixture::request("/lookup/1", attempt))->status;
+    };
+
+    WHEN("it was given before the host started")
+    {
+        fixture.evacuate("hall-a");
+        fixture.start_ready_host();
+        THEN("the host knows it before it is ready")
+        {
+            CHECK(status_of("v1") == 200);
+            CHECK(lane_a.received().empty());
+        }
+    }
+    WHEN("it is given while the host serves")
+    {
+        fixture.start_ready_host();
+        auto stream_engine = &fixture.add_runner("engine-a", "models", "hall-a");
+        fixture.until([&] { return fixture.log_has("subject=engine-a"); });
+        auto stream = fixture.call(HostFixture::generation("v2"));
+        fixture.until([&] { return stream_engine->running_count() == 1; });
+        fixture.evacuate("hall-a");
+        fixture.until([&] { return fixture.log_has("event=E2310 domain_evacuated subject=hall-a"); });
+        THEN("calls go elsewhere, new generations are refused at once, and what runs there goes on")
+        {
+            auto const before = lane_a.received().size();
+            CHECK(status_of("v3") == 200);
+            CHECK(lane_a.received().size() == before);
+            auto refused = fixture.finished_call(HostFixture::generation("v4"));
+            CHECK(refused->status == 503);
+            CHECK(refused->headers.contains("Retry-After"));
+            stream_engine->make_events();
+            stream_engine->finish_all();
+            fixture.until([&] { return stream->is_over(); });
+            CHECK(stream->end == Http::ExchangeEnd::Complete);
+            CHECK(stream->event_count() == 1);
+        }
+        AND_WHEN("all domains are emptied")
+        {
+            fixture.evacuate("hall-b");
+            fixture.until([&] { return fixture.log_has("subject=hall-b"); });
+            CHECK(status_of("v5") == 503);
+        }
+        AND_WHEN("it is taken back")
+        {
+            fixture.take_back_evacuation("hall-a");
+            fixture.until([&] { return fixture.log_has("event=E2311 domain_evacuation_taken_back subject=hall-a"); });
+            auto again = fixture.call(HostFixture::generation("v6"));
+            fixture.until([&] { return stream_engine->running_count() == 2; });
+        }
+        AND_WHEN("the platform forgets its history while it is taken back")
+        {
+            fixture.take_back_evacuation("hall-a");
+            fixture.store.forget_history();
+            fixture.until([&] { return fixture.log_has("event=E2311 domain_evacuation_taken_back subject=hall-a"); });
+        }
+        AND_WHEN("another writer puts something else in its place")
+        {
+            fixture.evacuate("hall-a", "[1, 2");
+            THEN("that empties nothing, and is told")
+            {
+                fixture.until(
+                    [&] { return fixture.log_has("event=E1304 platform_content_rejected subject=evacuate/hall-a"); });
+                CHECK(fixture.log_has("event=E2311 domain_evacuation_taken_back subject=hall-a"));
+            }
+        }
+    }
+    CHECK(lane_b.address() != lane_a.address());
+}
+
+SCENARIO("a host that the platform does not answer hears of an evacuation from another one")
+{
+    HostFixture first;
+    auto& lane_a = first.add_runner("lane-a", "lanes", "hall-a");
+    first.add_runner("lane-b", "lanes", "hall-b");
+    first.start_ready_host();
+    auto settings = first.settings();
+    settings.host = MemberId("host-2");
+    auto const callers = Test::free_endpoint();
+    settings.callers_listen = Address(Test::text_of(callers));
+    settings.readiness_listen = Address(Test::text_of(Test::free_endpoint()));
+    settings.metrics_listen.reset();
+    settings.peer_listen = Address(Test::text_of(Test::free_endpoint()));
+    settings.peer_address = settings.peer_listen;
+    std::string second_log;
+    Core::StructuredLog other_log([&](std::string_view text) {
+        second_log += text;
+        return text.size();
+    });
+    Serving::Host<Adapter::UsersPlatform> second(
+        first.loop, settings, other_log, [&]() -> Result<Serving::HostSettings> { return settings; });
+    second.start();
+    first.until([&] { return first.log_has("event=E1101 member_joined subject=host-2"); });
+
+    first.evacuate("hall-a");
+    first.until([&] {
+        other_log.flush();
+        return second_log.find("event=E2310 domain_evacuated subject=hall-a") != std::string::npos;
+    });
+    auto asked = first.send(HostFixture::request("/lookup/1", "v7"), callers);
+    first.until([&] { return asked->is_over(); });
+    CHECK(asked->status == 200);
+    CHECK(lane_a.received().empty());
+}
--- a/Tests/Platform/TestGenerations.cpp
+++ b/Tests/Platform/TestGenerations.cpp
@@ -142,6 +142,30 @@
             CHECK_FALSE(old_engine.runs().contains("g4"));
         }
     }
+    WHEN("the domain of the engine that holds the first copy is emptied before the second")
+    {
+        auto& other_engine = fixture.add_runner("engine-3", "models", "hall-b");
+        fixture.until([&] { return fixture.log_has("subject=engine-3"); });
+        fixture.drain(old_engine);
+        fixture.until([&] { return fixture.log_has("subject=engine-1 state=leaving"); });
+        old_engine.make_events();
+        fixture.until(
+            [&] { return fixture.log_has("event=E2109 generation_copied subject=g3 from=engine-1 to=engine-2"); });
+        fixture.evacuate("hall-a");
+        THEN("it goes on at an engine of another one")
+        {
+            fixture.until(
+                [&] { return fixture.log_has("event=E2109 generation_copied subject=g3 from=engine-1 to=engine-3"); });
+            old_engine.set_leaves_in(900);
+            fixture.until([&] { return other_engine.running_count() == 1; });
+            other_engine.make_events();
+            other_engine.finish_all();
+            fixture.until([&] { return call->is_over(); });
+            CHECK(call->end == Http::ExchangeEnd::Complete);
+            CHECK(numbers_in(call->body) == "1,2,3");
+            CHECK(new_engine.received().empty());
+        }
+    }
     WHEN("it ends after the first copy and before the second")
     {
         fixture.drain(old_engine);
