LibServing: Bound what all hosts together send to a server while it is cold

Cause: what a cold server bears (cold_per_s of its service) was read nowhere. The bound is on a sum over all hosts, those that are cut off among them; 25 a second divided by 62 hosts gives none of them a whole request.

Change: the requests of a second are dealt out by rendezvous hashing, for each start of a server anew: each domain by its number of hosts, that of the server also what the division leaves. Copies are not held back: a generation goes on there seconds later.

--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -48,19 +48,21 @@
     return cost;
 }
 
-static bool is_candidate(Backend const& backend, std::span<EngineId const> tried)
+static bool is_candidate(Backend const& backend, std::span<EngineId const> tried, ChoiceInputs const& inputs)
 {
-    return backend.takes_work() && std::ranges::find(tried, backend.server.id) == tried.end();
+    if (!backend.takes_work() || std::ranges::find(tried, backend.server.id) != tried.end())
+        return false;
+    return !inputs.slow_start || inputs.slow_start->may_send(backend, inputs.now);
 }
 
 template<typename Cost>
-static BackendPointer cheapest(
-    std::span<BackendPointer const> candidates, std::span<EngineId const> tried, Cost cost_of)
+static BackendPointer cheapest(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
+    ChoiceInputs const& inputs, Cost cost_of)
 {
     BackendPointer best;
     double lowest = 0;
     for (auto const& candidate : candidates) {
-        if (!is_candidate(*candidate, tried))
+        if (!is_candidate(*candidate, tried, inputs))
             continue;
         auto cost = cost_of(*candidate);
         if (best && cost >= lowest)
@@ -74,7 +76,7 @@
 BackendPointer choose_for_call(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     ChoiceInputs const& inputs, boost::random::mt19937& random)
 {
-    return cheapest(candidates, tried, [&](Backend const& backend) {
+    return cheapest(candidates, tried, inputs, [&](Backend const& backend) {
         auto busy = static_cast<double>(backend.in_flight);
         if (backend.load && inputs.now - backend.load_heard_at < load_report_lifetime)
             busy = std::max(busy, static_cast<double>(backend.load->running + backend.load->waiting));
@@ -102,7 +104,7 @@
     // than 4 without it (TestLateBeliefs).
     auto unseen = inputs.unseen_placements * static_cast<double>(wanted) / capacity;
     boost::random::uniform_real_distribution<double> share_of_unseen(0, 1);
-    return cheapest(candidates, tried, [&](Backend const& backend) {
+    return cheapest(candidates, tried, inputs, [&](Backend const& backend) {
         auto share = static_cast<double>(estimated_tokens(backend, inputs.now) + wanted) / capacity;
         auto cost = share + static_cast<double>(backend.engine.unread_tokens()) / unread_tokens_scale;
         if (inputs.copied_tokens_per_second)
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <LibServing/BackendTable.h>
+#include <LibServing/SlowStart.h>
 #include <boost/random/mersenne_twister.hpp>
 #include <span>
 
@@ -28,6 +29,8 @@
     FailureDomainId host_failure_domain {};
     /// Generations that hosts of this domain may have placed in other domains without this one having heard of it.
     double unseen_placements { 0 };
+    /// Null for copies: a generation goes on there seconds later.
+    SlowStart const* slow_start { nullptr };
 };
 
 /// A backend server for a call to a plain service: the least busy by what this host has there and by what it last said
--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -54,7 +54,8 @@
         .with("address", server.address)
         .with("failure_domain", server.failure_domain)
         .with("slots", server.slots)
-        .with("start", server.start);
+        .with("start", server.start)
+        .with("cold_ms", server.warm_up_left);
     if (is_new && before && before->server.start < server.start)
         before->tell_end();
     bool const begins_to_leave = backend->availability == Availability::Leaving && (was_serving || is_new);
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -73,6 +73,8 @@
     known->has_ended = known->has_ended && known->server.address == server.address;
     known->server = server;
     known->endpoint = *endpoint;
+    known->cold_until = now + server.warm_up_left;
+    known->is_evacuated = this->evacuated.contains(server.failure_domain);
     // Leaving is final: a list that is behind must not bring a backend server back.
     if (server.is_leaving && known->availability == Availability::Serving)
         known->availability = Availability::Leaving;
@@ -92,8 +94,6 @@
     return entry;
 }
 
-ServerStart BackendTable::latest_start_of(EngineId const& id) const
-{
 void BackendTable::set_evacuated(FailureDomainId const& domain, bool is_evacuated)
 {
     if (is_evacuated)
@@ -112,6 +112,8 @@
         this->by_id, [&](auto const& entry) { return entry.second->server.failure_domain == domain; }));
 }
 
+ServerStart BackendTable::latest_start_of(EngineId const& id) const
+{
     auto known = this->find_running(id);
     return known ? known->server.start : ServerStart(0);
 }
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -9,11 +9,12 @@
 #include <AK/Identifiers.h>
 #include <LibHttp/Types.h>
 #include <LibServing/EngineLoad.h>
+#include <LibServing/RecentCount.h>
 #include <functional>
 #include <map>
 #include <memory>
-#include <unordered_map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace Serving {
@@ -37,7 +38,7 @@
     FailureDomainId failure_domain;
     u32 slots { 1 };
     bool is_leaving { false };
-    /// How much longer it is slow after its start.
+    /// How much longer it is cold, after its start or because it has become so again.
     Duration warm_up_left { 0 };
 
     bool operator==(BackendServer const&) const = default;
@@ -78,9 +79,13 @@
     bool has_unusable_entry { false };
     /// Another process answers where it was, so its own has ended, though the platform still lists it.
     bool has_ended { false };
-    u32 in_flight { 0 };
     /// The operator wants nothing sent to its failure domain. What runs there goes on.
     bool is_evacuated { false };
+    u32 in_flight { 0 };
+    /// Until when it is cold and bears but few requests, by its own last word.
+    Instant cold_until {};
+    /// Of this host, while it was cold.
+    RecentCount sent_while_cold;
     std::optional<LoadReport> load;
     Instant load_heard_at {};
     Health health;
@@ -92,6 +97,7 @@
         return this->availability == Availability::Serving && !this->has_unusable_entry && !this->has_ended
             && !this->is_evacuated;
     }
+    [[nodiscard]] Duration cold_left(Instant now) const { return std::max<Duration>(0s, this->cold_until - now); }
     /// By what this host has seen itself, or by the word of several others.
     [[nodiscard]] bool is_avoided(Instant now) const;
     /// Whether word of the server that started then is about this one. Who does not know the start means any.
@@ -122,18 +128,18 @@
     /// It is off the list. Answers the entry if it was known.
     BackendPointer remove(EngineId const&, Instant now);
 
-    /// Null when it is not on the list.
-    [[nodiscard]] BackendPointer find(EngineId const&) const;
-    /// On the list, or off it so lately that it may still run. Null for others.
-    [[nodiscard]] BackendPointer find_running(EngineId const&) const;
-    /// All of those.
-    [[nodiscard]] std::vector<BackendPointer> running() const;
     /// Whether the operator wants nothing sent to the backend servers of a failure domain, those that are still to come
     /// among them.
     void set_evacuated(FailureDomainId const&, bool is_evacuated);
     /// Backend servers on the list that are in this failure domain.
     [[nodiscard]] size_t count_in(FailureDomainId const&) const;
 
+    /// Null when it is not on the list.
+    [[nodiscard]] BackendPointer find(EngineId const&) const;
+    /// On the list, or off it so lately that it may still run. Null for others.
+    [[nodiscard]] BackendPointer find_running(EngineId const&) const;
+    /// All of those.
+    [[nodiscard]] std::vector<BackendPointer> running() const;
     /// Lets go of those that cannot run any more.
     void forget_ended(Instant now);
     [[nodiscard]] std::vector<BackendPointer> const& of_service(ServiceName const&) const;
@@ -147,13 +153,13 @@
         Instant at {};
     };
 
+    std::set<FailureDomainId> evacuated;
     std::unordered_map<EngineId, BackendPointer> by_id;
     std::unordered_map<EngineId, Departed> departed;
     std::unordered_map<ServiceName, std::vector<BackendPointer>> by_service;
 };
 
 void note_success(Backend&);
-    std::set<FailureDomainId> evacuated;
 /// `is_unreachable` when no request could be handed over, which says more than one failed answer. Answers for how
 /// long the backend server is avoided.
 Duration note_failure(Backend&, Instant now, bool is_unreachable);
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -70,6 +70,7 @@
             .with("engine_unread", chosen.engine.unread_tokens())
             .with("report_age_ms", this->report_age(chosen))
             .with("belief_age_ms", this->belief_age(chosen))
+            .with("cold_left_ms", chosen.cold_left(this->context.now()))
             .with("prompt", this->demand().prompt)
             .with("expected_output", this->need().expected_output)
             .with("revision", this->call.routing->revision())
@@ -96,6 +97,7 @@
     void dispatch_to(BackendPointer const& target, std::optional<Continuation> continuation)
     {
         this->backend = target;
+        this->context.slow_start.note_sent(*target, this->context.now());
         this->forget_answer();
         this->reader = {};
         this->connection = this->context.connections.make_new(target->endpoint);
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -117,6 +117,7 @@
     {
         auto inputs = this->context.choice_inputs(other_domain_cost);
         inputs.own_failure_domain = this->inputs.source->server.failure_domain;
+        inputs.slow_start = nullptr;
         inputs.copied_tokens_per_second = this->copied_tokens_per_second();
         return inputs;
     }
@@ -256,9 +257,9 @@
     /// the run goes on until its engine ends, and the little that the first copy lacks is read again.
     void consider_handover()
     {
-        auto now = this->context.now();
         if (this->chosen->is_evacuated)
             return this->leave_target();
+        auto now = this->context.now();
         auto ends_at = this->source_ends_at();
         if (now < ends_at - handover_margin)
             return this->consider_handover_at(ends_at - handover_margin);
@@ -273,7 +274,6 @@
         this->consider_handover_at(may_become_free ? now + busy_retry_delay : ends_at + overdue_margin);
     }
 
-    void enter(Phase phase)
     /// The generation may not go on there any more: the operator has emptied the target's failure domain.
     void leave_target()
     {
@@ -284,6 +284,7 @@
         this->copy_to_next_target();
     }
 
+    void enter(Phase phase)
     {
         this->current = phase;
         // The observer may let go of this object, and withdraw() of the observer.
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -335,6 +335,7 @@
         if (this->context.routing && revision <= this->context.routing->revision())
             return;
         this->context.routing = std::make_shared<RoutingTable const>(std::move(decoded.value()));
+        this->context.slow_start.configure(this->context.routing);
         this->callers_context->limits = this->context.routing->limits();
         this->log.event(Core::EventNumber::RevisionInForce, std::to_string(revision.value()))
             .with("row_version", row.version)
@@ -504,8 +505,8 @@
     EngineReporter<typename P::Dialect> reporter;
     PeerLink peers;
     BackendList backends;
-    typename P::Store directory_store;
     Evacuations evacuations;
+    typename P::Store directory_store;
     HostDirectory<typename P::Store> directory;
     typename P::Store configuration_store;
     typename P::Store backend_store;
--- a/Libraries/LibServing/Reach.cpp
+++ b/Libraries/LibServing/Reach.cpp
@@ -55,12 +55,13 @@
         if (!this->hosts.contains(host.address))
             this->entry_of(host.address, now).said.domain = host.domain;
     }
-    this->table_was_read = true;
+    if (!this->table_read_at)
+        this->table_read_at = now;
 }
 
 Reach::Said Reach::own_word(Duration period, Instant now) const
 {
-    return { this->own_domain, period, this->platform_lost, this->table_was_read ? this->hosts_of_own_domain(now) : 0 };
+    return { this->own_domain, period, this->platform_lost, this->table_read_at ? this->hosts_of_own_domain(now) : 0 };
 }
 
 u32 Reach::hosts_of_own_domain(Instant now) const
@@ -70,29 +71,74 @@
     }));
 }
 
-u32 Reach::hosts_of_other_domain(FailureDomainId const& domain, Instant now) const
+std::map<FailureDomainId, u32> Reach::hosts_of_other_domains(Instant now) const
 {
-    u32 known = 0;
-    u32 told = 0;
+    struct Count {
+        u32 known { 0 };
+        u32 told { 0 };
+    };
+    std::map<FailureDomainId, Count> counts;
     for (auto const& [address, host] : this->hosts) {
-        if (host.said.domain != domain || !may_serve(host, now))
+        if (host.said.domain == this->own_domain || !may_serve(host, now))
             continue;
-        ++known;
-        told = std::max(told, host.said.hosts_of_domain);
+        auto& count = counts[host.said.domain];
+        ++count.known;
+        count.told = std::max(count.told, host.said.hosts_of_domain);
     }
-    return told > 0 ? told : known;
+    std::map<FailureDomainId, u32> hosts_by_domain;
+    for (auto const& [domain, count] : counts)
+        hosts_by_domain[domain] = count.told > 0 ? count.told : count.known;
+    return hosts_by_domain;
 }
 
 std::optional<u32> Reach::fleet_size(Instant now) const
 {
-    if (!this->table_was_read)
+    if (!this->table_read_at)
         return {};
     auto size = this->hosts_of_own_domain(now);
-    for (auto const& domain : this->other_domains())
-        size += this->hosts_of_other_domain(domain, now);
+    for (auto const& [domain, hosts] : this->hosts_of_other_domains(now))
+        size += hosts;
     return size;
 }
 
+u32 Reach::near_hosts_before(Address const& own_address, u64 subject_hash, Instant now) const
+{
+    auto const own_rank = rank(own_address, subject_hash);
+    return static_cast<u32>(std::ranges::count_if(this->hosts, [&](auto const& entry) {
+        auto const& host = entry.second;
+        return host.said.domain == this->own_domain && may_serve(host, now) && rank(host.hash, subject_hash) > own_rank;
+    }));
+}
+
+u32 Reach::part_of(
+    u32 whole, Address const& own_address, std::string_view subject, FailureDomainId const& domain, Instant now) const
+{
+    if (!this->table_read_at)
+        return 0;
+    auto const near = this->hosts_of_own_domain(now);
+    auto const elsewhere = this->hosts_of_other_domains(now);
+    auto fleet = near;
+    for (auto const& [other, hosts] : elsewhere)
+        fleet += hosts;
+    auto share_of = [&](u32 hosts) { return static_cast<u32>(u64(whole) * hosts / fleet); };
+    auto of_domain = share_of(near);
+    if (domain == this->own_domain) {
+        of_domain = whole;
+        for (auto const& [other, hosts] : elsewhere)
+            of_domain -= std::min(of_domain, share_of(hosts));
+    }
+    auto const left_over = of_domain % near;
+    bool const has_one_more = left_over > 0 && this->near_hosts_before(own_address, hash_of(subject), now) < left_over;
+    return of_domain / near + (has_one_more ? 1 : 0);
+}
+
+std::optional<Duration> Reach::fleet_known_for(Instant now) const
+{
+    if (!this->table_read_at)
+        return {};
+    return now - *this->table_read_at;
+}
+
 bool Reach::is_near(Address const& host) const
 {
     auto known = this->hosts.find(host);
--- a/Libraries/LibServing/Reach.h
+++ b/Libraries/LibServing/Reach.h
@@ -82,6 +82,15 @@
     /// All hosts that may be serving, this one included: those that were heard or heard of not long ago, also when they
     /// are cut off now. Nothing until the platform's table of hosts has been read.
     [[nodiscard]] std::optional<u32> fleet_size(Instant now) const;
+    /// For how long this host has known who else there is; nothing before it does.
+    [[nodiscard]] std::optional<Duration> fleet_known_for(Instant now) const;
+    /// This host's part of `whole` indivisible units of `subject`, something in `domain`, such as requests that it
+    /// bears in a second. The parts of all hosts that may be serving add up to no more than the whole where they know
+    /// the same hosts: each domain has its share by number of hosts, that of the subject also what the division leaves,
+    /// and inside a domain the units that are too few for all go to hosts by rendezvous hashing. Nothing until the
+    /// platform's table of hosts has been read.
+    [[nodiscard]] u32 part_of(u32 whole, Address const& own_address, std::string_view subject,
+        FailureDomainId const& domain, Instant now) const;
     /// How long ago a domain was last heard; the longest time for one that never was.
     [[nodiscard]] Duration domain_age(FailureDomainId const& domain, Instant now) const;
     /// Whether news of backend servers may not come: the platform does not answer, or all other hosts are silent.
@@ -133,8 +142,10 @@
     Host& entry_of(Address const& host, Instant now);
     /// With this one.
     [[nodiscard]] u32 hosts_of_own_domain(Instant now) const;
-    /// What those that speak for it say, or else how many are known.
-    [[nodiscard]] u32 hosts_of_other_domain(FailureDomainId const& domain, Instant now) const;
+    /// Hosts of this domain that may be serving and come before this one for the subject.
+    [[nodiscard]] u32 near_hosts_before(Address const& own_address, u64 subject_hash, Instant now) const;
+    /// Of each other domain: what those that speak for it say, or else how many are known.
+    [[nodiscard]] std::map<FailureDomainId, u32> hosts_of_other_domains(Instant now) const;
     [[nodiscard]] bool is_able_reader(Host const& host, Instant now) const;
     /// Hosts of this domain that the platform answers and that come before this one in the order of readers.
     [[nodiscard]] size_t able_readers_before(Address const& own_address, Instant now) const;
@@ -145,7 +156,8 @@
     FailureDomainId own_domain;
     std::map<Address, Host> hosts;
     bool platform_lost { false };
-    bool table_was_read { false };
+    /// Nothing until the platform's table of hosts has been read.
+    std::optional<Instant> table_read_at;
 };
 
 }
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -39,6 +39,7 @@
         this->tried.push_back(this->backend->server.id);
         ++this->handovers;
         ++this->backend->in_flight;
+        this->context.slow_start.note_sent(*this->backend, this->context.now());
         this->forget_answer();
         this->connection = this->context.connections.acquire(this->backend->endpoint);
         this->is_on_new_connection = this->connection->is_new();
@@ -66,6 +67,7 @@
             .with("kept", static_cast<int>(!this->is_on_new_connection))
             .with("rested_ms", this->is_on_new_connection ? Duration(0) : this->connection->rested_for())
             .with("in_flight", this->backend->in_flight)
+            .with("cold_left_ms", this->backend->cold_left(this->context.now()))
             .with("revision", this->call.routing->revision())
             .with("left_ms", this->time_left());
     }
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -15,6 +15,7 @@
 #include <LibServing/Reach.h>
 #include <LibServing/RetryBudget.h>
 #include <LibServing/RoutingTable.h>
+#include <LibServing/SlowStart.h>
 
 namespace Serving {
 
@@ -27,6 +28,7 @@
         , connections(loop)
         , budget(settings.retry_budget)
         , reach(settings.failure_domain)
+        , slow_start(reach, settings.peer_address)
         , random(settings.random_seed)
     {
     }
@@ -39,6 +41,7 @@
     BackendTable backends;
     RetryBudget budget;
     Reach reach;
+    SlowStart slow_start;
     PlacementPace placements;
     /// How old what is believed of other domains may be while their hosts are heard.
     Duration far_belief_age { 0 };
@@ -63,7 +66,8 @@
         auto now = this->now();
         auto const& own_domain = this->settings.failure_domain;
         return { own_domain, this->reach.silent_domains(now), now, other_domain_cost, {}, own_domain,
-            this->placements.unseen(now, this->reach.hosts_heard_near(now) + 1, this->far_belief_age) };
+            this->placements.unseen(now, this->reach.hosts_heard_near(now) + 1, this->far_belief_age),
+            &this->slow_start };
     }
 };
 
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -164,3 +164,37 @@
         RC_ASSERT(is_refused_or_usable);
     });
 }
+
+SCENARIO("the order to empty a failure domain is read, or empties nothing")
+{
+    CHECK(Adapter::evacuated_domain("evacuate/hall-a") == FailureDomainId("hall-a"));
+    CHECK_FALSE(Adapter::evacuated_domain("evacuate/"));
+    CHECK_FALSE(Adapter::evacuated_domain("config"));
+    CHECK(Adapter::check_evacuation({ "evacuate/hall-a", "{}", 7 }));
+    CHECK(Adapter::check_evacuation({ "evacuate/hall-a", R"({"by":"operator"})", 7 }));
+    for (std::string const value : { "", "[]", "3", "{", "\xff\xfe" }) {
+        auto checked = Adapter::check_evacuation({ "evacuate/hall-a", value, 7 });
+        REQUIRE_FALSE(checked);
+        CHECK(checked.error().message.find("write it again") != std::string::npos);
+    }
+    rc::prop("any bytes", [](std::string const& bytes) {
+        static_cast<void>(Adapter::check_evacuation({ "evacuate/hall-a", bytes, 7 }));
+        static_cast<void>(Adapter::evacuated_domain(bytes));
+    });
+}
+
+SCENARIO("what a cold server bears is read within bounds")
+{
+    auto rate_of = [](Json::value const& rate) {
+        Json::object const configuration { { "version", 7 }, { "routes", Json::array {} },
+            { "services", Json::array { Json::object { { "name", "lanes" }, { "cold_per_s", rate } } } } };
+        auto read = Adapter::decode_configuration({ "config", Json::serialize(configuration), 7 });
+        REQUIRE(read);
+        return read.value().services.front().cold_requests_per_second;
+    };
+    CHECK(rate_of(25.0) == 25);
+    CHECK(rate_of(0) == 0);
+    CHECK(rate_of(-3) == 0);
+    CHECK(rate_of(1e300) == 1e6);
+    CHECK(rate_of("many") == 0);
+}
