LibServing, Tests: Refuse generations at once while no engine has room for them

Cause: every generation went to the cheapest engine, however full.

Change: admission is a decision of its own, in a module without a network. An engine has room when its slots, its memory (held by all hosts' word, the prompt, what is expected of the output; elsewhere room for one generation more, since its hosts hear of placements later) and the prompts before this one let the first event come by the route's goal. With room nowhere the caller is refused at once, with a Retry-After drawn from 200 to 400 ms. A prompt that no engine could hold gets 400.

--- /dev/null
+++ b/Libraries/LibServing/Admission.cpp
@@ -0,0 +1,114 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <AK/Error.h>
+#include <LibServing/Admission.h>
+#include <algorithm>
+#include <boost/random/uniform_real_distribution.hpp>
+
+namespace Serving {
+
+/// Prompt tokens that an engine reads in a second while it makes the tokens of others in between: half of what it reads
+/// alone.
+static constexpr double read_tokens_per_second = 7000;
+/// Hosts of other failure domains hear of a placement later than those of the engine's own, and may choose it
+/// meanwhile: an engine elsewhere must have room for so many more generations like this one.
+static constexpr i64 generations_unseen_elsewhere = 1;
+/// A shortage lasts for as long as generations take to end, some seconds; within half a second room may come free at
+/// one engine of many.
+static constexpr Duration soonest_return = 200ms;
+static constexpr Duration latest_return = 400ms;
+
+std::string_view to_string(AdmissionVerdict verdict)
+{
+    switch (verdict) {
+    case AdmissionVerdict::Admit:
+        return "admit";
+    case AdmissionVerdict::NoRoom:
+        return "no_room";
+    case AdmissionVerdict::NoEngine:
+        return "no_engine";
+    case AdmissionVerdict::TooLarge:
+        return "too_large";
+    }
+    VERIFY(false);
+}
+
+static bool fits_in_memory(
+    Backend const& backend, GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs)
+{
+    if (memory.value() <= 0)
+        return true;
+    auto const wanted = need.prompt.value() + need.expected_output.value();
+    bool const is_elsewhere = backend.server.failure_domain != inputs.host_failure_domain;
+    auto const held = estimated_tokens(backend, inputs.now);
+    // What an empty engine takes does not depend on who decides.
+    auto const unseen = is_elsewhere && held > 0 ? generations_unseen_elsewhere * wanted : 0;
+    return held + wanted + unseen <= memory.value();
+}
+
+static Duration reading_time(i64 tokens)
+{
+    return AK::from_seconds(static_cast<double>(tokens) / read_tokens_per_second);
+}
+
+/// Nothing is read sooner than by an engine that has nothing else to read. A prompt that takes longer than its route's
+/// goal in any case may have as much before it as it has itself.
+static bool reads_in_time(Backend const& backend, AdmissionDemand const& demand)
+{
+    auto const before = backend.engine.unread_tokens();
+    auto const prompt = demand.need.prompt.value();
+    auto const bearable = std::max(demand.first_event_due_in, reading_time(2 * prompt));
+    return before <= 0 || reading_time(before + prompt) <= bearable;
+}
+
+static bool has_room(
+    Backend const& backend, AdmissionDemand const& demand, TokenCount memory, ChoiceInputs const& inputs)
+{
+    return backend.engine.generations() < backend.server.slots && fits_in_memory(backend, demand.need, memory, inputs)
+        && reads_in_time(backend, demand);
+}
+
+static Duration draw_return(boost::random::mt19937& random)
+{
+    boost::random::uniform_real_distribution<double> seconds(
+        AK::to_seconds(soonest_return), AK::to_seconds(latest_return));
+    return AK::from_seconds(seconds(random));
+}
+
+Admission admit(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
+    AdmissionDemand const& demand, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
+{
+    Admission decision;
+    if (memory.value() > 0 && demand.need.prompt > memory) {
+        decision.verdict = AdmissionVerdict::TooLarge;
+        return decision;
+    }
+    // What is expected of its output may be too much by far; alone it has all of the memory to grow in.
+    auto asked = demand;
+    if (memory.value() > 0)
+        asked.need.expected_output
+            = std::min(demand.need.expected_output, TokenCount(memory.value() - demand.need.prompt.value()));
+    std::vector<BackendPointer> roomy;
+    for (auto const& candidate : candidates) {
+        if (!candidate->takes_work())
+            continue;
+        ++decision.serving;
+        if (has_room(*candidate, asked, memory, inputs))
+            roomy.push_back(candidate);
+    }
+    decision.with_room = static_cast<u32>(roomy.size());
+    decision.engine = choose_for_generation(roomy, tried, asked.need, memory, inputs, random);
+    if (decision.engine) {
+        decision.verdict = AdmissionVerdict::Admit;
+        return decision;
+    }
+    decision.verdict = decision.serving > 0 ? AdmissionVerdict::NoRoom : AdmissionVerdict::NoEngine;
+    decision.retry_after = draw_return(random);
+    return decision;
+}
+
+}
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -48,10 +48,12 @@
     void place()
     {
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
-        auto chosen = choose_for_generation(candidates, this->tried, this->need(), this->traits().memory,
+        AdmissionDemand const demand { this->need(), this->call.route->latency_goal - this->held_for() };
+        auto const decision = admit(candidates, this->tried, demand, this->traits().memory,
             this->context.choice_inputs(other_domain_cost), this->context.random);
-        if (!chosen)
-            return this->refuse("no engine of the service is known to serve");
+        if (decision.verdict != AdmissionVerdict::Admit)
+            return this->refuse(decision);
+        auto const& chosen = decision.engine;
         this->tried.push_back(chosen->server.id);
         this->context.placements.note(this->context.now());
         this->log_placement(*chosen);
@@ -269,14 +271,43 @@
         bool const may_try = this->tried.size() < most_handovers && (is_free || this->take_budget());
         if (may_try)
             return this->place();
-        this->refuse(reason);
+        this->refuse(reason, default_retry_after);
     }
 
-    void refuse(std::string const& reason)
+    void refuse(Admission const& decision)
+    {
+        auto const verdict = std::string(to_string(decision.verdict));
+        this->context.metrics.add("generations_refused_total{ground=\"" + verdict + "\"}");
+        this->context.log.event(Core::EventNumber::GenerationRefused, this->attempt())
+            .with("ground", verdict)
+            .with("engines", decision.serving)
+            .with("with_room", decision.with_room)
+            .with("tries", this->tried.size())
+            .with("prompt", this->demand().prompt)
+            .with("expected_output", this->need().expected_output)
+            .with("retry_after_ms", decision.retry_after);
+        if (decision.verdict == AdmissionVerdict::TooLarge)
+            return this->refuse_as_too_large();
+        this->refuse(decision.verdict == AdmissionVerdict::NoRoom ? "all that serve are full"
+                                                                  : "no engine of the service is known to serve",
+            decision.retry_after);
+    }
+
+    void refuse_as_too_large()
     {
         this->finish();
-        this->answer_error({ ErrorKind::Overloaded, "no engine took the generation (" + reason + "); send it again",
-                               default_retry_after },
+        this->answer_error({ ErrorKind::InvalidRequest,
+                               "the prompt does not fit the memory of any engine; send one of "
+                                   + std::to_string(this->traits().memory.value()) + " tokens at most",
+                               {} },
+            Conclusion::NotAcceptable);
+    }
+
+    void refuse(std::string const& reason, Duration retry_after)
+    {
+        this->finish();
+        this->answer_error(
+            { ErrorKind::Overloaded, "no engine took the generation (" + reason + "); send it again", retry_after },
             Conclusion::NotRun);
     }
 
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -9,7 +9,7 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
-#include <LibServing/BackendChooser.h>
+#include <LibServing/Admission.h>
 #include <LibServing/HostSettings.h>
 #include <LibServing/PlacementPace.h>
 #include <LibServing/Reach.h>
--- /dev/null
+++ b/Tests/Fleet/ModelPool.h
@@ -0,0 +1,338 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibServing/Admission.h>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+
+namespace Test {
+
+/// Engines of one service and the hosts before them, in virtual time, as far as admission goes. An engine takes
+/// generations in order of arrival as its memory allows, reads their prompts one after another and makes tokens of all
+/// that run. Hosts of a failure domain believe the same: what they place themselves a few milliseconds later, what
+/// others place by as much later as a fleet of that size takes. A caller that is refused comes back once, as told.
+class ModelPool {
+public:
+    enum class Way : u8 {
+        /// Each generation goes to the cheapest engine, however full.
+        TakeAll,
+        Admission,
+    };
+    struct Shape {
+        Way way { Way::Admission };
+        u32 hosts { 62 };
+        /// Beside what a fleet of that size takes to hear.
+        Duration beliefs_late_by { 0 };
+        u32 seed { 1 };
+    };
+    struct Outcome {
+        u32 asked { 0 };
+        u32 in_time { 0 };
+        u32 late { 0 };
+        u32 refused { 0 };
+        /// Those without a first event, with when it is due.
+        std::map<u64, Instant> open {};
+
+        [[nodiscard]] double share_in_time() const { return this->in_time / std::max(1.0, double(this->asked)); }
+    };
+
+    static constexpr u32 engine_count = 60;
+    static constexpr u32 domain_count = 3;
+    static constexpr i64 memory = 21'878;
+
+    explicit ModelPool(Shape shape)
+        : shape(shape)
+        , random(shape.seed)
+        , choice_random(shape.seed)
+        , engines(engine_count)
+    {
+        for (u32 i = 0; i < engine_count; ++i) {
+            Serving::BackendServer server;
+            server.id = EngineId("e" + std::to_string(i));
+            server.service = ServiceName("models");
+            server.address = Address("127.0.0.1:1000");
+            server.failure_domain = domain_name(i % domain_count);
+            server.slots = 24;
+            for (auto& table : this->beliefs)
+                table.update(server, this->now);
+        }
+    }
+
+    /// Callers ask for `load` times as many tokens held over time as the engines have, for `span`. Answers what became
+    /// of those that asked first in it.
+    Outcome run(double load, Duration span)
+    {
+        auto outcome = std::make_shared<Outcome>();
+        auto const end = this->now + span;
+        std::exponential_distribution<double> gap(load * requests_per_second_at_capacity());
+        for (auto at = this->now + AK::from_seconds(gap(this->random)); at < end;
+             at += AK::from_seconds(gap(this->random)))
+            this->schedule(at, [this, outcome] { this->first_try(outcome); });
+        this->play_until(end);
+        auto known = *outcome;
+        for (auto const& [number, due] : known.open) {
+            // What may still come in time is not known to be anything yet.
+            if (due >= this->now)
+                --known.asked;
+            else
+                ++known.late;
+        }
+        return known;
+    }
+
+    /// An engine in each `each` ends with all that it has; empty ones come in their place at once.
+    void replace_engines(u32 each)
+    {
+        for (u32 i = 0; i < engine_count; i += each) {
+            this->engines[i] = {};
+            ++this->engines[i].life;
+            for (auto& table : this->beliefs)
+                table.find(EngineId("e" + std::to_string(i)))->engine = {};
+        }
+    }
+
+private:
+    static constexpr double read_tokens_per_second = 9000;
+    static constexpr double made_tokens_per_second = 80;
+    static constexpr i64 tokens_per_event = 4;
+    static constexpr double share_of_long_ones = 1.0 / 3;
+    static constexpr Duration near_delay = 3ms;
+
+    struct Generation {
+        u64 number { 0 };
+        i64 prompt { 0 };
+        i64 output { 0 };
+        i64 guess { 0 };
+        Duration goal { 1s };
+        Instant first_asked_at {};
+        bool is_second_try { false };
+        std::shared_ptr<Outcome> outcome;
+    };
+    struct Waiting {
+        Generation generation;
+        u32 from_domain { 0 };
+    };
+    struct Engine {
+        i64 used { 0 };
+        bool is_reading { false };
+        std::deque<Waiting> waiting;
+        u32 life { 0 };
+    };
+
+    static FailureDomainId domain_name(u32 number) { return FailureDomainId("hall-" + std::to_string(number)); }
+
+    /// Of the mix below, by the means of what it holds and for how long.
+    static double requests_per_second_at_capacity()
+    {
+        constexpr double long_prompt = 3000;
+        constexpr double long_output = 680;
+        constexpr double short_prompt = 2200;
+        constexpr double short_output = 10;
+        auto held = [](double prompt, double output) {
+            auto const reading = prompt / read_tokens_per_second;
+            return (prompt + output) * (reading + output / made_tokens_per_second);
+        };
+        auto const mean = share_of_long_ones * held(long_prompt, long_output)
+            + (1 - share_of_long_ones) * held(short_prompt, short_output);
+        return engine_count * double(memory) / mean;
+    }
+
+    Generation draw_generation()
+    {
+        std::uniform_real_distribution<double> uniform(0, 1);
+        Generation made;
+        if (uniform(this->random) < share_of_long_ones) {
+            // Wide: half have under 300 tokens, and some have 1,756.
+            std::lognormal_distribution<double> output(std::log(400.0), 1.34);
+            std::lognormal_distribution<double> error(0, 0.8);
+            made.prompt = static_cast<i64>(3000 * (0.6 + 0.8 * uniform(this->random)));
+            made.output = std::clamp<i64>(static_cast<i64>(output(this->random)), 4, 1756);
+            made.guess = std::clamp<i64>(static_cast<i64>(double(made.output) * error(this->random)), 4, 1756);
+            made.goal = 1800ms;
+        } else {
+            made.prompt = static_cast<i64>(2200 * (0.4 + 1.2 * uniform(this->random)));
+            made.output = made.guess = 10;
+            made.goal = 1500ms;
+        }
+        return made;
+    }
+
+    [[nodiscard]] Duration far_delay() const
+    {
+        // As hosts that speak for their domains tell: a millisecond more for each far host beyond twelve.
+        auto const far = i64(this->shape.hosts) * (domain_count - 1) / domain_count;
+        return near_delay + std::max<i64>(0, far - 12) * Duration(1ms) + this->shape.beliefs_late_by;
+    }
+
+    void first_try(std::shared_ptr<Outcome> outcome)
+    {
+        auto generation = this->draw_generation();
+        generation.first_asked_at = this->now;
+        generation.outcome = std::move(outcome);
+        generation.number = ++generation.outcome->asked;
+        generation.outcome->open[generation.number] = this->now + generation.goal;
+        this->ask(std::move(generation));
+    }
+
+    void ask(Generation generation)
+    {
+        auto const domain = std::uniform_int_distribution<u32>(0, domain_count - 1)(this->random);
+        auto const decision = this->decide(domain, generation);
+        if (decision.engine) {
+            auto const number = std::stoul(decision.engine->server.id.value().substr(1));
+            return this->place(static_cast<u32>(number), { std::move(generation), domain });
+        }
+        if (generation.is_second_try) {
+            ++generation.outcome->refused;
+            generation.outcome->open.erase(generation.number);
+            return;
+        }
+        generation.is_second_try = true;
+        this->schedule(this->now + decision.retry_after, [this, generation] { this->ask(generation); });
+    }
+
+    Serving::Admission decide(u32 domain, Generation const& generation)
+    {
+        auto const name = domain_name(domain);
+        Serving::ChoiceInputs const inputs { name, {}, this->now, 0.3, {}, name };
+        Serving::GenerationNeed const need { TokenCount(generation.prompt), TokenCount(generation.guess) };
+        auto const& candidates = this->beliefs[domain].of_service(ServiceName("models"));
+        if (this->shape.way == Way::Admission)
+            return Serving::admit(
+                candidates, {}, { need, generation.goal }, TokenCount(memory), inputs, this->choice_random);
+        Serving::Admission taken;
+        taken.engine
+            = Serving::choose_for_generation(candidates, {}, need, TokenCount(memory), inputs, this->choice_random);
+        return taken;
+    }
+
+    void place(u32 number, Waiting waiting)
+    {
+        auto const domain = waiting.from_domain;
+        auto const prompt = waiting.generation.prompt;
+        this->tell(number, domain, [prompt](Serving::EngineLoad& load) {
+            ++load.peer_generations;
+            load.peer_tokens += prompt;
+            load.peer_unread_tokens += prompt;
+        });
+        this->engines[number].waiting.push_back(std::move(waiting));
+        this->advance(number);
+    }
+
+    /// The next one in the engine's queue is read as soon as its memory is there.
+    void advance(u32 number)
+    {
+        auto& engine = this->engines[number];
+        if (engine.is_reading || engine.waiting.empty())
+            return;
+        auto const next = engine.waiting.front();
+        auto const wanted = next.generation.prompt + next.generation.output;
+        if (engine.used + wanted > memory)
+            return;
+        engine.waiting.pop_front();
+        engine.used += wanted;
+        engine.is_reading = true;
+        auto const reading = AK::from_seconds(double(next.generation.prompt) / read_tokens_per_second);
+        this->schedule_for(number, this->now + reading, [this, number, next] { this->first_event(number, next); });
+    }
+
+    void first_event(u32 number, Waiting const& running)
+    {
+        auto const& generation = running.generation;
+        this->engines[number].is_reading = false;
+        bool const is_late = this->now - generation.first_asked_at > generation.goal;
+        ++(is_late ? generation.outcome->late : generation.outcome->in_time);
+        generation.outcome->open.erase(generation.number);
+        auto const prompt = generation.prompt;
+        this->tell(
+            number, running.from_domain, [prompt](Serving::EngineLoad& load) { load.peer_unread_tokens -= prompt; });
+        this->make_event(number, running, generation.output);
+        this->advance(number);
+    }
+
+    void make_event(u32 number, Waiting const& running, i64 left)
+    {
+        if (left <= 0)
+            return this->ended(number, running);
+        auto const step = std::min(left, 20 * tokens_per_event);
+        this->tell(number, running.from_domain, [step](Serving::EngineLoad& load) { load.peer_tokens += step; });
+        this->schedule_for(number, this->now + AK::from_seconds(double(step) / made_tokens_per_second),
+            [this, number, running, left, step] { this->make_event(number, running, left - step); });
+    }
+
+    void ended(u32 number, Waiting const& running)
+    {
+        auto const held = running.generation.prompt + running.generation.output;
+        this->engines[number].used -= held;
+        this->tell(number, running.from_domain, [held](Serving::EngineLoad& load) {
+            --load.peer_generations;
+            load.peer_tokens -= held;
+        });
+        this->advance(number);
+    }
+
+    /// What hosts of `domain` have done at an engine, as all come to believe it.
+    void tell(u32 number, u32 domain, std::function<void(Serving::EngineLoad&)> change)
+    {
+        for (u32 i = 0; i < domain_count; ++i) {
+            auto const delay = i == domain ? near_delay : this->far_delay();
+            this->schedule_for(number, this->now + delay, [this, i, number, change] {
+                change(this->beliefs[i].find(EngineId("e" + std::to_string(number)))->engine);
+            });
+        }
+    }
+
+    void schedule(Instant at, std::function<void()> action)
+    {
+        this->events.push({ at, this->scheduled++, std::move(action) });
+    }
+    /// Not done once the engine has been replaced.
+    void schedule_for(u32 number, Instant at, std::function<void()> action)
+    {
+        this->schedule(at, [this, number, life = this->engines[number].life, action = std::move(action)] {
+            if (this->engines[number].life == life)
+                action();
+        });
+    }
+
+    void play_until(Instant end)
+    {
+        while (!this->events.empty() && this->events.top().at <= end) {
+            auto event = this->events.top();
+            this->events.pop();
+            this->now = event.at;
+            event.action();
+        }
+        this->now = end;
+    }
+
+    struct Event {
+        Instant at;
+        u64 number { 0 };
+        std::function<void()> action;
+        bool operator<(Event const& other) const
+        {
+            return std::pair(other.at, other.number) < std::pair(this->at, this->number);
+        }
+    };
+
+    Shape shape;
+    std::mt19937 random;
+    boost::random::mt19937 choice_random;
+    std::vector<Engine> engines;
+    std::array<Serving::BackendTable, domain_count> beliefs;
+    std::priority_queue<Event> events;
+    u64 scheduled { 0 };
+    Instant now { 100s };
+};
+
+}
--- /dev/null
+++ b/Tests/LibServing/TestAdmission.cpp
@@ -0,0 +1,176 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/Admission.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Serving;
+
+namespace {
+
+constexpr TokenCount memory(21'878);
+constexpr u32 slots = 24;
+
+/// Engines of a service as one host in hall-a believes them to be.
+struct Pool {
+    Backend& add(std::string const& id, std::string const& domain = "hall-a")
+    {
+        BackendServer server;
+        server.id = EngineId(id);
+        server.service = ServiceName("models");
+        server.address = Address("127.0.0.1:1000");
+        server.failure_domain = FailureDomainId(domain);
+        server.slots = slots;
+        return *this->table.update(server, this->now);
+    }
+
+    [[nodiscard]] Admission decide(i64 prompt = 3000, i64 expected = 400, Duration due_in = 1800ms)
+    {
+        ChoiceInputs const inputs { FailureDomainId("hall-a"), {}, this->now, 0.3, {}, FailureDomainId("hall-a") };
+        return admit(this->table.of_service(ServiceName("models")), this->tried,
+            { { TokenCount(prompt), TokenCount(expected) }, due_in }, memory, inputs, this->random);
+    }
+
+    BackendTable table;
+    std::vector<EngineId> tried;
+    boost::random::mt19937 random { 7 };
+    Instant now { 100s };
+};
+
+}
+
+SCENARIO("a generation is refused at once while no engine has room for it")
+{
+    Pool pool;
+    auto& engine = pool.add("a1");
+    CHECK(pool.decide().engine->server.id == EngineId("a1"));
+
+    WHEN("its memory is taken but for less than the generation will need")
+    {
+        engine.engine.own_tokens = memory.value() - 3399;
+        auto const decision = pool.decide();
+        CHECK(decision.verdict == AdmissionVerdict::NoRoom);
+        CHECK(decision.serving == 1);
+        CHECK(decision.with_room == 0);
+        CHECK(decision.retry_after > 0s);
+        THEN("a smaller one is admitted")
+        {
+            CHECK(pool.decide(2000, 20).verdict == AdmissionVerdict::Admit);
+        }
+        THEN("it is admitted as soon as there is room")
+        {
+            engine.engine.own_tokens -= 1;
+            CHECK(pool.decide().verdict == AdmissionVerdict::Admit);
+        }
+    }
+    WHEN("so much is still to be read that its first event would come late")
+    {
+        engine.engine.own_unread_tokens = 10'000;
+        CHECK(pool.decide(3000, 400, 1800ms).verdict == AdmissionVerdict::NoRoom);
+        THEN("one that is due later is admitted")
+        {
+            CHECK(pool.decide(3000, 400, 2s).verdict == AdmissionVerdict::Admit);
+        }
+    }
+    WHEN("the prompt alone takes longer to read than its route's goal")
+    {
+        engine.engine.own_unread_tokens = 3000;
+        CHECK(pool.decide(3000, 400, 100ms).verdict == AdmissionVerdict::Admit);
+        THEN("it waits behind no more than itself")
+        {
+            engine.engine.own_unread_tokens += 1;
+            CHECK(pool.decide(3000, 400, 100ms).verdict == AdmissionVerdict::NoRoom);
+        }
+    }
+    WHEN("all its slots are taken")
+    {
+        engine.engine.own_generations = slots;
+        CHECK(pool.decide().verdict == AdmissionVerdict::NoRoom);
+    }
+    WHEN("it has been tried already")
+    {
+        pool.tried.emplace_back("a1");
+        CHECK(pool.decide().verdict == AdmissionVerdict::NoRoom);
+    }
+    WHEN("its domain is emptied")
+    {
+        pool.table.set_evacuated(FailureDomainId("hall-a"), true);
+        auto const decision = pool.decide();
+        CHECK(decision.verdict == AdmissionVerdict::NoEngine);
+        CHECK(decision.retry_after > 0s);
+    }
+    WHEN("the prompt is larger than its memory")
+    {
+        CHECK(pool.decide(memory.value() + 1).verdict == AdmissionVerdict::TooLarge);
+    }
+    WHEN("the prompt fits, and what is expected of its output does not")
+    {
+        CHECK(pool.decide(20'000, 5000, 10s).verdict == AdmissionVerdict::Admit);
+    }
+}
+
+SCENARIO("an engine elsewhere, of which this host hears late, needs room for more than the one generation")
+{
+    Pool pool;
+    auto& far = pool.add("b1", "hall-b");
+    far.engine.peer_tokens = memory.value() - 2 * 3400 + 1;
+    CHECK(pool.decide().verdict == AdmissionVerdict::NoRoom);
+    far.engine.peer_tokens -= 1;
+    CHECK(pool.decide().verdict == AdmissionVerdict::Admit);
+}
+
+SCENARIO("callers that are refused together do not return together")
+{
+    Pool pool;
+    pool.add("a1").engine.own_generations = slots;
+    std::set<Duration> returns;
+    for (int i = 0; i < 50; ++i) {
+        auto const retry_after = pool.decide().retry_after;
+        CHECK(retry_after >= 200ms);
+        CHECK(retry_after <= 400ms);
+        returns.insert(retry_after);
+    }
+    CHECK(returns.size() > 40);
+}
+
+SCENARIO("whatever is believed of a pool, admission keeps to it")
+{
+    CHECK(rc::check([] {
+        Pool pool;
+        auto const engines = *rc::gen::inRange(1, 12);
+        for (int i = 0; i < engines; ++i) {
+            auto& backend = pool.add("e" + std::to_string(i), *rc::gen::arbitrary<bool>() ? "hall-a" : "hall-b");
+            backend.engine.own_tokens = *rc::gen::inRange<i64>(0, 15'000);
+            backend.engine.peer_tokens = *rc::gen::inRange<i64>(0, 15'000);
+            backend.engine.peer_unread_tokens = *rc::gen::inRange<i64>(0, 12'000);
+            backend.engine.peer_generations = *rc::gen::inRange<u32>(0, 30);
+            backend.availability = *rc::gen::element(Availability::Serving, Availability::Leaving);
+        }
+        auto const prompt = *rc::gen::inRange<i64>(1, 25'000);
+        auto const expected = *rc::gen::inRange<i64>(0, 3000);
+        auto const decision = pool.decide(prompt, expected, std::chrono::milliseconds(*rc::gen::inRange(0, 3000)));
+        if (decision.verdict != AdmissionVerdict::Admit) {
+            RC_ASSERT(!decision.engine);
+            RC_ASSERT(decision.with_room == 0u);
+            return;
+        }
+        auto const& engine = *decision.engine;
+        RC_ASSERT(engine.takes_work());
+        RC_ASSERT(engine.engine.generations() < slots);
+        RC_ASSERT(engine.engine.tokens() + prompt <= memory.value());
+    }));
+    CHECK(rc::check("an engine with nothing to do takes whatever fits", [] {
+        Pool pool;
+        auto const engines = *rc::gen::inRange(1, 12);
+        for (int i = 0; i < engines; ++i)
+            pool.add("e" + std::to_string(i), *rc::gen::arbitrary<bool>() ? "hall-a" : "hall-b");
+        auto const prompt = *rc::gen::inRange<i64>(1, memory.value() + 1);
+        auto const expected = *rc::gen::inRange<i64>(0, 1'000'000);
+        auto const due_in = std::chrono::milliseconds(*rc::gen::inRange(-1000, 3000));
+        RC_ASSERT(pool.decide(prompt, expected, due_in).verdict == AdmissionVerdict::Admit);
+    }));
+}
