--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -10,10 +10,11 @@
 #include <LibServing/AllowanceShare.h>
 #include <LibServing/BackendList.h>
 #include <LibServing/EngineReporter.h>
-#include <LibServing/Evacuations.h>
 #include <LibServing/HostDirectory.h>
+#include <LibServing/HostPlatform.h>
 #include <LibServing/LogPacer.h>
 #include <LibServing/NewsExchange.h>
+#include <LibServing/OperatorTable.h>
 #include <LibServing/PeerLink.h>
 #include <LibServing/PlannedStop.h>
 #include <LibServing/RequestDesk.h>
@@ -22,35 +23,6 @@
 
 namespace Serving {
 
-/// The platform that a host runs on: where it keeps the configuration and the list of backend servers, how both are
-/// written there, and how callers and backend servers are spoken to.
-template<typename T>
-concept HostPlatform = Dialect<typename T::Dialect> && Platform::ChangeSource<typename T::Store> && Platform::RowWriter<
-    typename T::Store> && requires(Platform::Row const& row)
-{
-    {
-        T::configuration_table
-        } -> std::convertible_to<std::string_view>;
-    {
-        T::backend_table
-        } -> std::convertible_to<std::string_view>;
-    {
-        T::is_configuration(row)
-        } -> std::same_as<bool>;
-    {
-        T::decode_configuration(row)
-        } -> std::same_as<Result<Configuration>>;
-    {
-        T::evacuated_domain(row.key)
-        } -> std::same_as<std::optional<FailureDomainId>>;
-    {
-        T::check_evacuation(row)
-        } -> std::same_as<Result<void>>;
-    {
-        T::decode_backend_server(row)
-        } -> std::same_as<Result<BackendServer>>;
-};
-
 /// One entry host's process: the callers' edge, the decisions and the platform's client on one loop.
 template<HostPlatform P>
 class Host {
@@ -69,7 +41,9 @@
         , backends(this->context,
               { [this](BackendPointer const& backend) { this->peers.backend_appeared(*backend); },
                   [this](BackendPointer const& backend) { this->reporter.engine_leaves(backend); } })
-        , evacuations(this->context)
+        , operator_table(this->context,
+              { [this] { this->callers_context->limits = this->context.routing->limits(); },
+                  [this](Platform::Row const& row, Error const& error) { this->reject_row(row, error); } })
         , directory_store(loop, this->settings.platform.value())
         , directory(loop, this->directory_store, this->settings.host, this->settings.peer_address,
               this->settings.failure_domain,
@@ -209,18 +183,10 @@
         auto observer = this->make_observer(P::configuration_table);
         observer.listed = [this](std::vector<Platform::Row> const& rows, u64 version) {
             this->note_listed(P::configuration_table, rows.size(), version);
-            // Before the configuration, with which this host becomes ready.
-            this->evacuations.listed(this->evacuations_in(rows), version);
-            for (auto const& row : rows)
-                this->take_configuration(row);
-        };
-        observer.changed = [this](std::vector<Platform::RowChange> const& changes, u64) {
-            for (auto const& change : changes) {
-                this->take_evacuation(change);
-                if (!change.removed)
-                    this->take_configuration(change.row);
-            }
+            this->operator_table.listed(rows, version);
         };
+        observer.changed
+            = [this](std::vector<Platform::RowChange> const& changes, u64) { this->operator_table.changed(changes); };
         observer.told = [this](Platform::TableNews const& news) { this->news.tell(P::configuration_table, news); };
         observer.missed = [this](u64 version) { this->news.ask_others(P::configuration_table, version); };
         return observer;
@@ -292,57 +258,6 @@
         this->log.event(Core::EventNumber::TableListed, table).with("rows", count).with("version", version);
     }
 
-    [[nodiscard]] bool is_evacuation(Platform::Row const& row)
-    {
-        if (!P::evacuated_domain(row.key))
-            return false;
-        auto checked = P::check_evacuation(row);
-        if (!checked)
-            this->reject_row(row, checked.error());
-        return static_cast<bool>(checked);
-    }
-
-    std::map<FailureDomainId, u64> evacuations_in(std::vector<Platform::Row> const& rows)
-    {
-        std::map<FailureDomainId, u64> orders;
-        for (auto const& row : rows) {
-            if (this->is_evacuation(row))
-                orders[*P::evacuated_domain(row.key)] = row.version;
-        }
-        return orders;
-    }
-
-    void take_evacuation(Platform::RowChange const& change)
-    {
-        auto domain = P::evacuated_domain(change.row.key);
-        if (!domain)
-            return;
-        if (!change.removed && this->is_evacuation(change.row))
-            return this->evacuations.ordered(*domain, change.row.version);
-        // Bytes that another writer has put there are no order of the operator's.
-        this->evacuations.taken_back(*domain, change.row.version);
-    }
-
-    void take_configuration(Platform::Row const& row)
-    {
-        if (!P::is_configuration(row))
-            return;
-        auto decoded = P::decode_configuration(row);
-        if (!decoded)
-            return this->reject_row(row, decoded.error());
-        auto revision = decoded.value().revision;
-        // Never back within one life: an answer of the platform that is behind changes nothing.
-        if (this->context.routing && revision <= this->context.routing->revision())
-            return;
-        this->context.routing = std::make_shared<RoutingTable const>(std::move(decoded.value()));
-        this->context.slow_start.configure(this->context.routing);
-        this->callers_context->limits = this->context.routing->limits();
-        this->log.event(Core::EventNumber::RevisionInForce, std::to_string(revision.value()))
-            .with("row_version", row.version)
-            .with("idle_timeout_ms", this->callers_context->limits.idle_timeout)
-            .with("header_timeout_ms", this->callers_context->limits.header_timeout);
-    }
-
     void take_backends(std::vector<Platform::Row> const& rows)
     {
         std::vector<BackendServer> servers;
@@ -505,7 +420,7 @@
     EngineReporter<typename P::Dialect> reporter;
     PeerLink peers;
     BackendList backends;
-    Evacuations evacuations;
+    OperatorTable<P> operator_table;
     typename P::Store directory_store;
     HostDirectory<typename P::Store> directory;
     typename P::Store configuration_store;
--- /dev/null
+++ b/Libraries/LibServing/HostPlatform.h
@@ -0,0 +1,44 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include <LibPlatform/ChangeFollower.h>
+#include <LibServing/Configuration.h>
+#include <LibServing/Dialect.h>
+
+namespace Serving {
+
+/// The platform that a host runs on: where it keeps the configuration and the list of backend servers, how both are
+/// written there, and how callers and backend servers are spoken to.
+template<typename T>
+concept HostPlatform = Dialect<typename T::Dialect> && Platform::ChangeSource<typename T::Store> && Platform::RowWriter<
+    typename T::Store> && requires(Platform::Row const& row)
+{
+    {
+        T::configuration_table
+        } -> std::convertible_to<std::string_view>;
+    {
+        T::backend_table
+        } -> std::convertible_to<std::string_view>;
+    {
+        T::is_configuration(row)
+        } -> std::same_as<bool>;
+    {
+        T::decode_configuration(row)
+        } -> std::same_as<Result<Configuration>>;
+    {
+        T::evacuated_domain(row.key)
+        } -> std::same_as<std::optional<FailureDomainId>>;
+    {
+        T::check_evacuation(row)
+        } -> std::same_as<Result<void>>;
+    {
+        T::decode_backend_server(row)
+        } -> std::same_as<Result<BackendServer>>;
+};
+
+}
