--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -221,6 +221,30 @@
     "Scenario: a domain that has no server of a service is cut off from those that have" \
     Libraries/LibServing/ServiceReach.cpp "return is_silent && " "return "
 
+guard "domains: emptied ones get nothing" TestLibServing \
+    "Scenario: nothing new is sent to a failure domain that the operator has emptied" \
+    Libraries/LibServing/BackendTable.h "&& !this->is_evacuated" ""
+guard "domains: nor do servers that appear there" TestLibServing \
+    "Scenario: nothing new is sent to a failure domain that the operator has emptied" \
+    Libraries/LibServing/BackendTable.cpp "known->is_evacuated = this->evacuated.contains(server.failure_domain);" ""
+guard "domains: an older word changes nothing" TestLibServing \
+    "Scenario: nothing new is sent to a failure domain that the operator has emptied" \
+    Libraries/LibServing/Evacuations.cpp "if (!is_new && word.version <= known->second.version)" "if (false)"
+guard "domains: a copy leaves an emptied one" TestPlatform "Scenario: a generation outlives its engine" \
+    Libraries/LibServing/GenerationMove.h "if (this->chosen->is_evacuated)" "if (false)"
+guard "cold servers: each host has its part" TestFleet \
+    "Scenario: all hosts together send a cold server no more than it bears" \
+    Libraries/LibServing/SlowStart.cpp "< this->own_part(backend, *whole, now)" "< *whole"
+guard "cold servers: a host that starts has none" TestFleet \
+    "Scenario: all hosts together send a cold server no more than it bears" \
+    Libraries/LibServing/SlowStart.cpp "if (this->reach.fleet_known_for(now).value_or(Duration(0)) < counted_span)" "if (false)"
+guard "admission: memory" TestFleet \
+    "Scenario: a load beyond what the engines bear does not bring down what they serve in time" \
+    Libraries/LibServing/Admission.cpp "return held + wanted + unseen <= memory.value();" "return true;"
+guard "admission: what is to be read" TestLibServing \
+    "Scenario: a generation is refused at once while no engine has room for it" \
+    Libraries/LibServing/Admission.cpp "&& reads_in_time(backend, demand)" ""
+
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
     "this->call.route->kind == CallKind::Repeatable && this->runs() < this->call.route->most_dispatches" "true"
 soak_guard "a refusal is true" Libraries/LibServing/ServiceCall.h \
@@ -231,8 +255,8 @@
         this->exchange().abort();" "this->abandon(); this->exchange().end_stream();"
 soak_guard "a planned stop waits" Libraries/LibServing/PlannedStop.cpp \
     "if (is_drained || elapsed >= this->context.settings.stop_grace - last_answers_margin)" "if (true)"
-soak_guard "leaving servers get nothing new" Libraries/LibServing/BackendChooser.cpp \
-    "backend.availability == Availability::Serving &&" ""
+soak_guard "leaving servers get nothing new" Libraries/LibServing/BackendTable.h \
+    "this->availability == Availability::Serving && " ""
 
 echo "guards not noticed: $failures"
 exit $((failures > 0))
--- a/Tests/LibServing/TestAdmission.cpp
+++ b/Tests/LibServing/TestAdmission.cpp
@@ -57,10 +57,7 @@
         CHECK(decision.serving == 1);
         CHECK(decision.with_room == 0);
         CHECK(decision.retry_after > 0s);
-        THEN("a smaller one is admitted")
-        {
-            CHECK(pool.decide(2000, 20).verdict == AdmissionVerdict::Admit);
-        }
+        THEN("a smaller one is admitted") { CHECK(pool.decide(2000, 20).verdict == AdmissionVerdict::Admit); }
         THEN("it is admitted as soon as there is room")
         {
             engine.engine.own_tokens -= 1;
