--- a/Libraries/LibServing/SlowStart.cpp
+++ b/Libraries/LibServing/SlowStart.cpp
@@ -46,13 +46,17 @@
     // What this host's former process sent counts as well, and it has left the span by then.
     if (this->reach.fleet_known_for(now).value_or(Duration(0)) < counted_span)
         return false;
-    return backend.sent_while_cold.at_most_within(counted_span, now) < this->own_part(backend, *whole, now);
+    auto const sent = backend.sent_while_cold ? backend.sent_while_cold->at_most_within(counted_span, now) : 0;
+    return sent < this->own_part(backend, *whole, now);
 }
 
 void SlowStart::note_sent(Backend& backend, Instant now) const
 {
-    if (this->bearable_per_second(backend, now))
-        backend.sent_while_cold.add(now, counted_span);
+    if (!this->bearable_per_second(backend, now))
+        return;
+    if (!backend.sent_while_cold)
+        backend.sent_while_cold.emplace();
+    backend.sent_while_cold->add(now, counted_span);
 }
 
 }
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -234,7 +234,7 @@
     Libraries/LibServing/GenerationMove.h "if (this->chosen->is_evacuated)" "if (false)"
 guard "cold servers: each host has its part" TestFleet \
     "Scenario: all hosts together send a cold server no more than it bears" \
-    Libraries/LibServing/SlowStart.cpp "< this->own_part(backend, *whole, now)" "< *whole"
+    Libraries/LibServing/SlowStart.cpp "sent < this->own_part(backend, *whole, now)" "sent < *whole"
 guard "cold servers: a host that starts has none" TestFleet \
     "Scenario: all hosts together send a cold server no more than it bears" \
     Libraries/LibServing/SlowStart.cpp "if (this->reach.fleet_known_for(now).value_or(Duration(0)) < counted_span)" "if (false)"
