LibCore, LibServing, LibWire: Run no completion of a timer or socket whose owner is gone

Cause: cancelling a timer does not call back a completion that is in the loop's queue already. PeerLink and DatagramTransport handed the loop handlers that hold a plain pointer; a link that was destroyed in the turn in which its timers were due ran them on freed memory. The product destroys its link only after its loop, so no host was concerned.

Change: Core::HandlerGuard, a member that keeps the handlers it wraps from running once it is gone.

--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -200,7 +200,7 @@
 void PeerLink::schedule_whole()
 {
     this->whole_timer.expires_after(this->period());
-    this->whole_timer.async_wait([this](boost::system::error_code error) {
+    this->whole_timer.async_wait(this->guard.wrap([this](boost::system::error_code error) {
         if (error)
             return;
         for (auto const& name : this->use.forget_silent(this->context.backends, this->context.now()))
@@ -209,7 +209,7 @@
         if (++this->rounds % rounds_between_calls_to_silent == 0)
             this->call_silent_peers();
         this->schedule_whole();
-    });
+    }));
 }
 
 void PeerLink::schedule_digest()
@@ -218,7 +218,7 @@
     auto const place = std::min(this->own_place_among_speakers(), Reach::speakers_of_domain - 1);
     auto const period = static_cast<i64>(1 + place) * digest_period;
     this->digest_timer.expires_after(period);
-    this->digest_timer.async_wait([this, period](boost::system::error_code error) {
+    this->digest_timer.async_wait(this->guard.wrap([this, period](boost::system::error_code error) {
         if (error)
             return;
         if (this->own_place_among_speakers() < Reach::speakers_of_domain) {
@@ -227,7 +227,7 @@
             this->send_elsewhere(std::move(message));
         }
         this->schedule_digest();
-    });
+    }));
 }
 
 void PeerLink::call_silent_peers()
@@ -245,13 +245,13 @@
     if (std::exchange(this->changes_wait, true))
         return;
     this->change_timer.expires_after(change_delay);
-    this->change_timer.async_wait([this](boost::system::error_code error) {
+    this->change_timer.async_wait(this->guard.wrap([this](boost::system::error_code error) {
         this->changes_wait = false;
         if (error)
             return;
         if (auto changes = this->told.changes(this->context.backends))
             this->broadcast(*changes);
-    });
+    }));
 }
 
 /// Only the first speaker tells of changes; the second one's whole messages are enough until it takes over.
@@ -260,13 +260,13 @@
     if (std::exchange(this->domain_changes_wait, true))
         return;
     this->domain_change_timer.expires_after(this->domain_change_delay());
-    this->domain_change_timer.async_wait([this](boost::system::error_code error) {
+    this->domain_change_timer.async_wait(this->guard.wrap([this](boost::system::error_code error) {
         this->domain_changes_wait = false;
         if (error || this->own_place_among_speakers() > 0)
             return;
         if (auto changes = this->told_elsewhere.changes(this->context.backends))
             this->send_elsewhere(std::move(*changes));
-    });
+    }));
 }
 
 void PeerLink::complete_whole(wire::HostUse& message, Duration period)
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <LibCore/HandlerGuard.h>
 #include <LibPlatform/ChangeFollower.h>
 #include <LibServing/PeerUse.h>
 #include <LibServing/ServingContext.h>
@@ -108,6 +109,7 @@
     u32 avoided_told { 0 };
     bool changes_wait { false };
     bool domain_changes_wait { false };
+    Core::HandlerGuard guard;
 };
 
 }
--- a/Libraries/LibWire/DatagramTransport.cpp
+++ b/Libraries/LibWire/DatagramTransport.cpp
@@ -89,12 +89,12 @@
 
 void DatagramTransport::await_datagrams()
 {
-    this->socket.async_wait(Udp::socket::wait_read, [this](boost::system::error_code error) {
+    this->socket.async_wait(Udp::socket::wait_read, this->guard.wrap([this](boost::system::error_code error) {
         if (error)
             return;
         this->receive_all();
         this->await_datagrams();
-    });
+    }));
 }
 
 void DatagramTransport::receive_all()
--- a/Libraries/LibWire/DatagramTransport.h
+++ b/Libraries/LibWire/DatagramTransport.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <AK/Identifiers.h>
+#include <LibCore/HandlerGuard.h>
 #include <LibCore/Metrics.h>
 #include <LibWire/Messages.h>
 #include <array>
@@ -59,6 +60,7 @@
     std::map<Udp::endpoint, Instant> complained_of;
     std::array<char, largest_datagram_bytes + 1> buffer {};
     Handler handler;
+    Core::HandlerGuard guard;
 };
 
 }
--- /dev/null
+++ b/Tests/LibCore/TestHandlerGuard.cpp
@@ -0,0 +1,51 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCore/HandlerGuard.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+
+namespace {
+
+/// Counts its own calls where they can be read when it is gone.
+struct Owner {
+    Owner(boost::asio::io_context& loop, int& calls)
+        : timer(loop, std::chrono::steady_clock::now())
+    {
+        this->timer.async_wait(this->guard.wrap([&calls](boost::system::error_code error) {
+            if (!error)
+                ++calls;
+        }));
+    }
+
+    boost::asio::steady_timer timer;
+    Core::HandlerGuard guard;
+};
+
+}
+
+SCENARIO("a completion that is due does not run once its object is gone")
+{
+    boost::asio::io_context loop;
+    int calls = 0;
+    std::optional<Owner> owner(std::in_place, loop, calls);
+
+    WHEN("the object is there")
+    {
+        loop.run();
+        CHECK(calls == 1);
+    }
+    WHEN("the object goes while the completion waits in the queue")
+    {
+        // The loop looks first what is due and puts it into its queue, behind this.
+        boost::asio::post(loop, [&] { owner.reset(); });
+        loop.run();
+        CHECK(calls == 0);
+    }
+}
--- a/Tests/LibServing/TestPeerLink.cpp
+++ b/Tests/LibServing/TestPeerLink.cpp
@@ -225,3 +225,18 @@
     fleet.hosts.front().place_generation();
     fleet.until_all([](TalkingHost const& host) { return host.believed_generations() == 2; });
 }
+
+SCENARIO("a host goes while all that it has to do is due")
+{
+    TalkingFleet fleet({ "hall-a" }, 2);
+    fleet.until_heard();
+    fleet.hosts.back().place_generation();
+    Test::stall_for(1s);
+    // The loop looks first what is due and puts it into its queue, behind this.
+    Http::asio::post(fleet.loop, [&] { fleet.hosts.pop_back(); });
+    auto const& left = fleet.hosts.front().context;
+    auto const later = left.now() + 1s;
+    Test::run_until(fleet.loop, [&] { return left.now() > later; });
+    CHECK(fleet.hosts.size() == 1);
+    CHECK(left.reach.hosts_heard_near(left.now()) == 0);
+}
