LibServing, Utilities: Decide admission in one walk over the engines; measure it

Cause: admission copied the engines with room into a list, counting references, and then chose among them.

Change: `bench hosts` measures the decision beside the choice. The cost of an engine is a class of its own, which admission asks in the walk in which it looks for room; the cheapest one is kept by a small class for both.

--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -91,16 +91,19 @@
     if (memory.value() > 0)
         asked.need.expected_output
             = std::min(demand.need.expected_output, TokenCount(memory.value() - demand.need.prompt.value()));
-    std::vector<BackendPointer> roomy;
+    GenerationCost const cost(asked.need, memory, inputs, random);
+    Cheapest chosen;
     for (auto const& candidate : candidates) {
         if (!candidate->takes_work())
             continue;
         ++decision.serving;
-        if (has_room(*candidate, asked, memory, inputs))
-            roomy.push_back(candidate);
+        if (!has_room(*candidate, asked, memory, inputs))
+            continue;
+        ++decision.with_room;
+        if (is_candidate(*candidate, tried, inputs))
+            chosen.offer(candidate, cost(*candidate));
     }
-    decision.with_room = static_cast<u32>(roomy.size());
-    decision.engine = choose_for_generation(roomy, tried, asked.need, memory, inputs, random);
+    decision.engine = chosen.backend();
     if (decision.engine) {
         decision.verdict = AdmissionVerdict::Admit;
         return decision;
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -47,7 +47,7 @@
     return cost;
 }
 
-static bool is_candidate(Backend const& backend, std::span<EngineId const> tried, ChoiceInputs const& inputs)
+bool is_candidate(Backend const& backend, std::span<EngineId const> tried, ChoiceInputs const& inputs)
 {
     if (!backend.takes_work() || std::ranges::find(tried, backend.server.id) != tried.end())
         return false;
@@ -56,20 +56,14 @@
 
 template<typename Cost>
 static BackendPointer cheapest(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
-    ChoiceInputs const& inputs, Cost cost_of)
+    ChoiceInputs const& inputs, Cost const& cost_of)
 {
-    BackendPointer best;
-    double lowest = 0;
+    Cheapest chosen;
     for (auto const& candidate : candidates) {
-        if (!is_candidate(*candidate, tried, inputs))
-            continue;
-        auto cost = cost_of(*candidate);
-        if (best && cost >= lowest)
-            continue;
-        best = candidate;
-        lowest = cost;
+        if (is_candidate(*candidate, tried, inputs))
+            chosen.offer(candidate, cost_of(*candidate));
     }
-    return best;
+    return chosen.backend();
 }
 
 BackendPointer choose_for_call(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
@@ -92,31 +86,39 @@
     return std::max(known, engine.report->used.value());
 }
 
+GenerationCost::GenerationCost(
+    GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
+    : capacity(static_cast<double>(std::max<i64>(1, memory.value())))
+    , wanted(need.prompt.value() + need.expected_output.value())
+    , unseen(inputs.unseen_placements * static_cast<double>(this->wanted) / this->capacity)
+    , inputs(inputs)
+    , random(random)
+{
+}
+
+double GenerationCost::operator()(Backend const& backend) const
+{
+    auto share = static_cast<double>(estimated_tokens(backend, this->inputs.now) + this->wanted) / this->capacity;
+    auto cost = share + static_cast<double>(backend.engine.unread_tokens()) / unread_tokens_scale;
+    if (this->inputs.copied_tokens_per_second)
+        cost += copy_wait_cost * static_cast<double>(backend.engine.incoming_tokens())
+            / *this->inputs.copied_tokens_per_second;
+    if (share > crowded_share)
+        cost += (share - crowded_share) * crowded_cost;
+    if (backend.engine.generations() >= backend.server.slots)
+        cost += crowded_cost;
+    if (backend.server.failure_domain != this->inputs.host_failure_domain) {
+        boost::random::uniform_real_distribution<double> share_of_unseen(0, 1);
+        cost += this->unseen * share_of_unseen(this->random);
+    }
+    return cost + common_cost(backend, this->inputs, this->random);
+}
+
 BackendPointer choose_for_generation(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
 {
-    auto capacity = static_cast<double>(std::max<i64>(1, memory.value()));
-    auto wanted = need.prompt.value() + need.expected_output.value();
-    // Hosts that all believe the same would all choose the same engine. What they may have placed unseen is drawn for
-    // each engine, so that they spread over those that are about as good: with 59 deciders of 0.65 placements a second
-    // and beliefs that are 250 ms old, no engine of 104 gets more than 4 of the 38 placements of a second, and more
-    // than 4 without it (TestLateBeliefs).
-    auto unseen = inputs.unseen_placements * static_cast<double>(wanted) / capacity;
-    boost::random::uniform_real_distribution<double> share_of_unseen(0, 1);
-    return cheapest(candidates, tried, inputs, [&](Backend const& backend) {
-        auto share = static_cast<double>(estimated_tokens(backend, inputs.now) + wanted) / capacity;
-        auto cost = share + static_cast<double>(backend.engine.unread_tokens()) / unread_tokens_scale;
-        if (inputs.copied_tokens_per_second)
-            cost += copy_wait_cost * static_cast<double>(backend.engine.incoming_tokens())
-                / *inputs.copied_tokens_per_second;
-        if (share > crowded_share)
-            cost += (share - crowded_share) * crowded_cost;
-        if (backend.engine.generations() >= backend.server.slots)
-            cost += crowded_cost;
-        if (backend.server.failure_domain != inputs.host_failure_domain)
-            cost += unseen * share_of_unseen(random);
-        return cost + common_cost(backend, inputs, random);
-    });
+    GenerationCost const cost(need, memory, inputs, random);
+    return cheapest(candidates, tried, inputs, cost);
 }
 
 }
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -37,6 +37,27 @@
     SlowStart const* slow_start { nullptr };
 };
 
+/// Whether it may be given work now, was not tried, and bears more if it is cold.
+bool is_candidate(Backend const&, std::span<EngineId const> tried, ChoiceInputs const&);
+
+/// Keeps the one that costs least of those it is offered.
+class Cheapest {
+public:
+    void offer(BackendPointer const& backend, double cost)
+    {
+        if (this->best && cost >= this->lowest)
+            return;
+        this->best = backend;
+        this->lowest = cost;
+    }
+    /// Null when nothing was offered.
+    [[nodiscard]] BackendPointer const& backend() const { return this->best; }
+
+private:
+    BackendPointer best;
+    double lowest { 0 };
+};
+
 /// A backend server for a call to a plain service: the least busy by what this host has there and by what it last said
 /// of itself, with those that fail and those of other failure domains counted as busier. Passes over those in `tried`.
 /// Null when no other one serves.
@@ -49,6 +70,27 @@
     TokenCount expected_output;
 };
 
+/// What it costs, in parts of an engine's capacity, to give a generation to it: prompts that wait to be read there,
+/// memory in use, and what all backend servers cost.
+class GenerationCost {
+public:
+    /// Refers to `inputs` and `random`.
+    GenerationCost(
+        GenerationNeed const&, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random);
+    double operator()(Backend const&) const;
+
+private:
+    double capacity;
+    i64 wanted;
+    /// Hosts that all believe the same would all choose the same engine. What they may have placed unseen is drawn for
+    /// each engine, so that they spread over those that are about as good: with 59 deciders of 0.65 placements a second
+    /// and beliefs that are 250 ms old, no engine of 104 gets more than 4 of the 38 placements of a second, and more
+    /// than 4 without it (TestLateBeliefs).
+    double unseen;
+    ChoiceInputs const& inputs;
+    boost::random::mt19937& random;
+};
+
 /// An engine for a generation: the one where prompts that wait to be read and memory in use cost it least.
 /// Passes over those in `tried`. Null when no other one serves; a full engine costs more, but is not passed over.
 BackendPointer choose_for_generation(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
--- a/Utilities/hostbench.cpp
+++ b/Utilities/hostbench.cpp
@@ -4,7 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <LibServing/BackendChooser.h>
+#include <LibServing/Admission.h>
 #include <LibServing/PeerUse.h>
 #include <LibServing/Reach.h>
 #include <benchmark/benchmark.h>
@@ -95,6 +95,21 @@
     }
 }
 
+/// The same with the decision whether it is taken at all.
+void admission(benchmark::State& state)
+{
+    auto const reach = reach_of_host(state.range(0));
+    BackendTable table;
+    add_engines(table, state.range(1));
+    boost::random::mt19937 random(1);
+    AdmissionDemand const demand { { TokenCount(3000), TokenCount(500) }, 1800ms };
+    for (auto _ : state) {
+        ChoiceInputs const inputs { domain_of(0), reach.silent_domains(now), now, 0.3, {}, domain_of(0), 9 };
+        benchmark::DoNotOptimize(
+            admit(table.of_service(ServiceName("models")), {}, demand, TokenCount(33'620), inputs, random));
+    }
+}
+
 /// A whole message of another domain: made there, sent and taken in here. All other domains together send some ten a
 /// second.
 void domain_message(benchmark::State& state)
@@ -131,6 +146,12 @@
     ->Args({ 295, 130 })
     ->Args({ 300, 3000 })
     ->Args({ 1000, 3000 });
+BENCHMARK(admission)
+    ->Args({ 30, 13 })
+    ->Args({ 100, 44 })
+    ->Args({ 295, 130 })
+    ->Args({ 300, 3000 })
+    ->Args({ 1000, 3000 });
 BENCHMARK(domain_message)
     ->Args({ 30, 13 })
     ->Args({ 100, 44 })
