--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -221,6 +221,9 @@
     "Scenario: a domain that has no server of a service is cut off from those that have" \
     Libraries/LibServing/ServiceReach.cpp "return is_silent && " "return "
 
+guard "completions: none for an object that is gone" TestLibCore \
+    "Scenario: a completion that is due does not run once its object is gone" \
+    Libraries/LibCore/HandlerGuard.h "if (!object.expired())" ""
 guard "domains: emptied ones get nothing" TestLibServing \
     "Scenario: nothing new is sent to a failure domain that the operator has emptied" \
     Libraries/LibServing/BackendTable.h "&& !this->is_evacuated" ""
