LibOverloadModel, Utilities, Meta: Add an experiment tool for loads beyond what the engines bear

Cause: the model of a pool lay among the tests, so ways of admission could be compared by changing tests only; the design page's figures could not be made again by a command.

Change: the model is a library. `Meta/lilactiller.sh bench overload [FILE]` reads a checked YAML file (ways, patterns, hosts, loads, seeds, age of beliefs), plays the cells on all processors with a line of progress, and writes JSON lines, a Markdown table and two plots. A key or value that is not known fails at the start with file, line and remedy. Admitted and refused over time, and other ways than the two that stand, are not in it yet.

--- /dev/null
+++ b/Libraries/LibOverloadModel/Experiment.cpp
@@ -0,0 +1,265 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCore/Settings.h>
+#include <LibOverloadModel/Experiment.h>
+#include <Poco/JSON/Object.h>
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <iomanip>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+namespace OverloadModel {
+
+using Way = ModelPool::Way;
+
+static constexpr std::array known_ways { std::pair { "take-all", Way::TakeAll },
+    std::pair { "admission", Way::Admission } };
+static constexpr std::array known_patterns { std::pair { "steady", Pattern::Steady },
+    std::pair { "after-burst", Pattern::AfterBurst }, std::pair { "engines-leave", Pattern::EnginesLeave } };
+
+static constexpr i64 most_hosts = 10'000;
+static constexpr double largest_load = 10;
+static constexpr i64 most_seeds = 1000;
+
+template<typename Names, typename Value>
+static std::string name_of(Names const& names, Value value)
+{
+    return std::ranges::find(names, value, [](auto const& entry) { return entry.second; })->first;
+}
+
+std::string to_string(Way way) { return name_of(known_ways, way); }
+std::string to_string(Pattern pattern) { return name_of(known_patterns, pattern); }
+
+template<typename Names>
+static auto read_names(Core::SettingsReader& reader, std::string const& key, Names const& names)
+{
+    std::vector<decltype(names.front().second)> values;
+    for (auto const& text : reader.text_list(key)) {
+        auto const known = std::ranges::find(names, text, [](auto const& entry) { return std::string(entry.first); });
+        if (known != names.end()) {
+            values.push_back(known->second);
+            continue;
+        }
+        std::string all;
+        for (auto const& [name, value] : names)
+            all += (all.empty() ? "" : ", ") + std::string(name);
+        reader.complain_of(key, "\"" + text + "\" is not known; write some of " + all);
+    }
+    return values;
+}
+
+template<typename Number>
+static std::vector<Number> read_numbers(
+    Core::SettingsReader& reader, std::string const& key, Number smallest, Number largest)
+{
+    std::vector<Number> values;
+    for (auto const& text : reader.text_list(key)) {
+        Number value {};
+        auto const* end = text.data() + text.size();
+        auto const parsed = std::from_chars(text.data(), end, value);
+        if (parsed.ec == std::errc {} && parsed.ptr == end && value >= smallest && value <= largest) {
+            values.push_back(value);
+            continue;
+        }
+        std::ostringstream remedy;
+        remedy << "expected numbers from " << smallest << " to " << largest;
+        reader.complain_of(key, remedy.str());
+    }
+    return values;
+}
+
+Result<Experiment> Experiment::read(Core::SettingsReader reader)
+{
+    Experiment experiment;
+    experiment.ways = read_names(reader, "ways", known_ways);
+    experiment.patterns = read_names(reader, "patterns", known_patterns);
+    experiment.hosts = read_numbers<u32>(reader, "hosts", 1, most_hosts);
+    experiment.loads = read_numbers<double>(reader, "loads", 0.01, largest_load);
+    experiment.beliefs_late_by = reader.duration_or("beliefs-late-by", 0s);
+    experiment.seeds = static_cast<u32>(reader.whole_number_or("seeds", 1, 1, most_seeds));
+    for (auto const& [key, is_empty] :
+        { std::pair { "ways", experiment.ways.empty() }, std::pair { "patterns", experiment.patterns.empty() },
+            std::pair { "hosts", experiment.hosts.empty() }, std::pair { "loads", experiment.loads.empty() } }) {
+        if (is_empty)
+            reader.complain_of(key, "has no value that can be used; write a list of one at least");
+    }
+    auto checked = reader.finish();
+    if (!checked)
+        return checked.error();
+    return experiment;
+}
+
+std::vector<Cell> Experiment::cells() const
+{
+    std::vector<Cell> cells;
+    for (auto const pattern : this->patterns)
+        for (auto const hosts_of_cell : this->hosts)
+            for (auto const way : this->ways)
+                for (auto const load : this->loads)
+                    for (u32 seed = 1; seed <= this->seeds; ++seed)
+                        cells.push_back({ { way, hosts_of_cell, this->beliefs_late_by, seed }, pattern, load });
+    return cells;
+}
+
+static constexpr Duration warm_up = 10s;
+
+static ModelPool::Outcome play_steady(ModelPool& pool, double load)
+{
+    pool.run(std::min(load, 0.8), warm_up);
+    auto const outcome = pool.run(load, 20s);
+    pool.run(load, ModelPool::longest_settling);
+    return *outcome;
+}
+
+static ModelPool::Outcome play_after_burst(ModelPool& pool, double load)
+{
+    constexpr double ordinary_load = 0.7;
+    pool.run(ordinary_load, warm_up);
+    pool.run(load, 7s);
+    pool.run(ordinary_load, 2s);
+    auto const outcome = pool.run(ordinary_load, 5s);
+    pool.run(ordinary_load, ModelPool::longest_settling);
+    return *outcome;
+}
+
+static ModelPool::Outcome play_engines_leave(ModelPool& pool, double load)
+{
+    pool.run(std::min(load, 0.8), warm_up);
+    std::vector<std::shared_ptr<ModelPool::Outcome const>> outcomes;
+    for (int i = 0; i < 4; ++i) {
+        pool.replace_engines(6);
+        outcomes.push_back(pool.run(load, 3300ms));
+    }
+    pool.run(load, ModelPool::longest_settling);
+    ModelPool::Outcome sum;
+    for (auto const& outcome : outcomes)
+        sum += *outcome;
+    return sum;
+}
+
+static CellResult run_cell(Cell const& cell)
+{
+    ModelPool pool(cell.shape);
+    switch (cell.pattern) {
+    case Pattern::Steady:
+        return { cell, play_steady(pool, cell.load) };
+    case Pattern::AfterBurst:
+        return { cell, play_after_burst(pool, cell.load) };
+    case Pattern::EnginesLeave:
+        return { cell, play_engines_leave(pool, cell.load) };
+    }
+    VERIFY(false);
+}
+
+std::vector<CellResult> run_cells(std::vector<Cell> const& cells, std::function<void(size_t)> const& on_progress)
+{
+    std::vector<CellResult> results(cells.size());
+    std::atomic<size_t> next { 0 };
+    std::mutex mutex;
+    size_t done = 0;
+    auto work = [&] {
+        for (auto number = next++; number < cells.size(); number = next++) {
+            results[number] = run_cell(cells[number]);
+            std::lock_guard const lock(mutex);
+            on_progress(++done);
+        }
+    };
+    std::vector<std::jthread> threads;
+    for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency()); ++i)
+        threads.emplace_back(work);
+    threads.clear();
+    return results;
+}
+
+std::string to_json(CellResult const& result)
+{
+    auto const& [cell, outcome] = result;
+    Poco::JSON::Object object;
+    object.set("way", to_string(cell.shape.way));
+    object.set("pattern", to_string(cell.pattern));
+    object.set("hosts", cell.shape.hosts);
+    object.set("load", cell.load);
+    object.set("beliefs_late_ms", AK::to_milliseconds(cell.shape.beliefs_late_by));
+    object.set("seed", cell.shape.seed);
+    object.set("asked", outcome.asked);
+    object.set("in_time", outcome.in_time);
+    object.set("late", outcome.late);
+    object.set("refused", outcome.refused);
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+namespace {
+
+    /// The sum of all seeds of one line of the table.
+    struct Line {
+        Cell cell;
+        ModelPool::Outcome outcome;
+        [[nodiscard]] bool is_of(Cell const& other) const
+        {
+            return this->is_of_block(other) && this->cell.load == other.load;
+        }
+        [[nodiscard]] bool is_of_block(Cell const& other) const
+        {
+            return this->cell.shape.way == other.shape.way && this->cell.pattern == other.pattern
+                && this->cell.shape.hosts == other.shape.hosts;
+        }
+        [[nodiscard]] double share(u32 count) const { return count / std::max(1.0, double(this->outcome.asked)); }
+    };
+
+}
+
+/// Cells of the same line stand one behind the other.
+static std::vector<Line> sum_up_seeds(std::vector<CellResult> const& results)
+{
+    std::vector<Line> lines;
+    for (auto const& [cell, outcome] : results) {
+        if (lines.empty() || !lines.back().is_of(cell))
+            lines.push_back({ cell, {} });
+        lines.back().outcome += outcome;
+    }
+    return lines;
+}
+
+std::string to_markdown(std::vector<CellResult> const& results)
+{
+    std::ostringstream out;
+    out << "| pattern | hosts | way | load | in time | late | refused |\n|---|---|---|---|---|---|---|\n";
+    for (auto const& line : sum_up_seeds(results)) {
+        auto const& outcome = line.outcome;
+        out << "| " << to_string(line.cell.pattern) << " | " << line.cell.shape.hosts << " | "
+            << to_string(line.cell.shape.way) << " | " << line.cell.load << " | " << std::fixed << std::setprecision(3)
+            << line.share(outcome.in_time) << " | " << line.share(outcome.late) << " | " << line.share(outcome.refused)
+            << " |\n"
+            << std::defaultfloat << std::setprecision(6);
+    }
+    return out.str();
+}
+
+std::string to_plot_data(std::vector<CellResult> const& results)
+{
+    std::ostringstream out;
+    Line const* before = nullptr;
+    auto const lines = sum_up_seeds(results);
+    for (auto const& line : lines) {
+        if (!before || !before->is_of_block(line.cell)) {
+            out << (before ? "\n\n" : "") << '"' << to_string(line.cell.pattern) << ", " << line.cell.shape.hosts
+                << " hosts, " << to_string(line.cell.shape.way) << "\"\n";
+        }
+        out << line.cell.load << ' ' << line.share(line.outcome.in_time) << ' ' << line.share(line.outcome.refused)
+            << '\n';
+        before = &line;
+    }
+    return out.str();
+}
+
+}
--- a/Tests/Fleet/ModelPool.h
+++ b/Libraries/LibOverloadModel/ModelPool.h
@@ -14,7 +14,7 @@
 #include <queue>
 #include <random>
 
-namespace Test {
+namespace OverloadModel {
 
 /// Engines of one service and the hosts before them, in virtual time, as far as admission goes. An engine takes
 /// generations in order of arrival as soon as their prompts fit, reads these one after another and makes tokens of all
@@ -43,6 +43,14 @@
         /// pause. Who has no event by then is neither this nor in time.
         u32 late { 0 };
         u32 refused { 0 };
+        Outcome& operator+=(Outcome const& other)
+        {
+            this->asked += other.asked;
+            this->in_time += other.in_time;
+            this->late += other.late;
+            this->refused += other.refused;
+            return *this;
+        }
         [[nodiscard]] double share_in_time() const { return this->in_time / std::max(1.0, double(this->asked)); }
     };
 
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: BSD-2-Clause
-# BUILD_DIRECTORY RUN_DIRECTORY [--quick | capacity | hosts]
+# BUILD_DIRECTORY RUN_DIRECTORY [--quick | capacity | hosts | overload [FILE]]
 set -euo pipefail
 build_directory=$1
 run_directory=$2
@@ -11,6 +11,19 @@
 if [[ ${1:-} == hosts ]]; then
     exec "$build_directory/Utilities/hostbench"
 fi
+if [[ ${1:-} == overload ]]; then
+    output=$run_directory/overload
+    mkdir -p "$output"
+    "$build_directory/Utilities/overloadbench" --experiment="${2:-Base/overload.yaml}" --output="$output"
+    blocks=$(grep -c '^"' "$output/plot.dat")
+    for measure in 2:in-time 3:refused; do
+        gnuplot -e "set terminal png noenhanced size 1100,640; set output '$output/${measure#*:}.png'; set yrange [0:1];
+            set title 'share ${measure#*:}'; set xlabel 'load, in parts of what the engines bear'; set key outside;
+            plot for [i=0:$((blocks - 1))] '$output/plot.dat' index i using 1:${measure%%:*} with linespoints title columnheader(1)"
+    done
+    echo "wrote $output/cells.jsonl, table.md and plots"
+    exit
+fi
 output=$run_directory/bench
 mkdir -p "$output"
 "$build_directory/Utilities/policybench" --output="$output" "$@"
--- a/Meta/lilactiller.sh
+++ b/Meta/lilactiller.sh
@@ -17,6 +17,9 @@
   bench [--quick]    build and measure the decisions; writes Run/bench
   bench capacity     build and measure the slopes behind docs/CAPACITY.md
   bench hosts        build and measure what an entry host computes, by the number of hosts and engines
+  bench overload [FILE]
+                     build and play an experiment on loads beyond what the engines bear (Base/overload.yaml, where none
+                     is named); writes Run/overload
   drill [SEED]       build and run the fleet under load and faults, then check the history of the run
   soak [--seeds N] [--first N] [--jobs N]
                      build, run HostServers under load and faults drawn from seeds, and check the promises meanwhile
--- a/Tests/Fleet/TestOverload.cpp
+++ b/Tests/Fleet/TestOverload.cpp
@@ -4,10 +4,10 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <Tests/Fleet/ModelPool.h>
+#include <LibOverloadModel/ModelPool.h>
 #include <catch2/catch.hpp>
 
-using Test::ModelPool;
+using OverloadModel::ModelPool;
 using Way = ModelPool::Way;
 
 static ModelPool::Outcome under_load(Way way, u32 hosts, double load, Duration late = 0s)
--- a/Tests/FleetBurst/TestBurst.cpp
+++ b/Tests/FleetBurst/TestBurst.cpp
@@ -4,10 +4,10 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <Tests/Fleet/ModelPool.h>
+#include <LibOverloadModel/ModelPool.h>
 #include <catch2/catch.hpp>
 
-using Test::ModelPool;
+using OverloadModel::ModelPool;
 using Way = ModelPool::Way;
 
 SCENARIO("a burst is over for callers two seconds after its end")
