--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -13,8 +13,7 @@
 
 namespace Serving {
 
-/// Prompt tokens that an engine reads in a second if it does nothing else (14 a millisecond on the engines known so
-/// far).
+/// Prompt tokens that an engine reads in a second if it does nothing else.
 inline constexpr double tokens_read_alone_per_second = 14'000;
 
 /// What a choice depends on beside the candidates.
@@ -82,10 +81,8 @@
 private:
     double capacity;
     i64 wanted;
-    /// Hosts that all believe the same would all choose the same engine. What they may have placed unseen is drawn for
-    /// each engine, so that they spread over those that are about as good: with 59 deciders of 0.65 placements a second
-    /// and beliefs that are 250 ms old, no engine of 104 gets more than 4 of the 38 placements of a second, and more
-    /// than 4 without it (TestLateBeliefs).
+    /// In parts of the capacity. Hosts that all believe the same would all choose the same engine. What they may have
+    /// placed unseen is drawn for each engine, so that they spread over those that are about as good (TestLateBeliefs).
     double unseen;
     ChoiceInputs const& inputs;
     boost::random::mt19937& random;
