LibOverloadModel, Tests: Count a generation once that leaves its engine before its first step

Cause: the model told that a generation had begun by its made tokens, so one that was preempted before its first step had its first event counted, and its prompt taken off what is unread, a second time: 34,611 of 34,593 were settled at three times the load.

Change: it carries whether it has begun. The overload scenario checks that no more are settled than asked.

--- a/Libraries/LibOverloadModel/ModelPool.h
+++ b/Libraries/LibOverloadModel/ModelPool.h
@@ -128,6 +128,7 @@
         Waiting what;
         /// Of its output.
         i64 made { 0 };
+        bool has_begun { false };
         bool is_in_time { false };
         [[nodiscard]] i64 held() const { return this->what.generation.prompt + this->made; }
     };
@@ -266,7 +267,7 @@
     {
         auto& engine = this->engines[number];
         engine.is_reading = false;
-        if (read.made == 0)
+        if (!std::exchange(read.has_begun, true))
             read.is_in_time = this->first_event(number, read.what);
         auto const id = engine.begun++;
         engine.running.emplace(id, read);
