LibCore, Meta: Share the loop over all processors; let three guards find their lines again

Cause: the experiment tool had the loop of the policy bench a second time. Three guards named lines that had been rewritten (one by the walk of admission, two by the count of hosts for cold servers), so prove-guards would have failed on them; a check of all 74 patterns against their files showed it, the guards themselves had not been run.

Change: Core::run_in_parallel for both. The three patterns follow the code.

--- a/Libraries/LibOverloadModel/Experiment.cpp
+++ b/Libraries/LibOverloadModel/Experiment.cpp
@@ -4,17 +4,16 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibCore/Parallel.h>
 #include <LibCore/Settings.h>
 #include <LibOverloadModel/Experiment.h>
 #include <Poco/JSON/Object.h>
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <charconv>
 #include <iomanip>
 #include <mutex>
 #include <sstream>
-#include <thread>
 
 namespace OverloadModel {
 
@@ -162,20 +161,13 @@
 std::vector<CellResult> run_cells(std::vector<Cell> const& cells, std::function<void(size_t)> const& on_progress)
 {
     std::vector<CellResult> results(cells.size());
-    std::atomic<size_t> next { 0 };
     std::mutex mutex;
     size_t done = 0;
-    auto work = [&] {
-        for (auto number = next++; number < cells.size(); number = next++) {
-            results[number] = run_cell(cells[number]);
-            std::lock_guard const lock(mutex);
-            on_progress(++done);
-        }
-    };
-    std::vector<std::jthread> threads;
-    for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency()); ++i)
-        threads.emplace_back(work);
-    threads.clear();
+    Core::run_in_parallel(cells.size(), [&](size_t number) {
+        results[number] = run_cell(cells[number]);
+        std::lock_guard const lock(mutex);
+        on_progress(++done);
+    });
     return results;
 }
 
--- a/Libraries/LibPolicyBench/Cells.cpp
+++ b/Libraries/LibPolicyBench/Cells.cpp
@@ -4,14 +4,12 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibCore/Parallel.h>
 #include <LibPolicyBench/Cells.h>
 #include <Poco/JSON/Object.h>
 #include <algorithm>
-#include <atomic>
 #include <map>
-#include <mutex>
 #include <sstream>
-#include <thread>
 
 namespace PolicyBench {
 
@@ -144,21 +142,6 @@
     return { cell, simulation.run() };
 }
 
-/// Calls `work` with each number below `count`, on all processors.
-static void run_in_parallel(size_t count, std::function<void(size_t)> const& work)
-{
-    std::atomic<size_t> next { 0 };
-    std::vector<std::thread> threads;
-    for (unsigned i = 0; i < std::max(1u, std::thread::hardware_concurrency()); ++i) {
-        threads.emplace_back([&] {
-            for (size_t number = next++; number < count; number = next++)
-                work(number);
-        });
-    }
-    for (auto& thread : threads)
-        thread.join();
-}
-
 std::vector<CellResult> run_cells(std::vector<Cell> const& cells)
 {
     // Capacity belongs to the plain shape of a workload, so that a fault or a shift does not move the yardstick.
@@ -169,12 +152,12 @@
     shapes.reserve(capacities.size());
     for (auto const& [shape, capacity] : capacities)
         shapes.push_back(shape);
-    run_in_parallel(shapes.size(), [&](size_t number) {
+    Core::run_in_parallel(shapes.size(), [&](size_t number) {
         auto const& shape = shapes[number];
         capacities[shape] = measure_capacity(shape == "toll" ? toll_scenario() : hanak_scenario());
     });
     std::vector<CellResult> results(cells.size());
-    run_in_parallel(cells.size(), [&](size_t number) {
+    Core::run_in_parallel(cells.size(), [&](size_t number) {
         auto const& name = cells[number].scenario.name;
         results[number] = run_cell(cells[number], capacities.at(name.substr(0, name.find('+'))));
     });
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -171,7 +171,7 @@
     Libraries/LibServing/BackendChooser.cpp "copy_wait_cost = 0.5" "copy_wait_cost = 0"
 guard "late beliefs spread the choice" TestLibServing \
     "Scenario: 59 hosts that believe the same of other domains do not meet at one engine" \
-    Libraries/LibServing/BackendChooser.cpp "cost += unseen * share_of_unseen(random);" ";"
+    Libraries/LibServing/BackendChooser.cpp "cost += this->unseen * share_of_unseen(this->random);" ";"
 guard "the allowance is shared by all known hosts" TestFleet \
     "Scenario: all hosts together repeat no more than the bound allows" \
     Libraries/LibServing/RetryBudget.cpp ", *this->sharing_hosts })" " })"
@@ -180,7 +180,7 @@
     Libraries/LibServing/RetryBudget.cpp "now - this->known_since >= this->spent_for()" "true"
 guard "a host that does not know the others has no part" TestFleet \
     "Scenario: all hosts together repeat no more than the bound allows" \
-    Libraries/LibServing/Reach.cpp "    if (!this->table_was_read)
+    Libraries/LibServing/Reach.cpp "    if (!this->table_read_at)
         return {};
 " ""
 guard "little that was earned is saved" TestFleet "Scenario: all hosts together repeat no more than the bound allows" \
@@ -190,7 +190,7 @@
     Libraries/LibServing/RetryBudget.cpp "account.of_allowance.at_most_within(this->spent_for(), now)" "0U"
 guard "hosts of other domains are counted as these say" TestLibServing \
     "Scenario: hosts of all domains count one that has joined" \
-    Libraries/LibServing/Reach.cpp "return told > 0 ? told : known;" "return known;"
+    Libraries/LibServing/Reach.cpp "= count.told > 0 ? count.told : count.known;" "= count.known;"
 guard "a later start is another server" TestLibServing "Scenario: words of any start in any order leave what the latest start is" \
     Libraries/LibServing/BackendTable.cpp " || known->server.start < server.start);" ");"
 guard "an earlier start changes nothing" TestLibServing "Scenario: words of any start in any order leave what the latest start is" \
