LibServing, platform: Read the back-off and the leaving that answers ask for, and say so in the log

The logs could not tell whether a host kept to the time that a server had asked for: it was read nowhere. Retry-After of a 503 or 429 (seconds, the longest of several; no dates, bounded by backends.longest_back_off) and Server-Leaving: 1 are read into what is believed of the server, also from late answers. E2314 and E2315 tell of them, E2401 and E2102 how much of the time was left at each dispatch. No decision reads it yet.

The stand-in runner learns both.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -65,6 +65,8 @@
     DomainEvacuationTakenBack = 2311,
     BackendServerBrokeOff = 2312,
     ServerLimitChanged = 2313,
+    ServerAskedForBackOff = 2314,
+    ServerSaidItLeaves = 2315,
     ServiceCallDispatched = 2401,
     ServiceCallEnded = 2402,
     ClaimRefused = 2403,
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -98,6 +98,10 @@
     /// Whether it said so to this host.
     bool limit_is_own_word { false };
     Instant limit_told_at {};
+    /// Until when it wants no requests of this host; the latest end that it has asked for.
+    Instant back_off_until {};
+    /// Its process has said in an answer to this host that it leaves.
+    bool has_said_it_leaves { false };
     Health health;
     EngineLoad engine;
 
@@ -108,6 +112,10 @@
             && !this->is_evacuated;
     }
     [[nodiscard]] Duration cold_left(Instant now) const { return std::max<Duration>(0s, this->cold_until - now); }
+    [[nodiscard]] Duration back_off_left(Instant now) const
+    {
+        return std::max<Duration>(0s, this->back_off_until - now);
+    }
     /// By what this host has seen itself, or by the word of several others.
     [[nodiscard]] bool is_avoided(Instant now) const;
     /// Whether word of the server that started then is about this one. Who does not know the start means any.
--- a/Libraries/LibServing/Dialect.h
+++ b/Libraries/LibServing/Dialect.h
@@ -62,6 +62,10 @@
     std::optional<LoadReport> load;
     /// The requests that it takes from all hosts together; nothing while it names no limit.
     std::optional<RequestRate> limit;
+    /// It wants no requests of this host for so long; nothing while it does not ask for that.
+    std::optional<Duration> back_off_for;
+    /// Its process takes no new work any more and will end.
+    bool is_leaving { false };
 };
 
 /// A copy of a generation's memory at another engine.
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -13,6 +13,7 @@
 #include <LibServing/NamedLimit.h>
 #include <LibServing/Refusal.h>
 #include <LibServing/RequestEnds.h>
+#include <LibServing/ServerNotice.h>
 #include <LibServing/Suspicion.h>
 #include <functional>
 #include <optional>
@@ -125,6 +126,7 @@
     [[nodiscard]] bool take_head(Backend& backend, Http::ResponseHead const& head)
     {
         auto decoded = D::decode_answer(head);
+        take_server_notice(this->context, backend, decoded);
         if (!decoded.attempt.empty() && decoded.attempt != this->attempt())
             return false;
         this->answer_head = head;
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -77,6 +77,8 @@
             .with("report_age_ms", this->report_age(chosen))
             .with("belief_age_ms", this->belief_age(chosen))
             .with("cold_left_ms", chosen.cold_left(this->context.now()))
+            .with("back_off_left_ms", chosen.back_off_left(this->context.now()))
+            .with("avoided", static_cast<int>(chosen.is_avoided(this->context.now())))
             .with("prompt", this->demand().prompt)
             .with("expected_output", this->need().expected_output)
             .with("revision", this->call.routing->revision())
--- /dev/null
+++ b/Libraries/LibServing/ServerNotice.cpp
@@ -0,0 +1,48 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/ServerNotice.h>
+#include <algorithm>
+
+namespace Serving {
+
+/// Words that move the end by less are not worth a line in the log each.
+static constexpr Duration shortest_logged_extension = 100ms;
+
+static void back_off(ServingContext& context, Backend& backend, Duration asked)
+{
+    auto const until = context.now() + std::min(asked, context.settings.longest_back_off);
+    if (until <= backend.back_off_until)
+        return;
+    bool const is_news = until - backend.back_off_until >= shortest_logged_extension;
+    backend.back_off_until = until;
+    if (is_news)
+        context.log.event(Core::EventNumber::ServerAskedForBackOff, backend.server.id.value())
+            .with("asked_ms", asked)
+            .with("back_off_ms", backend.back_off_left(context.now()));
+}
+
+static void note_leaving(ServingContext& context, Backend& backend)
+{
+    if (std::exchange(backend.has_said_it_leaves, true))
+        return;
+    context.log.event(Core::EventNumber::ServerSaidItLeaves, backend.server.id.value())
+        .with("state", to_string(backend.availability))
+        .with("own_generations", backend.engine.own_generations);
+}
+
+void take_server_notice(ServingContext& context, Backend& backend, AnswerHead const& answer)
+{
+    // Another process answers at its address.
+    if (answer.is_misdirected)
+        return;
+    if (answer.back_off_for)
+        back_off(context, backend, *answer.back_off_for);
+    if (answer.is_leaving)
+        note_leaving(context, backend);
+}
+
+}
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -72,6 +72,8 @@
             .with("rested_ms", this->is_on_new_connection ? Duration(0) : this->connection->rested_for())
             .with("in_flight", this->backend->in_flight)
             .with("cold_left_ms", this->backend->cold_left(this->context.now()))
+            .with("back_off_left_ms", this->backend->back_off_left(this->context.now()))
+            .with("avoided", static_cast<int>(this->backend->is_avoided(this->context.now())))
             .with("revision", this->call.routing->revision())
             .with("left_ms", this->time_left());
     }
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -60,6 +60,23 @@
     response.set("Lilactiller-Server-Load", "1,0," + std::to_string(slots));
     if (this->limit)
         response.set("Server-Limit", *this->limit);
+    this->put_notice(response);
+    return response;
+}
+
+void PlatformRunner::put_notice(Http::Response& response) const
+{
+    if (this->says_it_leaves)
+        response.set("Server-Leaving", "1");
+}
+
+Http::Response PlatformRunner::refusal() const
+{
+    Http::Response response(Http::Status::service_unavailable, Http::http_1_1);
+    response.set("Lilactiller-Not-Executed", "1");
+    if (this->back_off)
+        response.set(Http::Name::retry_after, *this->back_off);
+    this->put_notice(response);
     return response;
 }
 
@@ -88,6 +105,12 @@
     }
     if (this->on_received)
         this->on_received(this->requests.back());
+    if (this->back_off) {
+        exchange->answer(this->refusal());
+        if (this->on_turned_away)
+            this->on_turned_away(this->requests.back());
+        return;
+    }
     if (!this->carry_out_fault(exchange))
         this->run(exchange);
 }
@@ -107,12 +130,9 @@
     this->faults.pop_front();
     auto const& request = exchange->request();
     switch (fault) {
-    case Fault::NotRun: {
-        Http::Response response(Http::Status::service_unavailable, Http::http_1_1);
-        response.set("Lilactiller-Not-Executed", "1");
-        exchange->answer(std::move(response));
+    case Fault::NotRun:
+        exchange->answer(this->refusal());
         return true;
-    }
     case Fault::Misdirected:
         exchange->answer(Http::Response(Http::Status::misdirected_request, Http::http_1_1));
         return true;
@@ -275,6 +295,7 @@
         report["leaves_ms"] = *this->leaves_in;
     }
     Http::Response response(Http::Status::ok, Http::http_1_1);
+    this->put_notice(response);
     response.body() = Json::serialize(report);
     exchange.answer(std::move(response));
 }
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -64,6 +64,12 @@
     void set_ended_by(std::string body) { this->ended_by = std::move(body); }
     /// What its answers name as the requests a second that it takes from all hosts; nothing for none.
     void set_limit(std::optional<std::string> per_second) { this->limit = std::move(per_second); }
+    /// While set it turns every request away as not run and asks the sender for back-off: the value of Retry-After.
+    void turn_away(std::optional<std::string> retry_after) { this->back_off = std::move(retry_after); }
+    /// Told of each request that is turned away so.
+    std::function<void(Received const&)> on_turned_away;
+    /// Whether all its answers say that it leaves.
+    void say_it_leaves(bool says_so) { this->says_it_leaves = says_so; }
     /// Plain answers are this long in the making.
     void set_work_time(Duration duration) { this->work_time = duration; }
     /// Breaks every connection and takes no more, as a process that ends does.
@@ -113,6 +119,9 @@
     void note(Http::Request const&);
     void count_run(Http::Request const&);
     bool carry_out_fault(std::shared_ptr<Http::Exchange> const&);
+    [[nodiscard]] Http::Response refusal() const;
+    /// Puts in what all its answers say of it.
+    void put_notice(Http::Response&) const;
     void run(std::shared_ptr<Http::Exchange> const&);
     /// How many events the request's run has behind it; nothing when the copy that it goes on from is not here.
     std::optional<u64> take_copy(Http::Request const&);
@@ -137,6 +146,8 @@
     bool has_ended { false };
     std::optional<std::string> ended_by;
     std::optional<std::string> limit;
+    std::optional<std::string> back_off;
+    bool says_it_leaves { false };
     i64 start { 1'790'000'000'000 };
     std::vector<std::string> ordered_copies;
     std::optional<u64> leaves_in;
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -215,3 +215,61 @@
     }
     CHECK(!Adapter::Dialect::decode_answer({}).limit);
 }
+
+SCENARIO("the back-off that a refusal asks for is read, or is none")
+{
+    auto asked = [](Http::Status status, std::vector<std::string> const& values) {
+        Http::ResponseHead head;
+        head.result(status);
+        for (auto const& value : values)
+            head.insert("Retry-After", value);
+        return Adapter::Dialect::decode_answer(head).back_off_for;
+    };
+    auto const refused = Http::Status::service_unavailable;
+    CHECK(asked(refused, { "3" }) == Duration(3s));
+    CHECK(asked(refused, { "0.25" }) == Duration(250ms));
+    CHECK(asked(Http::Status::too_many_requests, { "1" }) == Duration(1s));
+    CHECK(asked(refused, { "31536000" }) == Duration(8760h));
+    WHEN("the head names several times")
+    {
+        THEN("the longest holds") { CHECK(asked(refused, { "1", "4", "x" }) == Duration(4s)); }
+    }
+    WHEN("it names a time beyond measure")
+    {
+        THEN("it is a bounded one") { CHECK(asked(refused, { "1e300" }) == Duration(8784h)); }
+    }
+    WHEN("it names none that is one")
+    {
+        for (auto const* text :
+            { "", "0", "-3", "3 s", "soon", "inf", "nan", "1e999", "Thu, 03 Dec 2026 12:00:00 GMT" }) {
+            INFO(text);
+            CHECK(!asked(refused, { text }));
+        }
+    }
+    WHEN("the answer is no refusal")
+    {
+        CHECK(!asked(Http::Status::ok, { "3" }));
+        CHECK(!asked(Http::Status::internal_server_error, { "3" }));
+    }
+    CHECK(!Adapter::Dialect::decode_answer({}).back_off_for);
+}
+
+SCENARIO("that a backend server leaves is read in answers of any status")
+{
+    auto leaves = [](Http::Status status, std::vector<std::string> const& values) {
+        Http::ResponseHead head;
+        head.result(status);
+        for (auto const& value : values)
+            head.insert("Server-Leaving", value);
+        return Adapter::Dialect::decode_answer(head).is_leaving;
+    };
+    for (auto status : { Http::Status::ok, Http::Status::service_unavailable, Http::Status::internal_server_error }) {
+        CHECK(leaves(status, { "1" }));
+        CHECK(leaves(status, { "0", "1" }));
+        CHECK_FALSE(leaves(status, {}));
+        for (auto const* text : { "", "0", "true", "2", "1x" }) {
+            INFO(text);
+            CHECK_FALSE(leaves(status, { text }));
+        }
+    }
+}
