--- /dev/null
+++ b/Tests/Hosts/TestServersThatAskForBackOff.cpp
@@ -0,0 +1,145 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/Hosts/PressedServers.h>
+
+using namespace Test;
+
+namespace {
+
+/// The bound begins so long after the answer that asked for back-off.
+constexpr Duration on_the_way = 500ms;
+/// The users' bound on requests of one host in the rest of the time that was asked for.
+constexpr size_t allowed_from_one_host = 2;
+
+/// Backend servers that turn requests away, and what each host sent them in the time for which it was asked not to.
+class RestingServers : public PressedServers {
+public:
+    using PressedServers::PressedServers;
+
+    /// From now on the server turns all away, and asks for `span` each time.
+    void turn_away(size_t server, Duration span)
+    {
+        auto& runner = *this->runners[server];
+        runner.turn_away(std::to_string(AK::to_seconds(span)));
+        runner.on_turned_away = [this, server, span](PlatformRunner::Received const& received) {
+            this->asked_for.push_back({ server, host_of(received.attempt), AK::BootClock::now(), span });
+        };
+    }
+    void take_all_again(size_t server) { this->runners[server]->turn_away({}); }
+
+    /// Over all answers that asked for back-off: the most requests that the host which got it sent there meanwhile.
+    [[nodiscard]] size_t most_from_one_host()
+    {
+        size_t most = 0;
+        for (auto const& asked : this->asked_for) {
+            auto const& all = this->arrivals_at(asked.server);
+            auto const sent = std::ranges::count_if(all, [&](Arrival const& arrival) {
+                return arrival.host == asked.host && arrival.moment >= asked.at + on_the_way
+                    && arrival.moment < asked.at + asked.span;
+            });
+            most = std::max(most, static_cast<size_t>(sent));
+        }
+        return most;
+    }
+    [[nodiscard]] size_t times_asked() const { return this->asked_for.size(); }
+    [[nodiscard]] Instant asked_last_at() const { return this->asked_for.back().at; }
+
+private:
+    struct Asked {
+        size_t server;
+        size_t host;
+        Instant at;
+        Duration span;
+    };
+    std::vector<Asked> asked_for;
+};
+
+}
+
+// A server of the users had asked hosts for three seconds without requests and got up to thirteen of one of them.
+SCENARIO("a host sends a server nothing in the time for which that asked it for back-off")
+{
+    RestingServers servers(3, "lanes", "/lookup/7");
+    servers.press(500ms);
+    GIVEN("a server that turns all away, and takes all again before its time is over")
+    {
+        for (auto* runner : servers.runners)
+            runner->set_work_time(300ms);
+        servers.press(500ms);
+        servers.turn_away(0, 3s);
+        servers.press(250ms);
+        servers.take_all_again(0);
+        servers.press(2500ms);
+        THEN("what ends well there meanwhile takes nothing from it")
+        {
+            REQUIRE(servers.times_asked() > 0);
+            CHECK(servers.most_from_one_host() <= allowed_from_one_host);
+        }
+        AND_THEN("it gets work again afterwards")
+        {
+            REQUIRE(servers.times_asked() > 0);
+            auto const over_at = servers.asked_last_at() + 3s;
+            servers.press(over_at - AK::BootClock::now() + 1s);
+            CHECK(servers.arrivals_since(0, over_at) > 0);
+        }
+    }
+    GIVEN("a server whose entry lapses and comes back meanwhile")
+    {
+        servers.turn_away(0, 3s);
+        servers.press(300ms);
+        servers.take_all_again(0);
+        auto const id = servers.runners[0]->id();
+        servers.hosts.platform.store.remove("servers", id);
+        servers.press(500ms);
+        servers.hosts.platform.store.put("servers", id, servers.runners[0]->row("lanes", PressedServers::domain_of(0)));
+        servers.press(2s);
+        THEN("it is the same server, and its word holds")
+        {
+            REQUIRE(servers.times_asked() > 0);
+            CHECK(servers.most_from_one_host() <= allowed_from_one_host);
+        }
+    }
+    GIVEN("servers that all turn all away")
+    {
+        for (size_t i = 0; i < servers.runners.size(); ++i)
+            servers.turn_away(i, 2s);
+        servers.press(500ms);
+        servers.await_answers();
+        servers.forget_calls();
+        servers.press(1s);
+        servers.await_answers();
+        THEN("none of them is sent anything, and who asks is refused at once, with a time at which one may take it")
+        {
+            CHECK(servers.most_from_one_host() <= allowed_from_one_host);
+            CHECK(servers.answered(503) == servers.asked());
+            for (auto const& call : servers.all_calls())
+                CHECK(std::stod(call->headers["Retry-After"]) >= 0.2);
+        }
+    }
+}
+
+SCENARIO("a host places no generation on an engine in the time for which that asked it for back-off")
+{
+    RestingServers servers(3, "models", "/drafts/2");
+    for (auto* runner : servers.runners)
+        runner->planned_events = [](std::string const&) { return 2; };
+    auto press = [&](Duration span) {
+        auto const end = AK::BootClock::now() + span;
+        while (AK::BootClock::now() < end) {
+            servers.press(50ms);
+            for (auto* runner : servers.runners)
+                runner->make_events();
+        }
+    };
+    press(500ms);
+    servers.turn_away(0, 3s);
+    press(300ms);
+    servers.take_all_again(0);
+    press(2500ms);
+    REQUIRE(servers.times_asked() > 0);
+    CHECK(servers.most_from_one_host() <= allowed_from_one_host);
+}
