LibServing: Send a backend server nothing for as long as it asks a host for back-off

Servers of the users turned hosts away, asked each for 3 s without requests, and got 7 and 13 in that time, where 2 are allowed.

Cause: Retry-After of a backend server was read nowhere. What stood in its place, the avoidance after a refusal, is a time of our own (0.25 to 4 s), a cost and no bar, dropped by any request that ends well there, and lost when the entry lapses. Class: a part of the answer that nobody decodes, and a server's word kept as a host's own estimate.

Change: the latest end that a server has asked for is believed of that process, and Backend::takes_work_at is what all senders of new work ask: calls and their further tries, generations, copies to other engines. Reports are not asked for meanwhile. Nothing but time ends it: no success, no shorter word, no entry that comes and goes. A generation that has stopped goes on at its copy once the time is over; a copy whose target asks for longer than the source has left is made elsewhere. It binds the host that was asked; others are told of the refusal as before. Where all servers have asked, callers are refused at once with the first end that is known, and a drawn time more.

--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -32,6 +32,8 @@
         return "no_engine";
     case AdmissionVerdict::TooLarge:
         return "too_large";
+    case AdmissionVerdict::BackingOff:
+        return "backing_off";
     }
     VERIFY(false);
 }
@@ -94,7 +96,7 @@
     GenerationCost const cost(asked.need, memory, inputs, random);
     Cheapest chosen;
     for (auto const& candidate : candidates) {
-        if (!candidate->takes_work())
+        if (!candidate->takes_work_at(inputs.now))
             continue;
         ++decision.serving;
         if (!has_room(*candidate, asked, memory, inputs))
@@ -108,8 +110,14 @@
         decision.verdict = AdmissionVerdict::Admit;
         return decision;
     }
-    decision.verdict = decision.serving > 0 ? AdmissionVerdict::NoRoom : AdmissionVerdict::NoEngine;
     decision.retry_after = draw_return(random);
+    auto const back_off = shortest_back_off(candidates, inputs.now);
+    if (decision.serving > 0) {
+        decision.verdict = AdmissionVerdict::NoRoom;
+    } else if (back_off) {
+        decision.verdict = AdmissionVerdict::BackingOff;
+        decision.retry_after += *back_off;
+    }
     return decision;
 }
 
--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -28,6 +28,8 @@
     NoEngine,
     /// Larger than the memory of an empty engine.
     TooLarge,
+    /// All engines that would take work have asked this host to send them nothing for a time.
+    BackingOff,
 };
 
 std::string_view to_string(AdmissionVerdict);
@@ -37,8 +39,8 @@
     AdmissionVerdict verdict { AdmissionVerdict::NoEngine };
     /// Of Admit only.
     BackendPointer engine;
-    /// When a caller that gets NoRoom or NoEngine should come back; drawn, so that those refused together do not
-    /// return together.
+    /// When a caller that gets NoRoom, NoEngine or BackingOff should come back; drawn, so that those refused together
+    /// do not return together.
     Duration retry_after { 0 };
     /// Engines that may be given work, and those of them that had room.
     u32 serving { 0 };
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -49,7 +49,7 @@
 
 bool is_candidate(Backend const& backend, std::span<EngineId const> tried, ChoiceInputs const& inputs)
 {
-    if (!backend.takes_work() || std::ranges::find(tried, backend.server.id) != tried.end())
+    if (!backend.takes_work_at(inputs.now) || std::ranges::find(tried, backend.server.id) != tried.end())
         return false;
     if (!inputs.server_limits)
         return !backend.limit;
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -75,6 +75,7 @@
     known->endpoint = *endpoint;
     known->cold_until = now + server.warm_up_left;
     known->is_evacuated = this->evacuated.contains(server.failure_domain);
+    this->restore_back_off(*known);
     // Leaving is final: a list that is behind must not bring a backend server back.
     if (server.is_leaving && known->availability == Availability::Serving)
         known->availability = Availability::Leaving;
@@ -90,10 +91,24 @@
     entry->availability = Availability::Gone;
     std::erase(this->by_service[entry->server.service], entry);
     this->by_id.erase(found);
+    this->keep_back_off(*entry, now);
     this->departed[id] = { entry, now };
     return entry;
 }
 
+void BackendTable::keep_back_off(Backend const& backend, Instant now)
+{
+    if (now < backend.back_off_until)
+        this->kept_back_offs[backend.server.id] = { backend.server.start, backend.back_off_until };
+}
+
+void BackendTable::restore_back_off(Backend& backend) const
+{
+    auto kept = this->kept_back_offs.find(backend.server.id);
+    if (kept != this->kept_back_offs.end() && backend.is_start(kept->second.start))
+        backend.back_off_until = std::max(backend.back_off_until, kept->second.until);
+}
+
 void BackendTable::set_evacuated(FailureDomainId const& domain, bool is_evacuated)
 {
     if (is_evacuated)
@@ -143,6 +158,7 @@
 {
     std::erase_if(
         this->departed, [now](auto const& entry) { return now - entry.second.at > longest_run_after_departure; });
+    std::erase_if(this->kept_back_offs, [now](auto const& entry) { return entry.second.until <= now; });
 }
 
 BackendPointer BackendTable::find(EngineId const& id) const
@@ -185,6 +201,17 @@
     return others >= hosts_that_are_believed;
 }
 
+std::optional<Duration> shortest_back_off(std::span<BackendPointer const> candidates, Instant now)
+{
+    std::optional<Duration> shortest;
+    for (auto const& candidate : candidates) {
+        auto const left = candidate->back_off_left(now);
+        if (candidate->takes_work() && left > 0s)
+            shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 void note_success(Backend& backend)
 {
     backend.health.told_avoidance.clear();
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -111,6 +112,8 @@
         return this->availability == Availability::Serving && !this->has_unusable_entry && !this->has_ended
             && !this->is_evacuated;
     }
+    /// Whether new work may be sent to it now.
+    [[nodiscard]] bool takes_work_at(Instant now) const { return this->takes_work() && now >= this->back_off_until; }
     [[nodiscard]] Duration cold_left(Instant now) const { return std::max<Duration>(0s, this->cold_until - now); }
     [[nodiscard]] Duration back_off_left(Instant now) const
     {
@@ -170,13 +173,25 @@
         BackendPointer backend;
         Instant at {};
     };
+    /// What a process has asked of this host. It holds for as long as it was asked for, though its entry comes and
+    /// goes.
+    struct KeptBackOff {
+        ServerStart start;
+        Instant until {};
+    };
+    void keep_back_off(Backend const&, Instant now);
+    void restore_back_off(Backend&) const;
 
     std::set<FailureDomainId> evacuated;
     std::unordered_map<EngineId, BackendPointer> by_id;
     std::unordered_map<EngineId, Departed> departed;
+    std::unordered_map<EngineId, KeptBackOff> kept_back_offs;
     std::unordered_map<ServiceName, std::vector<BackendPointer>> by_service;
 };
 
+/// Until the first of those that would take work has no more back-off asked for; nothing when none has asked.
+std::optional<Duration> shortest_back_off(std::span<BackendPointer const>, Instant now);
+
 void note_success(Backend&);
 /// `is_unreachable` when no request could be handed over, which says more than one failed answer. Answers for how
 /// long the backend server is avoided.
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -83,7 +83,7 @@
     {
         if (backend.availability != Availability::Serving)
             return this->wants_end_of(backend);
-        if (backend.is_evacuated)
+        if (!backend.takes_work_at(this->context.now()))
             return false;
         if (is_cut_off && backend.engine.own_generations > 0)
             return true;
@@ -125,6 +125,7 @@
         auto body = std::make_shared<std::string>();
         auto patience = std::make_shared<AK::Timer>(this->context.loop, answer_patience);
         auto is_answered = std::make_shared<bool>(false);
+        auto notice = std::make_shared<AnswerHead>();
         patience->async_wait([connection, backend, is_answered](boost::system::error_code error) {
             // The answer may have come in the same turn of the loop, and the connection be in use again.
             if (error || *is_answered)
@@ -133,21 +134,35 @@
             backend->engine.report_under_way = false;
         });
         Http::ExchangeObserver observer {
-            [](Http::ResponseHead const&) { return Http::HeadVerdict::Take; },
+            [notice](Http::ResponseHead const& head) {
+                *notice = D::decode_answer(head);
+                return Http::HeadVerdict::Take;
+            },
             [body](std::string_view piece) { *body += piece; },
-            [this, backend, body, patience, is_answered, connection](Http::ExchangeEnd end, std::string const& reason) {
+            [this, backend, body, notice, patience, is_answered, connection](
+                Http::ExchangeEnd end, std::string const& reason) {
                 *is_answered = true;
                 patience->cancel();
                 backend->engine.report_under_way = false;
                 this->context.connections.release(connection);
-                this->answered(*backend, end, reason, *body);
+                auto report = D::decode_engine_report(*body);
+                if (!report || is_from(*backend, report.value()))
+                    take_server_notice(this->context, *backend, *notice);
+                this->answered(*backend, end, reason, report);
             },
         };
         connection->exchange(
             D::engine_report_request(*backend), std::move(observer), connect_patience, backend_silence_limit);
     }
 
-    void answered(Backend& backend, Http::ExchangeEnd end, std::string const& reason, std::string const& body)
+    /// Another process may have the address, under this id or another one.
+    [[nodiscard]] static bool is_from(Backend const& backend, EngineReport const& report)
+    {
+        return !report.start || backend.is_start(*report.start);
+    }
+
+    void answered(
+        Backend& backend, Http::ExchangeEnd end, std::string const& reason, Result<EngineReport> const& report)
     {
         auto now = this->context.now();
         if (end != Http::ExchangeEnd::Complete) {
@@ -156,15 +171,14 @@
                 suspect(this->context, backend, { true, {}, reason });
             return;
         }
-        auto report = D::decode_engine_report(body);
         if (!report) {
             this->context.log.event(Core::EventNumber::EngineSilent, backend.server.id.value())
                 .with("reason", report.error().message);
             return;
         }
-        // A later process may have the address, under this id or another one. An earlier one cannot have it again.
-        if (auto start = report.value().start; start && !backend.is_start(*start)) {
-            if (backend.server.start < *start)
+        if (!is_from(backend, report.value())) {
+            // An earlier process cannot have the address again.
+            if (backend.server.start < *report.value().start)
                 this->context.backend_ended(backend);
             return;
         }
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -298,9 +298,19 @@
             .with("retry_after_ms", decision.retry_after);
         if (decision.verdict == AdmissionVerdict::TooLarge)
             return this->refuse_as_too_large();
-        this->refuse(decision.verdict == AdmissionVerdict::NoRoom ? "all that serve are full"
-                                                                  : "no engine of the service is known to serve",
-            decision.retry_after);
+        this->refuse(reason_of(decision.verdict), decision.retry_after);
+    }
+
+    static std::string reason_of(AdmissionVerdict verdict)
+    {
+        switch (verdict) {
+        case AdmissionVerdict::NoRoom:
+            return "all that serve are full";
+        case AdmissionVerdict::BackingOff:
+            return "all that serve have asked for a pause";
+        default:
+            return "no engine of the service is known to serve";
+        }
     }
 
     void refuse_as_too_large()
@@ -380,7 +390,22 @@
         auto held = this->claim->held_tokens();
         this->claim.emplace(target, held, 0);
         this->context.use_changed();
-        this->dispatch_to(target, Continuation { this->move->copy_name(), this->order.last() });
+        this->continue_once_wanted(target, { this->move->copy_name(), this->order.last() });
+    }
+
+    /// A copy keeps for longer than the pauses that servers ask for, and there is no other one.
+    void continue_once_wanted(BackendPointer const& target, Continuation continuation)
+    {
+        auto const pause = target->back_off_left(this->context.now());
+        if (pause == 0s)
+            return this->dispatch_to(target, std::move(continuation));
+        auto timer = std::make_shared<AK::Timer>(this->context.loop, pause);
+        timer->async_wait([timer, weak = this->weak_from_this(), target, continuation = std::move(continuation)](
+                              boost::system::error_code error) {
+            auto self = weak.lock();
+            if (!error && self && !self->is_over)
+                self->continue_once_wanted(target, continuation);
+        });
     }
 
     void continued()
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -156,6 +156,7 @@
         Http::ExchangeObserver observer {
             [self](Http::ResponseHead const& head) {
                 self->answer_status = head.result_int();
+                take_server_notice(self->context, *self->inputs.source, D::decode_answer(head));
                 return Http::HeadVerdict::Take;
             },
             [self](std::string_view piece) { self->answer_body += piece; },
@@ -258,9 +259,11 @@
     void consider_handover()
     {
         if (this->chosen->is_evacuated)
-            return this->leave_target();
+            return this->leave_target("the target's failure domain has been evacuated");
         auto now = this->context.now();
         auto ends_at = this->source_ends_at();
+        if (this->chosen->back_off_left(now) > 0s)
+            return this->consider_back_off(ends_at);
         if (now < ends_at - handover_margin)
             return this->consider_handover_at(ends_at - handover_margin);
         bool const is_overdue = now >= ends_at + overdue_margin;
@@ -274,10 +277,18 @@
         this->consider_handover_at(may_become_free ? now + busy_retry_delay : ends_at + overdue_margin);
     }
 
-    /// The generation may not go on there any more: the operator has emptied the target's failure domain.
-    void leave_target()
+    /// The target wants nothing for a while: waits for it if the source runs for longer.
+    void consider_back_off(Instant source_ends_at)
     {
-        this->log_failure("the target's failure domain has been evacuated");
+        if (this->chosen->back_off_until >= source_ends_at - shortest_handover)
+            return this->leave_target("the target has asked for a pause");
+        this->consider_handover_at(this->chosen->back_off_until);
+    }
+
+    /// The generation may not go on there any more.
+    void leave_target(std::string const& reason)
+    {
+        this->log_failure(reason);
         this->drop_copy();
         this->copy.reset();
         this->current = Phase::Copying;
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <LibServing/Flow.h>
+#include <boost/random/uniform_real_distribution.hpp>
 
 namespace Serving {
 
@@ -30,6 +31,8 @@
     static constexpr Duration shortest_connect_patience = 50ms;
     /// Requests that servers in need take are dealt out over some seconds.
     static constexpr Duration bounded_retry_after = 500ms;
+    /// After a pause that a server has asked for, those whom it concerned return over so long.
+    static constexpr Duration latest_return = 400ms;
 
     void dispatch()
     {
@@ -210,19 +213,33 @@
         if (this->may_have_run)
             return this->give_up("no further backend server");
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
+        auto const now = this->context.now();
         bool const some_serve
-            = std::ranges::any_of(candidates, [](auto const& candidate) { return candidate->takes_work(); });
+            = std::ranges::any_of(candidates, [now](auto const& candidate) { return candidate->takes_work_at(now); });
         if (some_serve)
             return this->answer_error(
                 { ErrorKind::Overloaded, "the backend servers of the service take no more now; send the call again",
                     bounded_retry_after },
                 Conclusion::NotRun);
+        if (auto const back_off = shortest_back_off(candidates, now))
+            return this->answer_error(
+                { ErrorKind::Overloaded,
+                    "the backend servers of the service have asked for a pause; send the call again",
+                    *back_off + this->draw_return() },
+                Conclusion::NotRun);
         this->answer_error(
             { ErrorKind::NoBackendServer, "no backend server of the service is known to serve; send the call again",
                 default_retry_after },
             Conclusion::NotRun);
     }
 
+    /// Those that were refused until the same moment do not return together.
+    [[nodiscard]] Duration draw_return()
+    {
+        boost::random::uniform_real_distribution<double> seconds(0, AK::to_seconds(latest_return));
+        return AK::from_seconds(seconds(this->context.random));
+    }
+
     void deadline_passed()
     {
         bool const was_sent = this->connection != nullptr;
