--- a/Tests/Hosts/PressedServers.h
+++ b/Tests/Hosts/PressedServers.h
@@ -17,6 +17,8 @@
     struct Arrival {
         size_t host;
         Instant moment;
+        /// When its caller sent it to the host.
+        Instant sent_at;
     };
 
     /// `path`: of the route that callers use.
@@ -28,7 +30,8 @@
             auto const domain = domain_of(i);
             auto& runner = this->hosts.platform.add_runner(id, service, domain);
             runner.on_received = [this, i](PlatformRunner::Received const& received) {
-                this->arrivals[i].push_back({ host_of(received.attempt), AK::BootClock::now() });
+                this->arrivals[i].push_back(
+                    { host_of(received.attempt), AK::BootClock::now(), this->sent_at[received.attempt] });
             };
             this->runners.push_back(&runner);
         }
@@ -48,6 +51,7 @@
     void send(size_t host)
     {
         auto const attempt = std::to_string(host) + "-attempt-" + std::to_string(++this->sent);
+        this->sent_at[attempt] = AK::BootClock::now();
         auto request = this->path.starts_with("/drafts/") ? HostFixture::generation(attempt)
                                                           : HostFixture::request(this->path, attempt);
         this->calls.push_back(this->hosts.call(host, std::move(request)));
@@ -97,6 +101,7 @@
     std::string path;
     std::map<size_t, std::vector<Arrival>> arrivals;
     std::vector<std::shared_ptr<Call>> calls;
+    std::map<std::string, Instant> sent_at;
     u32 sent { 0 };
 };
 
