LibServing: Take a backend server's own word that it leaves, from any answer and for good

Servers of the users say in all their answers that they leave (Server-Leaving: 1), and got work for as long as the platform's list had them as serving: 20 to 26 requests later than the drain time, where none is allowed, and generations stayed there until they were lost.

What was known was lost when an entry lapsed and came back. Class: as with back-off.

Change: the word is taken from the head of any answer, whatever its status and whoever asked (calls, generations, reports, orders for copies), also a late one and one to a request from before the entry lapsed. The process is leaving from then on, and other hosts are told as with any. Its own word holds for that start for an hour after its entry has gone, also when another host has told it; a later start has said nothing. No use is made of the drain time that the rule leaves. Generations move as they do on any notice without a time. Callers do not get what a server asks of the host: Server-Leaving, Retry-After and Server-Limit of a relayed answer are taken out.

The model in TestServerIdentity held that an entry which comes back as serving takes work again, whatever its process had said: it now keeps the starts that have said so, and is as strict on all others.

--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -88,9 +88,12 @@
 void BackendList::leaving(EngineId const& id, ServerStart start, std::optional<Instant> ends_at)
 {
     auto backend = this->context.backends.find(id);
-    if (!backend || backend->availability != Availability::Serving || !backend->is_start(start))
+    if (!backend || !backend->is_start(start))
+        return;
+    bool const was_serving = backend->availability == Availability::Serving;
+    backend->says_it_leaves();
+    if (!was_serving)
         return;
-    backend->availability = Availability::Leaving;
     backend->available_since = this->context.now();
     if (ends_at)
         backend->ends_at = ends_at;
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -27,6 +27,9 @@
 /// at times some seconds more.
 static constexpr Duration longest_run_after_departure = 5s;
 
+/// For how long a process that has said that it leaves can be about to end, though it is off the list.
+static constexpr Duration leaving_kept_for = 1h;
+
 std::string_view to_string(Availability availability)
 {
     switch (availability) {
@@ -75,7 +78,7 @@
     known->endpoint = *endpoint;
     known->cold_until = now + server.warm_up_left;
     known->is_evacuated = this->evacuated.contains(server.failure_domain);
-    this->restore_back_off(*known);
+    this->restore_own_word(*known);
     // Leaving is final: a list that is behind must not bring a backend server back.
     if (server.is_leaving && known->availability == Availability::Serving)
         known->availability = Availability::Leaving;
@@ -91,22 +94,29 @@
     entry->availability = Availability::Gone;
     std::erase(this->by_service[entry->server.service], entry);
     this->by_id.erase(found);
-    this->keep_back_off(*entry, now);
+    this->keep_own_word(*entry, now);
     this->departed[id] = { entry, now };
     return entry;
 }
 
-void BackendTable::keep_back_off(Backend const& backend, Instant now)
+void BackendTable::keep_own_word(Backend const& backend, Instant now)
 {
-    if (now < backend.back_off_until)
-        this->kept_back_offs[backend.server.id] = { backend.server.start, backend.back_off_until };
+    auto kept_until = backend.back_off_until;
+    if (backend.has_said_it_leaves)
+        kept_until = std::max(kept_until, now + leaving_kept_for);
+    if (now < kept_until)
+        this->own_words[backend.server.id]
+            = { backend.server.start, backend.back_off_until, backend.has_said_it_leaves, kept_until };
 }
 
-void BackendTable::restore_back_off(Backend& backend) const
+void BackendTable::restore_own_word(Backend& backend) const
 {
-    auto kept = this->kept_back_offs.find(backend.server.id);
-    if (kept != this->kept_back_offs.end() && backend.is_start(kept->second.start))
-        backend.back_off_until = std::max(backend.back_off_until, kept->second.until);
+    auto kept = this->own_words.find(backend.server.id);
+    if (kept == this->own_words.end() || !backend.is_start(kept->second.start))
+        return;
+    backend.back_off_until = std::max(backend.back_off_until, kept->second.back_off_until);
+    if (kept->second.has_said_it_leaves)
+        backend.says_it_leaves();
 }
 
 void BackendTable::set_evacuated(FailureDomainId const& domain, bool is_evacuated)
@@ -158,7 +168,7 @@
 {
     std::erase_if(
         this->departed, [now](auto const& entry) { return now - entry.second.at > longest_run_after_departure; });
-    std::erase_if(this->kept_back_offs, [now](auto const& entry) { return entry.second.until <= now; });
+    std::erase_if(this->own_words, [now](auto const& entry) { return entry.second.kept_until <= now; });
 }
 
 BackendPointer BackendTable::find(EngineId const& id) const
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -101,7 +101,7 @@
     Instant limit_told_at {};
     /// Until when it wants no requests of this host; the latest end that it has asked for.
     Instant back_off_until {};
-    /// Its process has said in an answer to this host that it leaves.
+    /// Its process has said itself that it leaves, to this host or another one: no later word takes that back.
     bool has_said_it_leaves { false };
     Health health;
     EngineLoad engine;
@@ -127,6 +127,13 @@
         return start == this->server.start || start == ServerStart(0) || this->server.start == ServerStart(0);
     }
 
+    void says_it_leaves()
+    {
+        this->has_said_it_leaves = true;
+        if (this->availability == Availability::Serving)
+            this->availability = Availability::Leaving;
+    }
+
     /// Told when this process is known to have ended because a later one has its id: what it had under way is lost.
     using EndObserver = std::function<void()>;
     /// The observer is forgotten with the token that is answered.
@@ -149,6 +156,9 @@
     /// It is off the list. Answers the entry if it was known.
     BackendPointer remove(EngineId const&, Instant now);
 
+    /// Keeps what one that is off the list has said of itself, for its entry may come back.
+    void keep_own_word(Backend const&, Instant now);
+
     /// Whether the operator wants nothing sent to the backend servers of a failure domain, those that are still to come
     /// among them.
     void set_evacuated(FailureDomainId const&, bool is_evacuated);
@@ -173,19 +183,19 @@
         BackendPointer backend;
         Instant at {};
     };
-    /// What a process has asked of this host. It holds for as long as it was asked for, though its entry comes and
-    /// goes.
-    struct KeptBackOff {
+    /// What a process has said of itself. It holds though its entry comes and goes.
+    struct OwnWord {
         ServerStart start;
-        Instant until {};
+        Instant back_off_until {};
+        bool has_said_it_leaves { false };
+        Instant kept_until {};
     };
-    void keep_back_off(Backend const&, Instant now);
-    void restore_back_off(Backend&) const;
+    void restore_own_word(Backend&) const;
 
     std::set<FailureDomainId> evacuated;
     std::unordered_map<EngineId, BackendPointer> by_id;
     std::unordered_map<EngineId, Departed> departed;
-    std::unordered_map<EngineId, KeptBackOff> kept_back_offs;
+    std::unordered_map<EngineId, OwnWord> own_words;
     std::unordered_map<ServiceName, std::vector<BackendPointer>> by_service;
 };
 
--- a/Libraries/LibServing/Dialect.h
+++ b/Libraries/LibServing/Dialect.h
@@ -84,6 +84,7 @@
         T::decode_call(request)
         } -> std::same_as<CallHead>;
     T::prepare_dispatch(fields, dispatch);
+    T::remove_server_notice(fields);
     {
         T::decode_answer(response)
         } -> std::same_as<AnswerHead>;
--- a/Libraries/LibServing/EngineReporter.h
+++ b/Libraries/LibServing/EngineReporter.h
@@ -24,8 +24,6 @@
     }
 
     void start() { this->schedule(); }
-    /// Called when an engine's report says that it is leaving.
-    void on_leaving(std::function<void(Backend const&)> observer) { this->leaving_reported = std::move(observer); }
 
     void engine_leaves(BackendPointer const& backend)
     {
@@ -187,7 +185,7 @@
         if (report.value().ends_in)
             this->note_end(backend, *report.value().ends_in);
         if (report.value().is_leaving && backend.availability == Availability::Serving)
-            this->leaving_reported(backend);
+            this->context.backend_leaves(backend);
     }
 
     void note_end(Backend& backend, Duration ends_in)
@@ -202,7 +200,6 @@
 
     ServingContext& context;
     AK::Timer timer;
-    std::function<void(Backend const&)> leaving_reported { [](Backend const&) {} };
     u32 rounds { 0 };
     i64 near_count { 0 };
 };
--- a/Libraries/LibServing/Flow.h
+++ b/Libraries/LibServing/Flow.h
@@ -159,12 +159,21 @@
     [[nodiscard]] bool answer_says_not_run() const { return this->answer.is_not_run || this->answer.is_misdirected; }
     [[nodiscard]] bool is_server_error() const { return this->answer_status() >= first_server_error; }
 
-    /// The backend server's whole answer as it goes to the caller: without what concerns its own connection only.
+    /// Takes out what concerns this host and the backend server only.
+    template<typename D>
+    static void remove_hop_fields(Http::Fields& fields)
+    {
+        Http::remove_connection_fields(fields);
+        D::remove_server_notice(fields);
+    }
+
+    /// The backend server's whole answer as it goes to the caller.
+    template<typename D>
     [[nodiscard]] Http::Response make_relayed_answer()
     {
         Http::Response response;
         response.base() = *this->answer_head;
-        Http::remove_connection_fields(response);
+        remove_hop_fields<D>(response);
         response.body() = std::move(this->answer_body);
         return response;
     }
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -153,7 +153,7 @@
 
     void begin_stream(Http::ResponseHead head)
     {
-        Http::remove_connection_fields(head);
+        this->template remove_hop_fields<D>(head);
         this->exchange().begin_stream(head);
     }
 
@@ -267,7 +267,7 @@
         this->context.log.event(Core::EventNumber::StreamEnded, this->attempt())
             .with("engine", this->backend->server.id)
             .with("status", this->answer_status());
-        this->exchange().answer(this->make_relayed_answer());
+        this->exchange().answer(this->template make_relayed_answer<D>());
     }
 
     /// `is_free` when the last handover reached nobody: it is no further dispatch to the service then.
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -98,10 +98,10 @@
             this->backends.ended(server.id, server.start, server.address);
             this->peers.tell_ended(server);
         };
-        this->reporter.on_leaving([this](Backend const& backend) {
+        this->context.backend_leaves = [this](Backend const& backend) {
             this->backends.leaving(backend.server.id, backend.server.start, backend.ends_at);
             this->peers.tell_leaving(backend);
-        });
+        };
         this->peers.start();
         this->directory.start();
         this->quarantine_table.start();
--- a/Libraries/LibServing/ServerNotice.cpp
+++ b/Libraries/LibServing/ServerNotice.cpp
@@ -27,22 +27,35 @@
 
 static void note_leaving(ServingContext& context, Backend& backend)
 {
-    if (std::exchange(backend.has_said_it_leaves, true))
+    if (backend.has_said_it_leaves)
         return;
     context.log.event(Core::EventNumber::ServerSaidItLeaves, backend.server.id.value())
         .with("state", to_string(backend.availability))
         .with("own_generations", backend.engine.own_generations);
+    context.backend_leaves(backend);
+    backend.says_it_leaves();
 }
 
-void take_server_notice(ServingContext& context, Backend& backend, AnswerHead const& answer)
+static void take_in(ServingContext& context, Backend& backend, AnswerHead const& answer)
 {
-    // Another process answers at its address.
-    if (answer.is_misdirected)
-        return;
     if (answer.back_off_for)
         back_off(context, backend, *answer.back_off_for);
     if (answer.is_leaving)
         note_leaving(context, backend);
 }
 
+void take_server_notice(ServingContext& context, Backend& backend, AnswerHead const& answer)
+{
+    // Another process answers at its address.
+    if (answer.is_misdirected)
+        return;
+    take_in(context, backend, answer);
+    // Its entry may have lapsed since the request was sent, and have come back.
+    auto const listed = context.backends.find(backend.server.id);
+    if (!listed)
+        return context.backends.keep_own_word(backend, context.now());
+    if (listed.get() != &backend && listed->is_start(backend.server.start))
+        take_in(context, *listed, answer);
+}
+
 }
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -145,7 +145,7 @@
 
     void pass_on()
     {
-        auto response = this->make_relayed_answer();
+        auto response = this->template make_relayed_answer<D>();
         this->context.metrics.observe("call_seconds", this->held_for());
         this->context.log.event(Core::EventNumber::ServiceCallEnded, this->attempt())
             .with("backend", this->tried.back())
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -62,6 +62,8 @@
     std::function<void(Backend const&, Duration avoided)> backend_unreachable { [](Backend const&, Duration) {} };
     /// To be called when a backend server has begun to refuse requests, or still does.
     std::function<void(Backend const&)> backend_refuses { [](Backend const&) {} };
+    /// To be called when a backend server says in an answer that it leaves.
+    std::function<void(Backend const&)> backend_leaves { [](Backend const&) {} };
     /// To be called when another process has answered in place of a backend server.
     std::function<void(Backend const&)> backend_ended { [](Backend const&) {} };
 
--- a/Tests/Hosts/TestServersThatSayTheyLeave.cpp
+++ b/Tests/Hosts/TestServersThatSayTheyLeave.cpp
@@ -60,6 +60,8 @@
             CHECK(servers.arrived_too_late(0) == 0);
             servers.await_answers();
             CHECK(servers.answered(200) == servers.asked());
+            for (auto const& call : servers.all_calls())
+                CHECK(call->headers.count("Server-Leaving") == 0);
         }
     }
     GIVEN("one that says so with the refusal of a call")
--- a/Tests/LibServing/TestServerIdentity.cpp
+++ b/Tests/LibServing/TestServerIdentity.cpp
@@ -227,6 +227,8 @@
     bool is_leaving { false };
     bool is_unusable { false };
     bool has_ended { false };
+    /// Starts that have said themselves that they leave.
+    std::set<i64> said_to_leave;
 
     void listed(i64 told, bool leaves)
     {
@@ -234,7 +236,7 @@
             return;
         bool const is_anew = told > this->start || !this->is_listed;
         this->start = told;
-        this->is_leaving = leaves || (!is_anew && this->is_leaving);
+        this->is_leaving = leaves || this->said_to_leave.contains(told) || (!is_anew && this->is_leaving);
         this->has_ended = !is_anew && this->has_ended;
         this->is_unusable = false;
         this->is_listed = true;
@@ -266,6 +268,8 @@
             case 2:
                 host.list.leaving(id, ServerStart(start), {});
                 model.is_leaving = model.is_leaving || is_this;
+                if (is_this)
+                    model.said_to_leave.insert(start);
                 break;
             case 3:
                 host.list.ended(id, ServerStart(start), Address("127.0.0.1:1000"));
--- a/Tests/LibServing/TestServerNotice.cpp
+++ b/Tests/LibServing/TestServerNotice.cpp
@@ -103,9 +103,28 @@
     {
         host.hear("a", asking_for(3s));
         host.pass(1s);
-        WHEN("a request that was under way ends well there") { note_success(*host.server("a")); }
-        WHEN("a later answer asks for less") { host.hear("a", asking_for(200ms)); }
-        WHEN("a later answer asks for nothing") { host.hear("a", {}); }
+        auto holds_until_then = [&] {
+            host.pass(1999ms);
+            CHECK_FALSE(host.anyone_is_sent_work());
+            host.pass(1ms);
+            CHECK(host.anyone_is_sent_work());
+        };
+        THEN("it is sent nothing until then, and work again afterwards") { holds_until_then(); }
+        WHEN("a request that was under way ends well there")
+        {
+            note_success(*host.server("a"));
+            THEN("that changes nothing") { holds_until_then(); }
+        }
+        WHEN("a later answer asks for less")
+        {
+            host.hear("a", asking_for(200ms));
+            THEN("that changes nothing") { holds_until_then(); }
+        }
+        WHEN("a later answer asks for nothing")
+        {
+            host.hear("a", {});
+            THEN("that changes nothing") { holds_until_then(); }
+        }
         WHEN("other hosts have been refused as well")
         {
             wire::HostUse message;
@@ -113,19 +132,15 @@
             refusing.set_backend("a");
             refusing.set_refusals(1);
             take_refusals(host.context, message);
+            THEN("that changes nothing") { holds_until_then(); }
         }
         WHEN("its entry lapses and comes back")
         {
+            auto const before = host.server("a");
             host.lapse("a");
-            host.servers.tick();
             host.list("a");
-        }
-        THEN("it is sent nothing until then, and work again afterwards")
-        {
-            host.pass(1999ms);
-            CHECK_FALSE(host.anyone_is_sent_work());
-            host.pass(1ms);
-            CHECK(host.anyone_is_sent_work());
+            REQUIRE(host.server("a") != before);
+            THEN("that changes nothing") { holds_until_then(); }
         }
     }
     GIVEN("a server that has asked for longer than a host's settings allow")
@@ -150,6 +165,73 @@
     }
 }
 
+// A server that had said that it leaves got work again when its entry lapsed and came back.
+SCENARIO("a process that has said that it leaves is sent nothing new, and nothing takes that back")
+{
+    AskedHost host;
+    host.list("a");
+    AnswerHead leaving;
+    leaving.is_leaving = true;
+    GIVEN("an answer that says so")
+    {
+        host.hear("a", leaving);
+        WHEN("its later answers do not")
+        {
+            host.hear("a", {});
+            THEN("it is sent nothing") { CHECK_FALSE(host.anyone_is_sent_work()); }
+        }
+        WHEN("the list says that it serves")
+        {
+            host.list("a");
+            THEN("it is sent nothing") { CHECK_FALSE(host.anyone_is_sent_work()); }
+        }
+        WHEN("its entry lapses and comes back")
+        {
+            host.lapse("a");
+            host.pass(10s);
+            host.list("a");
+            THEN("it is sent nothing") { CHECK_FALSE(host.anyone_is_sent_work()); }
+        }
+    }
+    GIVEN("an answer that comes while its entry has lapsed")
+    {
+        auto const before = host.server("a");
+        host.lapse("a");
+        take_server_notice(host.context, *before, leaving);
+        host.list("a");
+        THEN("it is sent nothing") { CHECK_FALSE(host.anyone_is_sent_work()); }
+    }
+    GIVEN("an answer to a request from before its entry lapsed, which has come back since")
+    {
+        auto const before = host.server("a");
+        host.lapse("a");
+        host.list("a");
+        REQUIRE(host.server("a") != before);
+        WHEN("it says so")
+        {
+            take_server_notice(host.context, *before, leaving);
+            THEN("it is sent nothing") { CHECK_FALSE(host.anyone_is_sent_work()); }
+        }
+        WHEN("it asks for a pause")
+        {
+            take_server_notice(host.context, *before, asking_for(3s));
+            THEN("it is sent nothing") { CHECK_FALSE(host.anyone_is_sent_work()); }
+        }
+    }
+    GIVEN("a later start under its id")
+    {
+        host.hear("a", leaving);
+        host.list("a", 2'000);
+        THEN("that one serves") { CHECK(host.anyone_is_sent_work()); }
+    }
+    GIVEN("another process at its address that says so")
+    {
+        leaving.is_misdirected = true;
+        host.hear("a", leaving);
+        THEN("it is not its word") { CHECK(host.anyone_is_sent_work()); }
+    }
+}
+
 SCENARIO("where all servers have asked for a pause, who asks is refused with the first time at which one may take it")
 {
     AskedHost host;
