--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -330,7 +330,10 @@
     {
         auto connection_to_source = this->context.connections.make_new(this->inputs.source->endpoint);
         Http::ExchangeObserver observer {
-            [](Http::ResponseHead const&) { return Http::HeadVerdict::Take; },
+            [&context = this->context, source = this->inputs.source](Http::ResponseHead const& head) {
+                take_server_notice(context, *source, D::decode_answer(head));
+                return Http::HeadVerdict::Take;
+            },
             [](std::string_view) {},
             // Not freed: the engines free it themselves when its lifetime is over.
             [](Http::ExchangeEnd, std::string const&) {},
