--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -277,6 +277,18 @@
 guard "named limits: callers are sent elsewhere" TestHosts \
     "Scenario: all hosts together send a server no more than the limit that it names" \
     Libraries/LibServing/ServerLimits.cpp "&& this->is_kept(this->named_bound(backend, now), backend, now)" ""
+guard "back-off: a bar, not a cost" TestHosts \
+    "Scenario: a host sends a server nothing in the time for which that asked it for back-off" \
+    Libraries/LibServing/BackendTable.h "&& now >= this->back_off_until" ""
+guard "back-off: the latest end holds" TestLibServing \
+    "Scenario: in any series of answers, successes and entries that come and go, the latest end that was asked for holds" \
+    Libraries/LibServing/ServerNotice.cpp "if (until <= backend.back_off_until)" "if (false)"
+guard "own words outlast entries" TestLibServing \
+    "Scenario: a process that has said that it leaves is sent nothing new, and nothing takes that back" \
+    Libraries/LibServing/BackendTable.cpp "this->restore_own_word(*known);" ""
+guard "leaving: the word of an answer" TestHosts \
+    "Scenario: a host sends no new work to a server that has said in an answer that it leaves" \
+    Libraries/LibServing/ServerNotice.cpp "note_leaving(context, backend);" ""
 
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
     "this->call.route->kind == CallKind::Repeatable && this->runs() < this->call.route->most_dispatches" "true"
@@ -290,6 +302,7 @@
     "if (is_drained || elapsed >= this->context.settings.stop_grace - last_answers_margin)" "if (true)"
 soak_guard "named limits are kept" Libraries/LibServing/ServerLimits.cpp \
     "&& this->is_kept(this->named_bound(backend, now), backend, now)" ""
+soak_guard "back-off is kept" Libraries/LibServing/BackendTable.h "&& now >= this->back_off_until" ""
 soak_guard "leaving servers get nothing new" Libraries/LibServing/BackendTable.h \
     "this->availability == Availability::Serving && " ""
 
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -92,6 +92,7 @@
     host.is_end_expected = false;
     host.was_killed = false;
     host.stopping_since.reset();
+    this->notices.host_started(host.name);
     host.daemon->start();
 }
 
@@ -105,6 +106,7 @@
 void Deployment::freeze_host(HostPlace& host, Duration duration)
 {
     host.frozen_until = std::max(host.frozen_until, now() + duration);
+    this->notices.host_halted(host.name, now(), host.frozen_until);
     host.daemon->send_signal(SIGSTOP);
     auto timer = std::make_shared<AK::Timer>(this->loop, duration);
     timer->async_wait([timer, &host](boost::system::error_code error) {
@@ -148,6 +150,7 @@
         this->checker.reached(place.id, place.service, received);
         this->check_leaving(place, received.attempt);
         this->check_limit(place, received.attempt);
+        this->check_notices(place, received.attempt);
     };
     place.runner->on_copy = [this](std::string const& target, std::string const& handle, u64 made) {
         return std::ranges::any_of(this->runners, [&](RunnerPlace& candidate) {
@@ -204,6 +207,28 @@
             + " a second and got " + std::to_string(arrivals.size()) + " in 4 s");
 }
 
+void Deployment::turn_away(RunnerPlace& place, Duration back_off)
+{
+    place.runner->turn_away(std::to_string(AK::to_seconds(back_off)));
+    place.runner->on_turned_away = [this, &place, back_off](auto const& received) {
+        if (now() >= place.harmed_until)
+            this->notices.turned_away(place.id, this->checker.host_of(received.attempt), back_off, now());
+    };
+}
+
+void Deployment::take_all_again(RunnerPlace& place) { place.runner->turn_away({}); }
+
+void Deployment::check_notices(RunnerPlace const& place, std::string const& attempt)
+{
+    if (now() < place.harmed_until)
+        return this->notices.server_harmed(place.id);
+    auto const host = this->checker.host_of(attempt);
+    if (auto const broken = this->notices.reached(place.id, host, this->checker.sent_at(attempt), now()))
+        this->checker.violation(*broken + " (" + attempt + ')');
+    if (place.runner->is_saying_it_leaves() && !place.spoils_answers)
+        this->notices.said_it_leaves(place.id, host, now());
+}
+
 void Deployment::put_row(RunnerPlace const& place)
 {
     this->store.put(
@@ -218,6 +243,7 @@
 void Deployment::drain(RunnerPlace& place, Duration time_left)
 {
     place.leaving_since = now();
+    place.runner->say_it_leaves(true);
     place.runner->set_leaves_in(static_cast<u64>(AK::to_milliseconds(time_left)));
     this->put_row(place);
 }
@@ -226,6 +252,7 @@
 {
     if (!place.leaving_since)
         place.leaving_since = now();
+    place.runner->say_it_leaves(true);
     this->store.remove(servers_table, place.id);
 }
 
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -11,6 +11,7 @@
 #include <Tests/Soak/Daemon.h>
 #include <Tests/Soak/DatagramProxy.h>
 #include <Tests/Soak/FaultProxy.h>
+#include <Tests/Soak/NoticeChecker.h>
 #include <Tests/Soak/PromiseChecker.h>
 #include <boost/random/mersenne_twister.hpp>
 #include <list>
@@ -120,6 +121,9 @@
     /// Names a limit in its answers from now on; until heal() or its end.
     static void name_limit(RunnerPlace&, double per_second);
     static void name_no_limit(RunnerPlace&);
+    /// Turns every request away from now on and asks its host for so long without any.
+    void turn_away(RunnerPlace&, Duration back_off);
+    static void take_all_again(RunnerPlace&);
     /// Breaks its connections; its row stays.
     void end_runner(RunnerPlace&);
     /// Those that take work, of one service.
@@ -160,10 +164,12 @@
     [[nodiscard]] bool was_moved(std::string const& attempt) const;
     void check_leaving(RunnerPlace const&, std::string const& attempt);
     void check_limit(RunnerPlace&, std::string const& attempt);
+    void check_notices(RunnerPlace const&, std::string const& attempt);
     void look_after(HostPlace&);
 
     Http::asio::io_context& loop;
     PromiseChecker& checker;
+    NoticeChecker notices { drain_time };
     DeploymentSize size;
     std::string program;
     std::string directory;
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -45,6 +45,13 @@
 static constexpr Duration longest_runner_link_delay = 500ms;
 /// Added to the drain time, so that notices differ.
 static constexpr Duration longest_extra_notice = 1s;
+/// Backend servers that turn all away: for how long, what they ask for, and that all of a service do so one time in so
+/// many.
+static constexpr Duration shortest_turning_away = 100ms;
+static constexpr Duration longest_turning_away = 500ms;
+static constexpr Duration shortest_back_off_asked = 1s;
+static constexpr Duration longest_back_off_asked = 6s;
+static constexpr u32 services_that_ask_as_a_whole = 6;
 /// Values of the setting `retries.ratio`.
 static constexpr std::array retry_ratios { 0.1, 0.2, 0.3 };
 /// One in so many faults of backend servers is drawn for the plain service, the others for engines.
@@ -84,6 +91,7 @@
     , stall_random(~seed)
     , entry_random(seed ^ 0x5eed)
     , limit_random(seed ^ 0x11317)
+    , back_off_random(seed ^ 0xbac0ff)
 {
     auto const kinds = kinds_of(static_cast<Mix>(seed % mix_count));
     for (u32 i = 0; i < count; ++i)
@@ -99,6 +107,7 @@
     this->stall_hosts();
     this->spoil_entries();
     this->name_limits();
+    this->ask_for_back_off();
 }
 
 void FaultSchedule::heal()
@@ -107,6 +116,8 @@
     this->restore_entry();
     if (this->limited)
         Deployment::name_no_limit(*this->limited);
+    for (auto& place : this->deployment.runners)
+        Deployment::take_all_again(place);
     this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving);
     this->deployment.store.set_behind(0);
     for (auto& host : this->deployment.hosts) {
@@ -268,6 +279,23 @@
     this->after(shortest_stall_pause, [this] { this->name_limits(); });
 }
 
+void FaultSchedule::ask_for_back_off()
+{
+    auto const* service = draw_below(this->back_off_random, 2) == 0 ? plain_service : engine_service;
+    auto asking = this->deployment.serving(service);
+    bool const all_ask = draw_below(this->back_off_random, services_that_ask_as_a_whole) == 0;
+    if (!all_ask && !asking.empty())
+        asking = { asking.at(draw_below(this->back_off_random, static_cast<u32>(asking.size()))) };
+    for (auto* place : asking) {
+        this->deployment.turn_away(
+            *place, draw_between(this->back_off_random, shortest_back_off_asked, longest_back_off_asked));
+        this->after(draw_between(this->back_off_random, shortest_turning_away, longest_turning_away),
+            [place] { Deployment::take_all_again(*place); });
+    }
+    this->after(draw_between(this->back_off_random, shortest_stall_pause, longest_stall_pause),
+        [this] { this->ask_for_back_off(); });
+}
+
 void FaultSchedule::freeze_host()
 {
     auto& host = this->draw_host();
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -54,6 +54,9 @@
     /// on, so that it is no harm either.
     void spoil_entries();
     void restore_entry();
+    /// Backend servers turn all away for a moment and ask for back-off, all through the schedule: one or all of a
+    /// service, so that such times overlap.
+    void ask_for_back_off();
     /// One plain server at a time names a limit, all through the schedule; others serve what it does not take.
     void name_limits();
     // Of the platform.
@@ -98,10 +101,11 @@
     Http::asio::io_context& loop;
     Deployment& deployment;
     boost::random::mt19937 random;
-    /// Of their own, so that what a seed draws besides does not depend on stalls, spoilt entries and limits.
+    /// Of their own, so that what a seed draws besides does not depend on stalls, spoilt entries, limits and back-off.
     boost::random::mt19937 stall_random;
     boost::random::mt19937 entry_random;
     boost::random::mt19937 limit_random;
+    boost::random::mt19937 back_off_random;
     /// Whose entry is spoilt just now.
     RunnerPlace* spoilt { nullptr };
     /// Who names a limit just now.
--- a/Tests/Soak/PromiseChecker.cpp
+++ b/Tests/Soak/PromiseChecker.cpp
@@ -62,6 +62,12 @@
     return known == this->requests.end() ? std::string() : known->second.host;
 }
 
+Instant PromiseChecker::sent_at(std::string const& attempt) const
+{
+    auto known = this->requests.find(attempt);
+    return known == this->requests.end() ? Instant {} : known->second.sent_at;
+}
+
 std::set<std::string> PromiseChecker::runners_of(std::string const& attempt) const
 {
     auto known = this->runners_by_attempt.find(attempt);
--- a/Tests/Soak/PromiseChecker.h
+++ b/Tests/Soak/PromiseChecker.h
@@ -96,6 +96,8 @@
     [[nodiscard]] std::set<std::string> runners_of(std::string const& attempt) const;
     /// The host that an attempt was sent to; empty for one that no caller sent.
     [[nodiscard]] std::string host_of(std::string const& attempt) const;
+    /// When its caller sent it; the beginning of time for one that is not known.
+    [[nodiscard]] Instant sent_at(std::string const& attempt) const;
     /// Requests by status, for the report; 0 where no answer came.
     [[nodiscard]] std::map<unsigned, u32> const& counts() const { return this->status_counts; }
     [[nodiscard]] std::map<Ending, u32> const& ending_counts() const { return this->endings; }
