LibServing: Let a generation wait for its copy's server without its ended engine's word

A generation that waits until the server of its copy wants requests again was lost when the end of its former engine became known meanwhile. Two scenarios of whole hosts: the engine ends in that time, and the time is over before it ends.

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -399,6 +399,9 @@
         auto const pause = target->back_off_left(this->context.now());
         if (pause == 0s)
             return this->dispatch_to(target, std::move(continuation));
+        // What becomes of the source is no matter any more.
+        this->connection = nullptr;
+        this->end_watch = nullptr;
         auto timer = std::make_shared<AK::Timer>(this->context.loop, pause);
         timer->async_wait([timer, weak = this->weak_from_this(), target, continuation = std::move(continuation)](
                               boost::system::error_code error) {
--- a/Tests/Hosts/TestServersThatAskForBackOff.cpp
+++ b/Tests/Hosts/TestServersThatAskForBackOff.cpp
@@ -122,6 +122,67 @@
     }
 }
 
+// A generation is lost with its engine unless it goes on where its copy is, and that server may want nothing just then.
+SCENARIO("a generation whose engine has ended goes on at its copy once that server wants requests again")
+{
+    RestingServers servers(2, "models", "/drafts/2");
+    auto& source = *servers.runners[0];
+    auto& target = *servers.runners[1];
+    auto run_on = [&](Duration span) {
+        auto const end = AK::BootClock::now() + span;
+        while (AK::BootClock::now() < end) {
+            servers.hosts.pass(20ms);
+            for (auto* runner : servers.runners)
+                runner->make_events();
+        }
+    };
+    target.turn_away("0.1");
+    servers.send(0);
+    servers.send(0);
+    run_on(200ms);
+    target.turn_away({});
+    REQUIRE(source.running_count() == 2);
+    GIVEN("an engine that leaves, whose generations have been copied to another one")
+    {
+        source.set_leaves_in(2000);
+        servers.hosts.platform.drain(source);
+        run_on(400ms);
+        REQUIRE_FALSE(source.copy_orders().empty());
+        WHEN("that one asks for a pause, and the engine ends meanwhile")
+        {
+            servers.turn_away(1, 1s);
+            servers.send(0);
+            run_on(50ms);
+            servers.take_all_again(1);
+            REQUIRE(servers.times_asked() == 1);
+            source.end();
+            run_on(500ms);
+            CHECK(target.running_count() == 0);
+            run_on(900ms);
+            THEN("they go on there after it, and callers miss nothing")
+            {
+                CHECK(target.running_count() == 2);
+                CHECK(servers.most_from_one_host() == 0);
+                CHECK_FALSE(servers.all_calls()[0]->is_over());
+                CHECK_FALSE(servers.all_calls()[1]->is_over());
+            }
+        }
+        WHEN("that one asks for a pause that is over before the engine ends")
+        {
+            servers.turn_away(1, 600ms);
+            servers.send(0);
+            run_on(50ms);
+            servers.take_all_again(1);
+            run_on(2s);
+            THEN("they are handed over after it")
+            {
+                CHECK(target.running_count() == 2);
+                CHECK(servers.most_from_one_host() == 0);
+            }
+        }
+    }
+}
+
 SCENARIO("a host places no generation on an engine in the time for which that asked it for back-off")
 {
     RestingServers servers(3, "models", "/drafts/2");
