--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -91,7 +91,7 @@
     if (!backend || !backend->is_start(start))
         return;
     bool const was_serving = backend->availability == Availability::Serving;
-    backend->says_it_leaves();
+    backend->note_own_word_to_leave();
     if (!was_serving)
         return;
     backend->available_since = this->context.now();
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -127,7 +127,7 @@
         return start == this->server.start || start == ServerStart(0) || this->server.start == ServerStart(0);
     }
 
-    void says_it_leaves()
+    void note_own_word_to_leave()
     {
         this->has_said_it_leaves = true;
         if (this->availability == Availability::Serving)
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -393,7 +393,7 @@
         this->continue_once_wanted(target, { this->move->copy_name(), this->order.last() });
     }
 
-    /// A copy keeps for longer than the pauses that servers ask for, and there is no other one.
+    /// Where the copy is the generation goes on or nowhere.
     void continue_once_wanted(BackendPointer const& target, Continuation continuation)
     {
         auto const pause = target->back_off_left(this->context.now());
--- a/Libraries/LibServing/ServerNotice.cpp
+++ b/Libraries/LibServing/ServerNotice.cpp
@@ -32,8 +32,10 @@
     context.log.event(Core::EventNumber::ServerSaidItLeaves, backend.server.id.value())
         .with("state", to_string(backend.availability))
         .with("own_generations", backend.engine.own_generations);
-    context.backend_leaves(backend);
-    backend.says_it_leaves();
+    // Where the list has said so before, the other hosts know.
+    if (backend.availability == Availability::Serving)
+        context.backend_leaves(backend);
+    backend.note_own_word_to_leave();
 }
 
 static void take_in(ServingContext& context, Backend& backend, AnswerHead const& answer)
