--- a/Tests/LibServing/TestServerNotice.cpp
+++ b/Tests/LibServing/TestServerNotice.cpp
@@ -6,6 +6,7 @@
 
 #include <LibServing/Admission.h>
 #include <LibServing/BackendList.h>
+#include <LibServing/NamedLimit.h>
 #include <LibServing/Refusal.h>
 #include <LibServing/ServerNotice.h>
 #include <rapidcheck/catch.h>
@@ -285,3 +286,71 @@
         }
     });
 }
+
+SCENARIO("servers that name limits, ask for back-off and leave, in any series, are sent what they want and no more")
+{
+    rc::prop("by one host, which is the only one", [](std::vector<std::tuple<u8, u8, u8>> const& words) {
+        AskedHost host;
+        host.context.reach.learn({}, host.now);
+        host.pass(10s);
+        std::vector<std::string> const ids { "a", "b", "c" };
+        for (auto const& id : ids)
+            host.list(id);
+        std::map<std::string, Instant> until;
+        std::set<std::string> leaving;
+        std::map<std::string, std::vector<Instant>> sent;
+        for (auto const& [what, who, amount] : words) {
+            auto const& id = ids[who % ids.size()];
+            auto const span = std::chrono::milliseconds(amount * 20);
+            AnswerHead head;
+            switch (what % 8) {
+            case 0:
+                host.hear(id, asking_for(span));
+                until[id] = std::max(until[id], host.now + span);
+                break;
+            case 1:
+                note_limit(host.context, *host.server(id), RequestRate(1 + amount % 8));
+                break;
+            case 2:
+                note_limit(host.context, *host.server(id), {});
+                break;
+            case 3:
+                head.is_leaving = amount % 16 == 0;
+                host.hear(id, head);
+                if (head.is_leaving)
+                    leaving.insert(id);
+                break;
+            case 4:
+                host.pass(span);
+                break;
+            default: {
+                auto const inputs = host.context.choice_inputs(0);
+                auto const chosen = choose_for_call(host.all(), {}, inputs, host.context.random);
+                bool const one_would = std::ranges::any_of(ids, [&](std::string const& candidate) {
+                    return host.now >= until[candidate] && !leaving.contains(candidate)
+                        && host.context.server_limits.may_send(*host.server(candidate), host.now);
+                });
+                RC_ASSERT((chosen != nullptr) == one_would);
+                if (!chosen)
+                    break;
+                auto const& chosen_id = chosen->server.id.value();
+                RC_ASSERT(host.now >= until[chosen_id]);
+                RC_ASSERT(!leaving.contains(chosen_id));
+                // A limit that has not been heard of for so long may be tried.
+                constexpr Duration limit_surely_holds = 20s;
+                if (chosen->limit && host.now - *chosen->limit_heard_at < limit_surely_holds) {
+                    auto const lately = std::ranges::count_if(
+                        sent[chosen_id], [&](Instant at) { return host.now - at < ServerLimits::named_span; });
+                    RC_ASSERT(static_cast<u32>(lately) < ServerLimits::requests_in_span(*chosen->limit));
+                }
+                ServerLimits::note_sent(*chosen, host.now);
+                sent[chosen_id].push_back(host.now);
+            }
+            }
+        }
+        // Once no time that was asked for is left, and no limit holds any more, all that have not left serve again.
+        host.pass(1h);
+        for (auto const& id : ids)
+            RC_ASSERT(host.server(id)->takes_work_at(host.now) == !leaving.contains(id));
+    });
+}
--- a/Tests/Platform/TestRows.cpp
+++ b/Tests/Platform/TestRows.cpp
@@ -5,9 +5,13 @@
  */
 
 #include <boost/json.hpp>
+#include <fstream>
+#include <map>
 #include <platform/Dialect.h>
 #include <platform/Rows.h>
 #include <rapidcheck/catch.h>
+#include <regex>
+#include <sstream>
 
 namespace Json = boost::json;
 
@@ -273,3 +277,50 @@
         }
     }
 }
+
+namespace {
+
+/// All that is decoded of an answer's head.
+std::string described(Serving::AnswerHead const& answer)
+{
+    std::ostringstream text;
+    text << answer.attempt << ' ' << answer.is_not_run << answer.is_misdirected << answer.is_signed << answer.is_leaving
+         << ' ' << answer.load.has_value() << answer.limit.has_value() << answer.back_off_for.has_value();
+    return text.str();
+}
+
+/// The headers in the first table of docs/PLATFORM.md on answers, and whether it says that something reads them.
+std::map<std::string, bool> headers_of_page()
+{
+    std::ifstream page(std::string(LILAC_SOURCE_DIRECTORY) + "/docs/PLATFORM.md");
+    std::regex const row(R"re(\| `([A-Z][A-Za-z-]+)` \| [^|]+ \| ([^|]+) \|)re");
+    std::map<std::string, bool> headers;
+    std::smatch match;
+    for (std::string line; std::getline(page, line);) {
+        if (std::regex_match(line, match, row))
+            headers[match[1]] = !match[2].str().starts_with("nothing:");
+    }
+    return headers;
+}
+
+}
+
+SCENARIO("each header that the page lists is read, or is not, as it says")
+{
+    std::map<std::string, std::string> const samples { { "Lilactiller-Attempt-Id", "a1" },
+        { "Lilactiller-Response-Stamp", "s" }, { "Lilactiller-Not-Executed", "1" },
+        { "Lilactiller-Server-Load", "1,0,8" }, { "Server-Limit", "2.5" }, { "Retry-After", "3" },
+        { "Server-Leaving", "1" }, { "Keep-Alive", "timeout=5" }, { "Versions", "2" },
+        { "Lilactiller-Instance-Id", "i-1" }, { "Lilactiller-Cold-Ms", "900" } };
+    auto const headers = headers_of_page();
+    CHECK(headers.size() == samples.size());
+    for (auto const& [name, is_read] : headers) {
+        INFO(name);
+        REQUIRE(samples.contains(name));
+        Http::ResponseHead head;
+        head.result(Http::Status::service_unavailable);
+        auto const without = described(Adapter::Dialect::decode_answer(head));
+        head.set(name, samples.at(name));
+        CHECK((described(Adapter::Dialect::decode_answer(head)) != without) == is_read);
+    }
+}
