--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -7,7 +7,6 @@
 #include <AK/Timer.h>
 #include <Tests/Soak/FaultSchedule.h>
 #include <array>
-#include <boost/random/uniform_int_distribution.hpp>
 #include <csignal>
 #include <iostream>
 
@@ -17,13 +16,6 @@
 
 static constexpr Duration shortest_fault = 300ms;
 static constexpr Duration longest_fault = 4s;
-/// Stalls of one host after another: about its idle time-out, so that the ends of its timers and the requests of its
-/// callers wait for it together. Pauses between their beginnings are chosen; of four hosts each has a stall
-/// about every 3.6 s (reckoned).
-static constexpr Duration shortest_stall = idle_timeout / 2;
-static constexpr Duration longest_stall = idle_timeout * 3 / 2;
-static constexpr Duration shortest_stall_pause = 300ms;
-static constexpr Duration longest_stall_pause = 1500ms;
 /// After SIGTERM: `balancer_lag` of Libraries/LibServing/PlannedStop.cpp.
 static constexpr Duration idle_close_delay = 2500ms;
 /// Between a process's end and its next start.
@@ -32,8 +24,6 @@
 static constexpr Duration entry_lifetime = 1200ms;
 /// How much longer than its notice a backend server that leaves may go on.
 static constexpr Duration longest_overtime = 6s;
-/// A service keeps at least so many backend servers that take work.
-static constexpr size_t fewest_serving = 2;
 static constexpr u32 most_spoiled_answers = 6;
 /// After a change of the configuration, so that hosts are killed at different points of taking it.
 static constexpr Duration longest_kill_delay = 50ms;
@@ -45,13 +35,6 @@
 static constexpr Duration longest_runner_link_delay = 500ms;
 /// Added to the drain time, so that notices differ.
 static constexpr Duration longest_extra_notice = 1s;
-/// Backend servers that turn all away: for how long, what they ask for, and that all of a service do so one time in so
-/// many.
-static constexpr Duration shortest_turning_away = 100ms;
-static constexpr Duration longest_turning_away = 500ms;
-static constexpr Duration shortest_back_off_asked = 1s;
-static constexpr Duration longest_back_off_asked = 6s;
-static constexpr u32 services_that_ask_as_a_whole = 6;
 /// Values of the setting `retries.ratio`.
 static constexpr std::array retry_ratios { 0.1, 0.2, 0.3 };
 /// One in so many faults of backend servers is drawn for the plain service, the others for engines.
@@ -88,10 +71,7 @@
     : loop(loop)
     , deployment(deployment)
     , random(seed)
-    , stall_random(~seed)
-    , entry_random(seed ^ 0x5eed)
-    , limit_random(seed ^ 0x11317)
-    , back_off_random(seed ^ 0xbac0ff)
+    , standing(loop, deployment, seed)
 {
     auto const kinds = kinds_of(static_cast<Mix>(seed % mix_count));
     for (u32 i = 0; i < count; ++i)
@@ -104,20 +84,13 @@
     this->started_at = Deployment::now();
     for (auto const& entry : this->entries)
         this->after(entry.at, [this, begin = entry.begin] { (this->*begin)(); });
-    this->stall_hosts();
-    this->spoil_entries();
-    this->name_limits();
-    this->ask_for_back_off();
+    this->standing.start();
 }
 
 void FaultSchedule::heal()
 {
     this->is_over = true;
-    this->restore_entry();
-    if (this->limited)
-        Deployment::name_no_limit(*this->limited);
-    for (auto& place : this->deployment.runners)
-        Deployment::take_all_again(place);
+    this->standing.end();
     this->deployment.store.set_mode(StandIn::PlatformStore::Mode::Serving);
     this->deployment.store.set_behind(0);
     for (auto& host : this->deployment.hosts) {
@@ -143,18 +116,6 @@
     });
 }
 
-static u32 draw_below(boost::random::mt19937& random, u32 below)
-{
-    return boost::random::uniform_int_distribution<u32>(0, below - 1)(random);
-}
-
-static Duration draw_between(boost::random::mt19937& random, Duration shortest, Duration longest)
-{
-    boost::random::uniform_int_distribution<i64> milliseconds(
-        AK::to_milliseconds(shortest), AK::to_milliseconds(longest));
-    return std::chrono::milliseconds(milliseconds(random));
-}
-
 u32 FaultSchedule::draw_number(u32 below) { return draw_below(this->random, below); }
 
 Duration FaultSchedule::draw_duration(Duration shortest, Duration longest)
@@ -229,73 +190,6 @@
         idle_close_delay - idle_timeout / 2, [this, &host] { this->deployment.freeze_host(host, idle_timeout); });
 }
 
-void FaultSchedule::stall_hosts()
-{
-    auto& hosts = this->deployment.hosts;
-    auto const number = draw_below(this->stall_random, static_cast<u32>(hosts.size()));
-    auto const duration = draw_between(this->stall_random, shortest_stall, longest_stall);
-    this->deployment.freeze_host(*hosts.at(number), duration);
-    this->after(
-        draw_between(this->stall_random, shortest_stall_pause, longest_stall_pause), [this] { this->stall_hosts(); });
-}
-
-void FaultSchedule::spoil_entries()
-{
-    static constexpr std::array<std::string_view, 6> values { "", "no entry", R"({"service":"models"})",
-        R"({"service":7,"addr":[],"zone":null,"slots":1e300,"state":"ready","cold_left_ms":-1,"born":1.5})",
-        R"({"service":"models","addr":"nowhere","zone":"","slots":0,"state":"resting","cold_left_ms":0})", "\xff\xfe" };
-    this->restore_entry();
-    std::vector<RunnerPlace*> living;
-    for (auto& place : this->deployment.runners) {
-        if (!place.has_ended && !place.leaving_since)
-            living.push_back(&place);
-    }
-    auto const value = values.at(draw_below(this->entry_random, values.size()));
-    if (!living.empty()) {
-        this->spoilt = living.at(draw_below(this->entry_random, static_cast<u32>(living.size())));
-        this->deployment.put_entry(*this->spoilt, std::string(value));
-    }
-    this->after(
-        draw_between(this->entry_random, shortest_stall_pause, longest_stall_pause), [this] { this->spoil_entries(); });
-}
-
-void FaultSchedule::restore_entry()
-{
-    auto* place = std::exchange(this->spoilt, nullptr);
-    if (place && !place->has_ended && !place->leaving_since)
-        this->deployment.put_row(*place);
-}
-
-void FaultSchedule::name_limits()
-{
-    constexpr u32 lowest = 1;
-    constexpr u32 rates = 2;
-    bool const is_over_there = this->limited && (this->limited->has_ended || this->limited->leaving_since);
-    auto const serving = this->deployment.serving(plain_service);
-    if ((!this->limited || is_over_there) && serving.size() >= fewest_serving) {
-        this->limited = serving.at(draw_below(this->limit_random, static_cast<u32>(serving.size())));
-        Deployment::name_limit(*this->limited, lowest + draw_below(this->limit_random, rates));
-    }
-    this->after(shortest_stall_pause, [this] { this->name_limits(); });
-}
-
-void FaultSchedule::ask_for_back_off()
-{
-    auto const* service = draw_below(this->back_off_random, 2) == 0 ? plain_service : engine_service;
-    auto asking = this->deployment.serving(service);
-    bool const all_ask = draw_below(this->back_off_random, services_that_ask_as_a_whole) == 0;
-    if (!all_ask && !asking.empty())
-        asking = { asking.at(draw_below(this->back_off_random, static_cast<u32>(asking.size()))) };
-    for (auto* place : asking) {
-        this->deployment.turn_away(
-            *place, draw_between(this->back_off_random, shortest_back_off_asked, longest_back_off_asked));
-        this->after(draw_between(this->back_off_random, shortest_turning_away, longest_turning_away),
-            [place] { Deployment::take_all_again(*place); });
-    }
-    this->after(draw_between(this->back_off_random, shortest_stall_pause, longest_stall_pause),
-        [this] { this->ask_for_back_off(); });
-}
-
 void FaultSchedule::freeze_host()
 {
     auto& host = this->draw_host();
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -6,7 +6,7 @@
 
 #pragma once
 
-#include <Tests/Soak/Deployment.h>
+#include <Tests/Soak/StandingFaults.h>
 
 namespace Soak {
 
@@ -48,17 +48,6 @@
     void stop_host();
     void freeze_host();
     void reload_host();
-    /// Halts one host after another for a moment, all through the schedule. It is no harm and excuses nothing.
-    void stall_hosts();
-    /// Another writer spoils the entry of one backend server after another, all through the schedule. The server lives
-    /// on, so that it is no harm either.
-    void spoil_entries();
-    void restore_entry();
-    /// Backend servers turn all away for a moment and ask for back-off, all through the schedule: one or all of a
-    /// service, so that such times overlap.
-    void ask_for_back_off();
-    /// One plain server at a time names a limit, all through the schedule; others serve what it does not take.
-    void name_limits();
     // Of the platform.
     void platform_busy();
     void platform_silent();
@@ -101,15 +90,7 @@
     Http::asio::io_context& loop;
     Deployment& deployment;
     boost::random::mt19937 random;
-    /// Of their own, so that what a seed draws besides does not depend on stalls, spoilt entries, limits and back-off.
-    boost::random::mt19937 stall_random;
-    boost::random::mt19937 entry_random;
-    boost::random::mt19937 limit_random;
-    boost::random::mt19937 back_off_random;
-    /// Whose entry is spoilt just now.
-    RunnerPlace* spoilt { nullptr };
-    /// Who names a limit just now.
-    RunnerPlace* limited { nullptr };
+    StandingFaults standing;
     std::vector<Entry> entries;
     Instant started_at {};
     bool is_over { false };
