LibServing: Let a generation that its copy's server turns away go on there after the pause that it asks for

Cause: a generation whose run has stopped goes on at the server of its copy; a 503 to that lost the stream, though it says that nothing has run and when to come back. Evidence: all ten streams have E2204 "the engine that holds its copy answered status 503" while that server turned all away. Class: as with back-off; the refusal of a continuation was the one whose word had no effect.

Change: it goes on there after the pause. It is the same run, so that nothing is taken from the budget of repeats, of which a host has none in its first ten seconds (a try that took it lost the streams all the same). The scenario of TestHosts failed before and passes.

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -428,6 +428,13 @@
 
     void continuation_refused()
     {
+        bool const may_go_on_later
+            = this->answer_says_not_run() && this->backend->back_off_left(this->context.now()) > 0s;
+        // It is the same run that goes on, so that this is no repeat.
+        if (may_go_on_later) {
+            this->refused_by(*this->backend);
+            return this->continue_once_wanted(this->backend, { this->move->copy_name(), this->order.last() });
+        }
         this->lose("the engine that holds its copy answered status " + std::to_string(this->answer_status()));
     }
 
--- a/Tests/Hosts/TestServersThatAskForBackOff.cpp
+++ b/Tests/Hosts/TestServersThatAskForBackOff.cpp
@@ -167,6 +167,22 @@
                 CHECK_FALSE(servers.all_calls()[1]->is_over());
             }
         }
+        WHEN("the engine ends, and that one turns away what goes on there")
+        {
+            servers.turn_away(1, 600ms);
+            source.end();
+            run_on(200ms);
+            servers.take_all_again(1);
+            REQUIRE(servers.times_asked() == 2);
+            run_on(900ms);
+            THEN("they go on there after the pause that it has asked for, and callers miss nothing")
+            {
+                CHECK(target.running_count() == 2);
+                CHECK(servers.most_from_one_host() == 0);
+                CHECK_FALSE(servers.all_calls()[0]->is_over());
+                CHECK_FALSE(servers.all_calls()[1]->is_over());
+            }
+        }
         WHEN("that one asks for a pause that is over before the engine ends")
         {
             servers.turn_away(1, 600ms);
