LibServing: Hand the platform's tables on between hosts when they start

Cause: every host listed the whole table of backend servers from the platform when it started, so bytes and calls grew as hosts times servers: some 5 MB in 21 pages for each of 986 hosts by arithmetic, and again after all hosts were killed. Each also read the whole table of hosts, and all registered in one part of it, whose writes the platform carries out one after another. A changed configuration of over 16 KB packed was read by every host.

Change: a host registers in its domain's part and reads that part only. It fetches the tables from a host of its domain, in checked chunks at a bounded rate: from one of the strongest if it is weaker, else from its parent in a tree. When all start together the first two by strength and hash read the platform; whoever finds nobody waits a bounded time and then reads. Hosts announce a coarse class of their processor and link, and the strongest read the platform and represent their domain. Large updates go from host to host in parts of 16 KB.

Tests: Tests/Fleet/TestFleetStart.cpp counts what a domain of 8 to 400 hosts reads, also with a third of the hosts dead or separated from the platform; LibServing tests the chunks, their sender and receiver.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -37,6 +37,7 @@
     { PlatformAvailable, "platform_available", Information },
     { TableListed, "table_listed", Information },
     { PlatformContentRejected, "platform_content_rejected", Error },
+    { TableLoaded, "table_loaded", Information },
     { RequestReceived, "request_received", Information },
     { RequestRefused, "request_refused", Warning },
     { GenerationQueued, "generation_queued", Information },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -37,6 +37,7 @@
     PlatformAvailable = 1302,
     TableListed = 1303,
     PlatformContentRejected = 1304,
+    TableLoaded = 1305,
     RequestReceived = 2001,
     RequestRefused = 2002,
     GenerationQueued = 2101,
--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -12,6 +12,8 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,14 @@
     u64 version { 0 };
 };
 
+/// A whole table, as one process hands it to another.
+struct TableSnapshot {
+    std::vector<Row> rows;
+    u64 version { 0 };
+    /// Version of the newest row or removal.
+    u64 last_change { 0 };
+};
+
 /// Returns the first key of the page that follows this row.
 inline std::string key_after(Row const& row) { return row.key + '\x01'; }
 
@@ -128,12 +138,42 @@
     {
     }
 
+    /// Lists the table. Has no effect if it has been listed or loaded, or is being listed.
     void start()
     {
-        this->is_calling = true;
+        if (this->is_listed || std::exchange(this->is_calling, true))
+            return;
         this->list_from({});
     }
 
+    /// Applies the whole table from another process instead of listing it. Has no effect once the table is known.
+    void load(TableSnapshot snapshot)
+    {
+        if (this->is_listed)
+            return;
+        // The result of a listing that is in progress is no longer needed.
+        this->is_superseded = this->is_calling;
+        this->apply_listing(std::move(snapshot.rows), snapshot.version);
+        this->newest_change = std::max(this->newest_change, snapshot.last_change);
+        this->apply_early_updates();
+        if (!this->is_calling)
+            this->schedule_next_call();
+        this->catch_up(this->wanted_version);
+    }
+
+    /// The whole table as this process knows it; nothing before it has been listed or loaded.
+    [[nodiscard]] std::optional<TableSnapshot> snapshot() const
+    {
+        if (!this->is_listed)
+            return {};
+        TableSnapshot snapshot { {}, this->known_version, this->newest_change };
+        snapshot.rows.reserve(this->rows.size());
+        for (auto const& [key, row] : this->rows)
+            snapshot.rows.push_back(row);
+        return snapshot;
+    }
+    [[nodiscard]] bool is_known() const { return this->is_listed; }
+
     void set_following(Following now_following)
     {
         auto const before = std::exchange(this->following, now_following);
@@ -192,6 +232,10 @@
 
     void handle_page(Result<RowPage> page)
     {
+        if (std::exchange(this->is_superseded, false)) {
+            this->listing.clear();
+            return this->schedule_next_call();
+        }
         if (!page)
             return this->retry(page.error(), [this] { this->list_from({}); });
         auto& value = page.value();
@@ -203,13 +247,33 @@
         if (this->listing_version < this->known_version)
             return this->retry(stale_response(), [this] { this->list_from({}); });
         this->record_success();
-        this->known_version = this->listing_version;
+        this->apply_listing(std::exchange(this->listing, {}), this->listing_version);
+        this->schedule_next_call();
+    }
+
+    void apply_listing(std::vector<Row> listed, u64 version)
+    {
+        this->known_version = version;
         this->is_listed = true;
         this->newest_change = 0;
-        for (auto const& row : this->listing)
+        this->rows.clear();
+        for (auto const& row : listed) {
             this->newest_change = std::max(this->newest_change, row.version);
-        this->observer.listed(std::exchange(this->listing, {}), this->known_version);
-        this->schedule_next_call();
+            this->rows[row.key] = row;
+        }
+        this->observer.listed(std::move(listed), this->known_version);
+    }
+
+    /// Applies changes that are newer than all known ones.
+    void apply_changes(std::vector<RowChange> changes)
+    {
+        for (auto const& change : changes) {
+            if (change.removed)
+                this->rows.erase(change.row.key);
+            else
+                this->rows[change.row.key] = change.row;
+        }
+        this->observer.changed(std::move(changes), this->known_version);
     }
 
     /// Calls `then` after `timeout`, unless the missing changes have arrived by then.
@@ -232,7 +296,7 @@
         this->known_version = update.page.version;
         this->record_last_change(update.page);
         if (!update.page.changes.empty())
-            this->observer.changed(std::move(update.page.changes), this->known_version);
+            this->apply_changes(std::move(update.page.changes));
     }
 
     /// Updates from different senders may arrive out of order. An early one is buffered until its predecessor arrives.
@@ -327,7 +391,7 @@
     {
         TableUpdate const update { this->newest_change, page };
         this->record_last_change(page);
-        this->observer.changed(std::move(page.changes), this->known_version);
+        this->apply_changes(std::move(page.changes));
         this->observer.fetched(update);
     }
 
@@ -366,6 +430,8 @@
         this->retry_timer.async_wait([this, again](boost::system::error_code error) {
             if (error)
                 return;
+            if (std::exchange(this->is_superseded, false))
+                return this->schedule_next_call();
             if (!this->observer.may_retry())
                 return this->call_later(this->timing.initial_retry_delay, again);
             again();
@@ -380,6 +446,8 @@
     AK::Timer delay_timer;
     AK::Timer peer_timer;
     Duration retry_delay;
+    /// The table as of `known_version`, by key.
+    std::map<std::string, Row> rows;
     std::vector<Row> listing;
     u64 listing_version { 0 };
     u64 known_version { 0 };
@@ -388,6 +456,8 @@
     u64 wanted_version { 0 };
     /// Needed besides `known_version`, since a platform that was empty when listed is at version 0, too.
     bool is_listed { false };
+    /// Another process has handed over the table while it was being listed.
+    bool is_superseded { false };
     Following following { Following::Prompt };
     bool is_calling { false };
     /// True while the next call waits for `delay_timer`.
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -21,6 +21,8 @@
 #include <LibServing/RequestHandler.h>
 #include <LibServing/RolloutCoordinator.h>
 #include <LibServing/ServiceReachability.h>
+#include <LibServing/Snapshot/HostSnapshot.h>
+#include <LibServing/Snapshot/TableLoader.h>
 #include <LibServing/TableUpdateExchange.h>
 #include <boost/asio/signal_set.hpp>
 
@@ -49,9 +51,15 @@
               { [this] { this->callers_context->limits = this->context.routing->limits(); },
                   [this](Platform::Row const& row, Error const& error) { this->reject_row(row, error); } })
         , directory_store(loop, this->settings.platform.value())
-        , directory(loop, this->directory_store, this->settings.host, this->settings.peer_address,
-              this->settings.failure_domain,
-              [this](std::vector<KnownHost> hosts) { this->peers.update_known_hosts(std::move(hosts)); })
+        , directory(loop, this->directory_store, this->settings.host,
+              { this->settings.peer_address, this->settings.failure_domain, strength_of(this->settings) },
+              { [this](std::vector<KnownHost> hosts) {
+                   this->peers.update_known_hosts(std::move(hosts), false);
+                   this->table_loader.handle_hosts_known();
+               },
+                  [this](std::vector<KnownHost> hosts) { this->peers.update_known_hosts(std::move(hosts)); },
+                  [this](Error const& error) { this->handle_platform_unavailable("hosts", error); },
+                  [this] { this->handle_platform_available("hosts"); } })
         , quarantine_store(loop, this->settings.platform.value())
         , quarantine_table(this->context, this->quarantine_store, this->peers.address())
         , configuration_store(loop, this->settings.platform.value())
@@ -71,6 +79,9 @@
               { { std::string(P::configuration_table), &this->configuration_follower },
                   { std::string(P::backend_table), &this->backend_follower },
                   { std::string(RolloutCoordinator<P>::table), &this->rollouts.follower() } })
+        , table_loader(this->context, this->peers,
+              { this->loaded_table(P::configuration_table, this->configuration_follower),
+                  this->loaded_table(P::backend_table, this->backend_follower), this->loaded_hosts() })
         , signals(loop, SIGTERM, SIGINT, SIGHUP)
         , tick_timer(loop)
     {
@@ -98,8 +109,7 @@
                 make_page([this](Http::Request const&) { return this->metrics_response(); }));
         this->configuration_follower.set_following(Platform::Following::None);
         this->backend_follower.set_following(Platform::Following::None);
-        this->configuration_follower.start();
-        this->backend_follower.start();
+        this->table_loader.start();
         this->engine_poller.start();
         this->context.backend_terminated = [this](Backend const& backend) {
             auto const server = backend.server;
@@ -183,17 +193,24 @@
     Platform::FollowerObserver make_observer(std::string_view table)
     {
         Platform::FollowerObserver observer;
-        observer.unavailable = [this, table](Error const& error) {
-            this->context.reachability.set_platform_unavailable();
-            this->log.event(Core::EventNumber::PlatformUnavailable, table).with("reason", error.message);
-        };
-        observer.available = [this, table] {
-            this->context.reachability.set_platform_available();
-            this->log.event(Core::EventNumber::PlatformAvailable, table);
-        };
+        observer.unavailable
+            = [this, table](Error const& error) { this->handle_platform_unavailable(table, error); };
+        observer.available = [this, table] { this->handle_platform_available(table); };
         return observer;
     }
 
+    void handle_platform_unavailable(std::string_view table, Error const& error)
+    {
+        this->context.reachability.set_platform_unavailable();
+        this->log.event(Core::EventNumber::PlatformUnavailable, table).with("reason", error.message);
+    }
+
+    void handle_platform_available(std::string_view table)
+    {
+        this->context.reachability.set_platform_available();
+        this->log.event(Core::EventNumber::PlatformAvailable, table);
+    }
+
     Platform::FollowerObserver make_configuration_observer()
     {
         auto observer = this->make_observer(P::configuration_table);
@@ -215,8 +232,7 @@
     {
         auto observer = this->make_observer(P::backend_table);
         observer.available = [this] {
-            this->context.reachability.set_platform_available();
-            this->log.event(Core::EventNumber::PlatformAvailable, P::backend_table);
+            this->handle_platform_available(P::backend_table);
             this->backends.handle_platform_recovery(this->settings.list_recovery_time);
         };
         observer.listed = [this](std::vector<Platform::Row> const& rows, u64 version) {
@@ -235,6 +251,33 @@
         return observer;
     }
 
+    // --- tables at the start
+
+    TableLoader::Table loaded_table(std::string_view name, Platform::ChangeFollower<typename P::Store>& follower)
+    {
+        return { std::string(name), [&follower] { return follower.is_known(); }, [&follower] { follower.start(); },
+            [&follower](Platform::TableSnapshot snapshot) { follower.load(std::move(snapshot)); },
+            [&follower] { return follower.snapshot(); } };
+    }
+
+    /// The hosts of all domains.
+    TableLoader::Table loaded_hosts()
+    {
+        auto& reachability = this->context.reachability;
+        auto is_known = [&reachability, this] {
+            return reachability.fleet_known_for(this->context.now()).has_value();
+        };
+        auto load = [this](Platform::TableSnapshot const& snapshot) {
+            this->peers.update_known_hosts(hosts_in(snapshot));
+        };
+        auto snapshot = [&reachability, this] {
+            KnownHost const own { this->peers.address(), this->settings.failure_domain, reachability.strength() };
+            return std::optional(snapshot_of_hosts(reachability.known_hosts(this->context.now()), own));
+        };
+        return { HostDirectory<typename P::Store>::table, is_known, [this] { this->directory.read_all(); }, load,
+            snapshot };
+    }
+
     // --- table updates between hosts
 
     PeerLink::Observer make_peer_observer()
@@ -249,7 +292,16 @@
         observer.update_received = [this](wire::PlatformNews const& update, bool is_local_sender) {
             this->table_updates.handle_update(update, is_local_sender);
         };
+        observer.snapshot_requested = [this](wire::SnapshotRequest const& request, Address const& sender) {
+            this->table_loader.handle_request(request, sender);
+        };
+        observer.snapshot_received = [this](wire::SnapshotChunk const& chunk, Address const& sender) {
+            this->table_loader.handle_chunk(chunk, sender);
+        };
         observer.progress_received = [this](std::string const& table, u64 last_change, Address const& host) {
+            this->table_loader.handle_holder(table, host);
+            // A host that knows any table has been running for long enough to know the other hosts.
+            this->table_loader.handle_holder(HostDirectory<typename P::Store>::table, host);
             this->table_updates.handle_progress(table, last_change, host);
         };
         observer.updates_since
@@ -381,6 +433,7 @@
     {
         this->backends.tick();
         this->update_unreachable_services();
+        this->table_loader.tick();
         this->update_following();
         this->update_allowance_share();
         this->quarantine_table.tick();
@@ -464,6 +517,7 @@
     Platform::ChangeFollower<typename P::Store> backend_follower;
     RolloutCoordinator<P> rollouts;
     TableUpdateExchange<typename P::Store> table_updates;
+    TableLoader table_loader;
     std::shared_ptr<Http::CallerContext> callers_context;
     std::optional<Http::CallerServer> callers;
     std::optional<Http::CallerServer> readiness;
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -5,7 +5,9 @@
  */
 
 #include <LibServing/HostSettings.h>
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <xxhash.h>
 
 namespace Serving {
@@ -23,6 +25,15 @@
     return fallback;
 }
 
+u32 strength_of(HostSettings const& settings)
+{
+    constexpr double cores_of_class_one = 0.2;
+    constexpr double link_of_class_one = 20;
+    auto const ratio
+        = std::min(settings.cores / cores_of_class_one, settings.link_megabits_per_second / link_of_class_one);
+    return ratio < 1 ? 0 : 1 + static_cast<u32>(std::log2(ratio));
+}
+
 HostSettings read_host_settings(Core::SettingsReader& reader)
 {
     HostSettings settings;
@@ -36,6 +47,8 @@
     auto const announced = reader.text_or("host.peer_address", "");
     settings.peer_address = announced.empty() ? settings.peer_listen : Address(reader.address("host.peer_address"));
     settings.platform = Address(reader.address("host.platform"));
+    settings.cores = number_or(reader, "host.cores", settings.cores) * number_or(reader, "host.cpu_share", 1);
+    settings.link_megabits_per_second = number_or(reader, "host.link_megabits", settings.link_megabits_per_second);
     settings.stop_grace = reader.duration_or("host.stop_grace", settings.stop_grace);
     settings.drain_time = reader.duration_or("backends.drain_time", settings.drain_time);
     settings.list_recovery_time = reader.duration_or("backends.list_recovery_time", settings.list_recovery_time);
--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -27,6 +27,10 @@
     Address peer_listen;
     /// Address that is announced to the other entry hosts; differs from `peer_listen` behind a port forwarder.
     Address peer_address;
+    /// Processor cores that this host may use.
+    double cores { 0 };
+    /// Bandwidth of its link, in megabits per second.
+    double link_megabits_per_second { 10 };
     /// Maximum time from the stop signal to the end of the process.
     Duration stop_grace { 8s };
     /// Time for which a backend server continues to run after it has reported that it is leaving.
@@ -47,6 +51,10 @@
     u32 random_seed { 1 };
 };
 
+/// Class of a host by its processor and link, in powers of two, so that small differences do not matter. The weaker of
+/// both decides.
+u32 strength_of(HostSettings const&);
+
 HostSettings read_host_settings(Core::SettingsReader&);
 
 }
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -75,13 +75,13 @@
     this->schedule_digest();
 }
 
-void PeerLink::update_known_hosts(std::vector<KnownHost> hosts)
+void PeerLink::update_known_hosts(std::vector<KnownHost> hosts, bool is_complete)
 {
     std::erase_if(hosts, [this](KnownHost const& host) { return host.address == this->address(); });
-    this->context.reachability.update_known_hosts(hosts, this->context.now());
-    for (auto const& [address, domain] : hosts) {
-        if (domain == this->context.settings.failure_domain && this->peers.insert(address).second)
-            this->send_full_state(address, true);
+    this->context.reachability.update_known_hosts(hosts, this->context.now(), is_complete);
+    for (auto const& host : hosts) {
+        if (host.domain == this->context.settings.failure_domain && this->peers.insert(host.address).second)
+            this->send_full_state(host.address, true);
     }
 }
 
@@ -182,6 +182,20 @@
         std::move(update));
 }
 
+void PeerLink::send_snapshot_request(Address const& holder, wire::SnapshotRequest request)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_snapshot_request() = std::move(request);
+    this->transport.send(holder, std::move(envelope));
+}
+
+void PeerLink::send_snapshot_chunk(Address const& receiver, wire::SnapshotChunk chunk)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_snapshot_chunk() = std::move(chunk);
+    this->transport.send(receiver, std::move(envelope));
+}
+
 void PeerLink::send_tally(std::span<Address const> receivers, wire::RolloutTally tally)
 {
     wire::Envelope envelope;
@@ -317,6 +331,7 @@
     message.set_period_milliseconds(static_cast<u32>(AK::to_milliseconds(own.period)));
     message.set_platform_is_lost(own.platform_unavailable);
     message.set_hosts_of_domain(own.hosts_of_domain);
+    message.set_strength(own.strength);
     put_recent_request_terminations(message, this->context, this->rounds);
     for (auto const& [table, last_change] : this->observer.own_progress()) {
         auto& progress = *message.add_tables();
@@ -379,6 +394,10 @@
     }
     if (envelope.has_news_fetch())
         return this->handle_fetch(sender, envelope.news_fetch());
+    if (envelope.has_snapshot_request())
+        return this->observer.snapshot_requested(envelope.snapshot_request(), sender);
+    if (envelope.has_snapshot_chunk())
+        return this->observer.snapshot_received(envelope.snapshot_chunk(), sender);
     if (envelope.has_rollout_tally())
         return this->observer.tally_received(envelope.rollout_tally(), sender);
     if (!envelope.has_platform_news())
@@ -393,7 +412,7 @@
 static Reachability::HostStatus status_in(wire::HostUse const& message)
 {
     return { FailureDomainId(message.failure_domain()), std::chrono::milliseconds(message.period_milliseconds()),
-        message.platform_is_lost(), message.hosts_of_domain() };
+        message.platform_is_lost(), message.hosts_of_domain(), message.strength() };
 }
 
 void PeerLink::handle_host_message(Address const& sender, std::string const& name, wire::HostUse const& message)
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -37,6 +37,13 @@
         std::function<void(std::string const& table, u64 last_change, Address const& host)> progress_received;
         /// Returns the logged updates of a table after a version.
         std::function<std::vector<wire::PlatformNews>(std::string const& table, u64 version)> updates_since;
+        /// Another host requests or sends a chunk of a snapshot.
+        std::function<void(wire::SnapshotRequest const&, Address const& sender)> snapshot_requested {
+            [](wire::SnapshotRequest const&, Address const&) {}
+        };
+        std::function<void(wire::SnapshotChunk const&, Address const& sender)> snapshot_received {
+            [](wire::SnapshotChunk const&, Address const&) {}
+        };
         /// Another host reports its tally of a roll-out, or its domain's.
         std::function<void(wire::RolloutTally const&, Address const& sender)> tally_received {
             [](wire::RolloutTally const&, Address const&) {}
@@ -51,8 +58,12 @@
     [[nodiscard]] std::vector<Address> reachable_local_addresses() const;
     [[nodiscard]] Address const& address() const { return this->transport.announced_address(); }
 
-    /// Applies the platform's table of hosts, which may contain this host.
-    void update_known_hosts(std::vector<KnownHost> hosts);
+    /// Applies hosts of the platform's table, which may contain this host. `is_complete`: these are all of them.
+    void update_known_hosts(std::vector<KnownHost> hosts, bool is_complete = true);
+    void send_snapshot_request(Address const& holder, wire::SnapshotRequest);
+    void send_snapshot_chunk(Address const& receiver, wire::SnapshotChunk);
+    /// Reports this host's state to its domain at once, for example when it has loaded a table.
+    void broadcast_full_state();
     void backend_added(Backend& backend) { this->peer_use.apply_to(backend); }
     /// Announces to the other hosts that a backend server is leaving, in case they have not read it from the platform.
     void announce_leaving(Backend const&);
@@ -85,7 +96,6 @@
     void probe_silent_peers();
     void schedule_delta();
     void schedule_domain_delta();
-    void broadcast_full_state();
     void complete_full_state(wire::HostUse&, Duration period);
     [[nodiscard]] size_t own_representative_rank() const;
     [[nodiscard]] Duration period() const;
--- a/Libraries/LibServing/Reachability.cpp
+++ b/Libraries/LibServing/Reachability.cpp
@@ -49,20 +49,55 @@
         known->second.last_seen = now;
 }
 
-void Reachability::update_known_hosts(std::span<KnownHost const> known, Instant now)
+void Reachability::update_known_hosts(std::span<KnownHost const> known, Instant now, bool is_complete)
 {
     for (auto const& host : known) {
-        if (!this->hosts.contains(host.address))
-            this->entry_of(host.address, now).status.domain = host.domain;
+        if (this->hosts.contains(host.address))
+            continue;
+        auto& status = this->entry_of(host.address, now).status;
+        status.domain = host.domain;
+        status.strength = host.strength;
     }
-    if (!this->table_read_at)
+    if (is_complete && !this->table_read_at)
         this->table_read_at = now;
 }
 
+std::vector<KnownHost> Reachability::known_hosts(Instant now) const
+{
+    std::vector<KnownHost> known;
+    for (auto const& [address, host] : this->hosts) {
+        if (may_serve(host, now))
+            known.push_back({ address, host.status.domain, host.status.strength });
+    }
+    return known;
+}
+
+std::vector<KnownHost> Reachability::local_hosts(Duration recently, Instant now) const
+{
+    auto known = this->known_hosts(now);
+    std::erase_if(known, [&](KnownHost const& entry) {
+        auto const& host = this->hosts.at(entry.address);
+        return entry.domain != this->own_domain || (is_silent(host, now) && now - host.known_since >= recently);
+    });
+    return known;
+}
+
+/// The order of the hosts of a domain as its representatives and as readers of the platform. Hosts to which the platform
+/// is available come first, then the strongest ones; hashes of addresses order the rest.
+std::tuple<bool, u32, u64> Reachability::precedence_of(Host const& host)
+{
+    return { !host.status.platform_unavailable, host.status.strength, rank(host.hash, hash_of(reading_duty)) };
+}
+
+std::tuple<bool, u32, u64> Reachability::own_precedence(Address const& own_address) const
+{
+    return { !this->platform_unavailable, this->own_strength, rank(own_address, hash_of(reading_duty)) };
+}
+
 Reachability::HostStatus Reachability::own_status(Duration period, Instant now) const
 {
     return { this->own_domain, period, this->platform_unavailable,
-        this->table_read_at ? this->hosts_of_own_domain(now) : 0 };
+        this->table_read_at ? this->hosts_of_own_domain(now) : 0, this->own_strength };
 }
 
 u32 Reachability::hosts_of_own_domain(Instant now) const
@@ -166,31 +201,30 @@
 
 size_t Reachability::available_readers_before(Address const& own_address, Instant now) const
 {
-    auto const duty = hash_of(reading_duty);
-    auto const own_rank = rank(own_address, duty);
+    auto const own = this->own_precedence(own_address);
     return static_cast<size_t>(std::ranges::count_if(this->hosts, [&](auto const& entry) {
-        return this->is_available_reader(entry.second, now) && rank(entry.second.hash, duty) > own_rank;
+        // Whether the platform is available to this host itself does not matter here.
+        auto precedence = precedence_of(entry.second);
+        std::get<0>(precedence) = std::get<0>(own);
+        return this->is_available_reader(entry.second, now) && precedence > own;
     }));
 }
 
 size_t Reachability::representatives_before(Address const& own_address, Instant now) const
 {
-    auto const duty = hash_of(reading_duty);
-    auto const own = std::pair(!this->platform_unavailable, rank(own_address, duty));
+    auto const own = this->own_precedence(own_address);
     return static_cast<size_t>(std::ranges::count_if(this->hosts, [&](auto const& entry) {
         auto const& host = entry.second;
-        return host.status.domain == this->own_domain && !is_silent(host, now)
-            && std::pair(!host.status.platform_unavailable, rank(host.hash, duty)) > own;
+        return host.status.domain == this->own_domain && !is_silent(host, now) && precedence_of(host) > own;
     }));
 }
 
 Address Reachability::first_representative(Address const& own_address, Instant now) const
 {
-    auto const duty = hash_of(reading_duty);
-    auto first = std::pair(!this->platform_unavailable, rank(own_address, duty));
+    auto first = this->own_precedence(own_address);
     auto representative = own_address;
     for (auto const& [address, host] : this->hosts) {
-        auto const precedence = std::pair(!host.status.platform_unavailable, rank(host.hash, duty));
+        auto const precedence = precedence_of(host);
         if (host.status.domain != this->own_domain || is_silent(host, now) || precedence <= first)
             continue;
         first = precedence;
--- a/Libraries/LibServing/Reachability.h
+++ b/Libraries/LibServing/Reachability.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <tuple>
 #include <vector>
 
 namespace Serving {
@@ -18,6 +19,8 @@
 struct KnownHost {
     Address address;
     FailureDomainId domain;
+    /// Class of its processor and link; the higher, the more it can carry.
+    u32 strength { 0 };
 };
 
 /// Tracks the other hosts and when each was last seen. From that it derives which hosts represent a failure domain,
@@ -25,8 +28,9 @@
 /// each other; from other domains they receive messages from the representatives only.
 class Reachability {
 public:
-    explicit Reachability(FailureDomainId own_domain)
+    explicit Reachability(FailureDomainId own_domain, u32 own_strength = 0)
         : own_domain(std::move(own_domain))
+        , own_strength(own_strength)
     {
     }
 
@@ -44,14 +48,22 @@
         bool platform_unavailable { false };
         /// Number of hosts of its domain that may be serving, as known to the host; 0 while unknown.
         u32 hosts_of_domain { 0 };
+        /// Class of its processor and link. The strongest hosts of a domain represent it and read the platform.
+        u32 strength { 0 };
     };
 
     /// Records a full state message from a host.
     void record_message(Address const& host, HostStatus const& status, Instant now);
     /// Records any other message from a host.
     void record_message(Address const& host, Instant now);
-    /// Adds the other hosts of the platform's table, as read at `now`. A newly added host counts as not yet seen.
-    void update_known_hosts(std::span<KnownHost const>, Instant now);
+    /// Adds other hosts of the platform's table, as read at `now`. A newly added host counts as not yet seen.
+    /// `is_complete`: these are all hosts of all domains.
+    void update_known_hosts(std::span<KnownHost const>, Instant now, bool is_complete = true);
+    /// All known hosts that may be serving, except this one.
+    [[nodiscard]] std::vector<KnownHost> known_hosts(Instant now) const;
+    /// The other hosts of this domain that are reachable or have become known within `recently`.
+    [[nodiscard]] std::vector<KnownHost> local_hosts(Duration recently, Instant now) const;
+    [[nodiscard]] u32 strength() const { return this->own_strength; }
     /// The status of this host. `period`: time until its next full state message.
     [[nodiscard]] HostStatus own_status(Duration period, Instant now) const;
     void set_platform_unavailable() { this->platform_unavailable = true; }
@@ -147,6 +159,8 @@
     {
         return now - std::max(host.last_seen, host.known_since) <= counted_after_silence;
     }
+    [[nodiscard]] static std::tuple<bool, u32, u64> precedence_of(Host const&);
+    [[nodiscard]] std::tuple<bool, u32, u64> own_precedence(Address const& own_address) const;
     Host& entry_of(Address const& host, Instant now);
     /// Number of hosts of this domain that may be serving, including this host.
     [[nodiscard]] u32 hosts_of_own_domain(Instant now) const;
@@ -163,6 +177,7 @@
     [[nodiscard]] std::vector<Address> receivers_in(FailureDomainId const& domain, u64 draw, Instant now) const;
 
     FailureDomainId own_domain;
+    u32 own_strength;
     std::map<Address, Host> hosts;
     bool platform_unavailable { false };
     /// When the platform's table of hosts was first read; empty before that.
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -31,7 +31,7 @@
         , connections(loop)
         , backends(settings.regions)
         , budget(settings.retry_budget)
-        , reachability(settings.failure_domain)
+        , reachability(settings.failure_domain, strength_of(settings))
         , server_limits(reachability, settings.peer_address)
         , processes(loop)
         , rollouts(
--- a/Libraries/LibServing/TableUpdateExchange.h
+++ b/Libraries/LibServing/TableUpdateExchange.h
@@ -8,6 +8,7 @@
 
 #include <LibServing/BackendList.h>
 #include <LibServing/PeerLink.h>
+#include <LibServing/TableUpdateChunks.h>
 #include <LibServing/TableUpdateLog.h>
 #include <LibServing/TableUpdateRows.h>
 
@@ -42,22 +43,28 @@
         message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
         put_rows(message, update.page.changes, max_update_bytes);
         this->logs[message.table()].add(message);
-        if (this->context.reachability.is_primary_reader(this->peers.address(), this->context.now()))
-            this->peers.announce_update(std::move(message));
+        if (!this->context.reachability.is_primary_reader(this->peers.address(), this->context.now()))
+            return;
+        for (auto& part : split_update(message))
+            this->peers.announce_update(std::move(part));
     }
 
     /// Handles an update that another host has read or forwarded.
-    void handle_update(wire::PlatformNews const& message, bool is_local_sender)
+    void handle_update(wire::PlatformNews const& received, bool is_local_sender)
     {
-        auto* follower = this->follower_of(message.table());
+        auto* follower = this->follower_of(received.table());
         if (!follower)
             return;
-        bool const is_known = message.version() <= follower->version();
+        bool const is_known = received.version() <= follower->version();
         // An update from another domain is unknown to this domain, unless this domain's reader has sent it already.
         if (is_local_sender || !is_known)
-            this->peers.relay(message, is_local_sender);
+            this->peers.relay(received, is_local_sender);
         if (is_known)
             return;
+        auto const complete = this->chunks.add(received);
+        if (!complete)
+            return;
+        auto const& message = *complete;
         auto rows = rows_of(message);
         if (!rows)
             this->context.log.event(Core::EventNumber::PlatformContentRejected, message.table())
@@ -95,8 +102,13 @@
     /// The logged updates for another host that knows a table up to `version`.
     [[nodiscard]] std::vector<wire::PlatformNews> since(std::string const& table, u64 version) const
     {
+        std::vector<wire::PlatformNews> parts;
         auto log = this->logs.find(table);
-        return log == this->logs.end() ? std::vector<wire::PlatformNews>() : log->second.since(version);
+        if (log == this->logs.end())
+            return parts;
+        for (auto const& update : log->second.since(version))
+            std::ranges::move(split_update(update), std::back_inserter(parts));
+        return parts;
     }
 
     /// The last change of each table that this host knows.
@@ -111,9 +123,9 @@
     }
 
 private:
-    /// Hosts read larger updates from the platform. Sending an update of this size to a relay's receivers takes 100 ms
-    /// on a 10 Mbit/s link; a configuration of 45 routes is 2.2 KB when packed.
-    static constexpr size_t max_update_bytes = 16 << 10;
+    /// Hosts read larger updates from the platform. A configuration of 330 organisations and 250 routes is some 30 KB
+    /// when packed.
+    static constexpr size_t max_update_bytes = 256 << 10;
 
     Follower* follower_of(std::string_view table) const
     {
@@ -126,6 +138,7 @@
     BackendList& backends;
     Followers followers;
     std::map<std::string, TableUpdateLog> logs;
+    TableUpdateChunks chunks;
     /// The host that last reported a version newer than the one known here.
     std::optional<Address> last_host_ahead;
 };
--- a/Tests/Platform/TestPlatformUpdates.cpp
+++ b/Tests/Platform/TestPlatformUpdates.cpp
@@ -85,7 +85,7 @@
     HostFixture first;
     auto& engine = first.add_runner("engine-1", "models");
     first.start_ready_host();
-    first.until([&] { return first.store.rows("lilactiller_hosts").contains("host-1"); });
+    first.until([&] { return first.store.rows("lilactiller_hosts/hall-a").contains("host-1"); });
 
     Core::StructuredLog other_log([](std::string_view text) { return text.size(); });
     auto settings = first.settings();
