LibServing: Send full state in turn within large domains

Cause: each host of a domain sent its full state to every other one each second, so messages grew with the square of the domain: 197 hosts send 38,600 a second.

Change: the first eight hosts as representatives send to all and receive from all in each period. The others send to those eight, and to the rest in turn, one round in 60 ms a host. The first representative announces hosts that have fallen silent, unless it has lost most of them at once; who has received a message lately does not count such a host as lost. Domains of up to 16 hosts are as before.

By arithmetic a domain of 197 hosts sends 6,400 full states a second. Test: "the messages of a host do not grow with its domain, and a lost host is noticed all the same".

--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -27,6 +27,9 @@
 static constexpr Duration period_per_peer = 60ms;
 static constexpr Duration min_period = 300ms;
 static constexpr Duration max_period = 1s;
+/// Number of hosts of a large domain that send to all others and receive from all others in every period.
+static constexpr size_t frequent_hosts = 8;
+static constexpr u32 loss_announcements = 3;
 /// Period of the full state messages that a domain's first representative sends to other domains. The second
 /// representative's period is twice as long. A domain counts as silent after one second without messages.
 static constexpr Duration digest_period = 500ms;
@@ -259,6 +262,7 @@
         for (auto const& name : this->peer_use.forget_silent(this->context.backends, this->context.now()))
             this->context.log.event(Core::EventNumber::MemberLost, name.value());
         this->broadcast_full_state();
+        this->announce_lost_hosts();
         if (++this->rounds % rounds_between_probes == 0)
             this->probe_silent_peers();
         this->schedule_full_state();
@@ -340,14 +344,97 @@
     }
 }
 
+/// In a large domain, most hosts send their full state frequently only to the hosts that come first as representatives,
+/// which notice when one falls silent and announce it. The others get it in turn, so that the number of messages that a
+/// host sends does not grow with its domain. Deltas go to all.
 void PeerLink::broadcast_full_state()
 {
-    auto message = this->own_use.full_state(this->context.backends);
-    this->complete_full_state(message, this->period());
-    put_recent_rate_limits(message, this->context, LimitScope::Own);
+    auto const now = this->context.now();
+    auto const reachable = this->reachable_local_addresses();
+    bool const is_large = this->background_period() > this->period();
+    bool const is_frequent = this->own_representative_rank() < frequent_hosts;
+    // The other hosts of a large domain reach few hosts soon enough to repeat a lost announcement of a limit.
+    auto const limit_scope = is_large && is_frequent ? LimitScope::All : LimitScope::Own;
+    auto const state = this->own_use.full_state(this->context.backends);
+    auto send_to = [&](std::vector<Address> const& receivers, Duration next_in) {
+        auto message = state;
+        this->complete_full_state(message, next_in);
+        put_recent_rate_limits(message, this->context, limit_scope);
+        this->send(receivers, std::move(message));
+    };
+    if (!is_large || is_frequent)
+        return send_to(reachable, this->period());
+    auto const first = this->context.reachability.first_local_hosts(frequent_hosts, now);
+    send_to(first, this->period());
+    auto others = this->next_background_receivers(reachable);
+    std::erase_if(others, [&](Address const& host) { return std::ranges::find(first, host) != first.end(); });
+    send_to(others, this->background_period());
+}
+
+Duration PeerLink::background_period() const
+{
+    return std::max<Duration>(this->period(), static_cast<i64>(this->peers.size()) * period_per_peer);
+}
+
+/// The next of the reachable hosts in turn, so many that each gets a message in every background period.
+std::vector<Address> PeerLink::next_background_receivers(std::vector<Address> const& reachable)
+{
+    auto const rounds_per_turn = std::max<i64>(1, this->background_period() / this->period());
+    auto const count
+        = (reachable.size() + static_cast<size_t>(rounds_per_turn) - 1) / static_cast<size_t>(rounds_per_turn);
+    auto next = std::ranges::upper_bound(reachable, this->last_background_receiver);
+    std::vector<Address> receivers;
+    while (receivers.size() < count) {
+        if (next == reachable.end())
+            next = reachable.begin();
+        receivers.push_back(*next++);
+    }
+    if (!receivers.empty())
+        this->last_background_receiver = receivers.back();
+    return receivers;
+}
+
+/// Announces the hosts that have fallen silent, three times each. A host that has lost most others at once is itself
+/// partitioned or was suspended, and announces nothing.
+void PeerLink::announce_lost_hosts()
+{
+    auto const reachable = this->reachable_local_addresses();
+    std::set<Address> const reachable_now(reachable.begin(), reachable.end());
+    auto const before = std::exchange(this->reachable_before, reachable_now);
+    if (this->background_period() <= this->period() || this->own_representative_rank() > 0)
+        return this->lost_hosts.clear();
+    std::vector<Address> newly_lost;
+    std::ranges::set_difference(before, reachable_now, std::back_inserter(newly_lost));
+    if (2 * newly_lost.size() > before.size())
+        return;
+    for (auto const& host : newly_lost)
+        this->lost_hosts[host] = loss_announcements;
+    std::erase_if(
+        this->lost_hosts, [&](auto const& lost) { return lost.second == 0 || reachable_now.contains(lost.first); });
+    if (this->lost_hosts.empty())
+        return;
+    wire::HostUse message;
+    for (auto& [host, left] : this->lost_hosts) {
+        message.add_lost_hosts(host.value());
+        --left;
+    }
     this->broadcast(message);
 }
 
+void PeerLink::handle_lost_hosts(wire::HostUse const& message)
+{
+    for (auto const& text : message.lost_hosts()) {
+        Address const host(text);
+        if (!this->context.reachability.record_loss(host, this->context.now()))
+            continue;
+        auto const name = this->names.find(host);
+        if (name == this->names.end())
+            continue;
+        this->peer_use.forget(name->second, this->context.backends);
+        this->context.log.event(Core::EventNumber::MemberLost, name->second.value());
+    }
+}
+
 void PeerLink::broadcast(wire::HostUse const& message) { this->send(this->reachable_local_addresses(), message); }
 
 void PeerLink::send_to_remote_domains(wire::HostUse message)
@@ -418,6 +505,7 @@
 void PeerLink::handle_host_message(Address const& sender, std::string const& name, wire::HostUse const& message)
 {
     auto now = this->context.now();
+    this->names.insert_or_assign(sender, MemberId(name));
     if (!this->context.reachability.is_reachable(sender, now))
         this->context.log.event(Core::EventNumber::MemberJoined, name).with("address", sender);
     if (message.is_whole()) {
@@ -432,6 +520,7 @@
     if (message.engines_size() > 0)
         this->schedule_domain_delta();
     apply_suspicions(this->context, MemberId(name), message);
+    this->handle_lost_hosts(message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
     apply_refusals(this->context, message);
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -99,6 +99,8 @@
     void complete_full_state(wire::HostUse&, Duration period);
     [[nodiscard]] size_t own_representative_rank() const;
     [[nodiscard]] Duration period() const;
+    /// Time between two full state messages to a host that gets them in turn.
+    [[nodiscard]] Duration background_period() const;
     [[nodiscard]] Duration domain_delta_delay() const;
     void broadcast(wire::HostUse const&);
     void send_to_remote_domains(wire::HostUse);
@@ -112,6 +114,9 @@
     void handle_host_message(Address const& sender, std::string const& name, wire::HostUse const&);
     void handle_domain_message(Address const& sender, wire::HostUse const&);
     void handle_progress(Address const& sender, wire::HostUse const&);
+    [[nodiscard]] std::vector<Address> next_background_receivers(std::vector<Address> const& reachable);
+    void announce_lost_hosts();
+    void handle_lost_hosts(wire::HostUse const&);
     void handle_leaving_list(wire::HostUse const&);
     void handle_terminated_list(wire::HostUse const&);
 
@@ -124,6 +129,13 @@
     AK::Timer domain_delta_timer;
     /// The other hosts of this host's failure domain.
     std::set<Address> peers;
+    std::map<Address, MemberId> names;
+    /// The local hosts that were reachable in the previous round, and those that are being announced as lost, with the
+    /// number of further announcements.
+    std::set<Address> reachable_before;
+    std::map<Address, u32> lost_hosts;
+    /// The last host that got a background message; they are sent in the order of addresses.
+    Address last_background_receiver;
     PeerUse peer_use;
     OwnUse own_use { UseScope::Host };
     OwnUse domain_use { UseScope::Domain };
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -92,6 +92,15 @@
     return forgotten;
 }
 
+void PeerUse::forget(MemberId const& name, BackendTable& table)
+{
+    auto found = this->hosts.find(name);
+    if (found == this->hosts.end())
+        return;
+    forget_all_but(found->second, {}, table);
+    this->hosts.erase(found);
+}
+
 void PeerUse::apply_to(Backend& backend) const
 {
     for (auto const& [name, host] : this->hosts) {
--- a/Libraries/LibServing/PeerUse.h
+++ b/Libraries/LibServing/PeerUse.h
@@ -34,6 +34,8 @@
     void apply(MemberId const& host, wire::HostUse const&, BackendTable&, Instant now);
     /// Drops the use of hosts that have been silent for too long. Returns the names of these hosts.
     std::vector<MemberId> forget_silent(BackendTable&, Instant now);
+    /// Drops the use of a host.
+    void forget(MemberId const& host, BackendTable&);
     /// Adds the known use to an engine that has just been added to the table.
     void apply_to(Backend&) const;
     [[nodiscard]] size_t count() const { return this->hosts.size(); }
--- a/Libraries/LibServing/Reachability.cpp
+++ b/Libraries/LibServing/Reachability.cpp
@@ -14,6 +14,9 @@
 /// The subject whose ranks order the hosts of a domain as readers of the platform and as representatives of the domain.
 static constexpr std::string_view reading_duty = "platform";
 
+/// A host that another one reports as lost must have been silent towards this host for this long.
+static constexpr Duration min_loss_silence = 1500ms;
+
 static u64 hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
 /// The rank of a host for a subject. It takes hashes that are computed once, since a host computes the ranks of all
@@ -40,13 +43,28 @@
     auto& entry = this->entry_of(host, now);
     entry.status = status;
     entry.last_seen = now;
+    entry.is_reported_lost = false;
+}
+
+bool Reachability::record_loss(Address const& host, Instant now)
+{
+    auto known = this->hosts.find(host);
+    if (known == this->hosts.end() || known->second.status.domain != this->own_domain)
+        return false;
+    auto& entry = known->second;
+    if (is_silent(entry, now) || now - entry.last_seen <= min_loss_silence)
+        return false;
+    entry.is_reported_lost = true;
+    return true;
 }
 
 void Reachability::record_message(Address const& host, Instant now)
 {
     auto known = this->hosts.find(host);
-    if (known != this->hosts.end())
-        known->second.last_seen = now;
+    if (known == this->hosts.end())
+        return;
+    known->second.last_seen = now;
+    known->second.is_reported_lost = false;
 }
 
 void Reachability::update_known_hosts(std::span<KnownHost const> known, Instant now, bool is_complete)
@@ -82,8 +100,8 @@
     return known;
 }
 
-/// The order of the hosts of a domain as its representatives and as readers of the platform. Hosts to which the platform
-/// is available come first, then the strongest ones; hashes of addresses order the rest.
+/// The order of the hosts of a domain as its representatives and as readers of the platform. Hosts to which the
+/// platform is available come first, then the strongest ones; hashes of addresses order the rest.
 std::tuple<bool, u32, u64> Reachability::precedence_of(Host const& host)
 {
     return { !host.status.platform_unavailable, host.status.strength, rank(host.hash, hash_of(reading_duty)) };
@@ -219,6 +237,21 @@
     }));
 }
 
+std::vector<Address> Reachability::first_local_hosts(size_t count, Instant now) const
+{
+    std::vector<std::pair<std::tuple<bool, u32, u64>, Address>> ordered;
+    for (auto const& [address, host] : this->hosts) {
+        if (host.status.domain == this->own_domain && !is_silent(host, now))
+            ordered.emplace_back(precedence_of(host), address);
+    }
+    count = std::min(count, ordered.size());
+    std::ranges::partial_sort(ordered, ordered.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::greater {});
+    std::vector<Address> first;
+    for (size_t i = 0; i < count; ++i)
+        first.push_back(ordered[i].second);
+    return first;
+}
+
 Address Reachability::first_representative(Address const& own_address, Instant now) const
 {
     auto first = this->own_precedence(own_address);
--- a/Libraries/LibServing/Reachability.h
+++ b/Libraries/LibServing/Reachability.h
@@ -56,6 +56,9 @@
     void record_message(Address const& host, HostStatus const& status, Instant now);
     /// Records any other message from a host.
     void record_message(Address const& host, Instant now);
+    /// Another host reports that a host of this domain has fallen silent. Has no effect if this host has received a
+    /// message of it lately. Returns whether the host is silent from now on.
+    bool record_loss(Address const& host, Instant now);
     /// Adds other hosts of the platform's table, as read at `now`. A newly added host counts as not yet seen.
     /// `is_complete`: these are all hosts of all domains.
     void update_known_hosts(std::span<KnownHost const>, Instant now, bool is_complete = true);
@@ -86,6 +89,8 @@
     /// Whether this host is the one reader, among all reachable domains, that polls the platform promptly and sends
     /// updates to the others.
     [[nodiscard]] bool is_leading_reader(Address const& own_address, Instant now) const;
+    /// The reachable hosts of this domain that come first as its representatives, without this host, at most `count`.
+    [[nodiscard]] std::vector<Address> first_local_hosts(size_t count, Instant now) const;
     /// The first representative of this host's domain, which may be this host.
     [[nodiscard]] Address first_representative(Address const& own_address, Instant now) const;
     /// The other domains of which a host is reachable.
@@ -144,12 +149,15 @@
         Instant last_seen {};
         /// When this host first learned of the other one.
         Instant known_since {};
+        /// Another host has reported that it has fallen silent, and no message of it has arrived since.
+        bool is_reported_lost { false };
         /// Hash of the address. Combined with the hash of a subject it gives the host's rank for that subject.
         u64 hash { 0 };
     };
     [[nodiscard]] static bool is_silent(Host const& host, Instant now)
     {
-        return now - host.last_seen > tolerated_missing_messages * host.status.period + tolerated_lateness;
+        return host.is_reported_lost
+            || now - host.last_seen > tolerated_missing_messages * host.status.period + tolerated_lateness;
     }
     [[nodiscard]] static bool is_forgotten(Host const& host, Instant now)
     {
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -237,8 +237,8 @@
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
         auto const now = this->context.now();
         auto const inputs = this->choice_inputs(other_domain_cost, {});
-        bool const some_serve = std::ranges::any_of(
-            candidates, [&](auto const& candidate) { return is_eligible(*candidate, inputs); });
+        bool const some_serve
+            = std::ranges::any_of(candidates, [&](auto const& candidate) { return is_eligible(*candidate, inputs); });
         if (some_serve)
             return this->respond_with_error(
                 { ErrorKind::Overloaded, "the backend servers of the service take no more now; send the call again",
--- a/Tests/LibServing/TestPeerLink.cpp
+++ b/Tests/LibServing/TestPeerLink.cpp
@@ -243,3 +243,64 @@
     CHECK(fleet.hosts.size() == 1);
     CHECK(remaining.reachability.reachable_local_hosts(remaining.now()) == 0);
 }
+
+SCENARIO("the messages of a host do not grow with its domain, and a lost host is noticed all the same")
+{
+    constexpr int host_count = 60;
+    PeerFleet fleet({ "hall-a" }, host_count);
+    fleet.until_connected();
+    auto run_for = [&](Duration span) {
+        fleet.loop.restart();
+        fleet.loop.run_for(span);
+    };
+    auto sent_by_all = [&] {
+        u64 sent = 0;
+        for (auto const& host : fleet.hosts)
+            sent += host.context.metrics.counter("lilac_peer_messages_sent_total");
+        return sent;
+    };
+    run_for(1s);
+    auto const before = sent_by_all();
+    run_for(3s);
+    // The first eight hosts send to all others in each second; each of the rest sends to those eight, and in turn to
+    // all others within a background period of 3.5 s, of which three rounds are left. Four rounds may fall into three
+    // seconds.
+    constexpr u64 first = 8;
+    constexpr u64 in_turn = host_count / 3;
+    constexpr u64 per_round = first * (host_count - 1) + (host_count - first) * (first + in_turn);
+    auto const sent = sent_by_all() - before;
+    CHECK(sent <= 4 * per_round);
+    CHECK(sent < 3 * u64(host_count) * (host_count - 1) * 3 / 4);
+
+    WHEN("a host terminates that is none of the first")
+    {
+        auto const lost = std::ranges::max_element(fleet.hosts, {}, [](PeerHost const& host) {
+            return host.context.reachability.representatives_before(host.address(), host.context.now());
+        });
+        auto const address = lost->address();
+        fleet.hosts.erase(lost);
+        auto const begun = AK::BootClock::now();
+        fleet.until_all(
+            [&](PeerHost const& host) { return !host.context.reachability.is_reachable(address, host.context.now()); });
+        THEN("all others notice it sooner than by its own missing messages")
+        {
+            CHECK(AK::BootClock::now() - begun < 5s);
+        }
+    }
+    WHEN("a host reports one as lost that still sends messages")
+    {
+        auto& host = fleet.hosts.front();
+        auto const& other = fleet.hosts.back();
+        auto const now = host.context.now();
+        host.context.reachability.record_message(other.address(), now);
+        CHECK_FALSE(host.context.reachability.record_loss(other.address(), now + 100ms));
+        CHECK(host.context.reachability.is_reachable(other.address(), now + 100ms));
+        AND_WHEN("it has been silent for a while, and then sends one")
+        {
+            CHECK(host.context.reachability.record_loss(other.address(), now + 2s));
+            CHECK_FALSE(host.context.reachability.is_reachable(other.address(), now + 2s));
+            host.context.reachability.record_message(other.address(), now + 2s);
+            CHECK(host.context.reachability.is_reachable(other.address(), now + 2s));
+        }
+    }
+}
