LibServing: Deal out whole repeats where the allowance has few for each host

Cause: a share below one repeat of the allowance was worth nothing, and one between one and two had to be saved up from requests.

Change: below two repeats a host, the repeats of the allowance are dealt out whole by hash. A host spends a dealt one once in a window, or saves up with it what its requests earn, whichever is more. A newly dealt one counts a window later.

Tests: "more hosts than repeats in the allowance keep the bound" holds.

--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -68,13 +68,12 @@
               this->make_configuration_observer(), this->settings.follower)
         , backend_follower(loop, this->backend_store, std::string(P::backend_table), this->make_backend_observer(),
               this->settings.follower)
-        , rollouts(this->context, this->peers,
+        , rollouts(
+              this->context, this->peers,
               [this](Platform::TableUpdate const& update) {
                   this->table_updates.announce(RolloutCoordinator<P>::table, update);
               },
-              [this](u64 version) {
-                  this->table_updates.fetch_from_peers(RolloutCoordinator<P>::table, version);
-              })
+              [this](u64 version) { this->table_updates.fetch_from_peers(RolloutCoordinator<P>::table, version); })
         , table_updates(this->context, this->peers, this->backends,
               { { std::string(P::configuration_table), &this->configuration_follower },
                   { std::string(P::backend_table), &this->backend_follower },
@@ -193,8 +192,7 @@
     Platform::FollowerObserver make_observer(std::string_view table)
     {
         Platform::FollowerObserver observer;
-        observer.unavailable
-            = [this, table](Error const& error) { this->handle_platform_unavailable(table, error); };
+        observer.unavailable = [this, table](Error const& error) { this->handle_platform_unavailable(table, error); };
         observer.available = [this, table] { this->handle_platform_available(table); };
         return observer;
     }
@@ -264,12 +262,9 @@
     TableLoader::Table loaded_hosts()
     {
         auto& reachability = this->context.reachability;
-        auto is_known = [&reachability, this] {
-            return reachability.fleet_known_for(this->context.now()).has_value();
-        };
-        auto load = [this](Platform::TableSnapshot const& snapshot) {
-            this->peers.update_known_hosts(hosts_in(snapshot));
-        };
+        auto is_known = [&reachability, this] { return reachability.fleet_known_for(this->context.now()).has_value(); };
+        auto load
+            = [this](Platform::TableSnapshot const& snapshot) { this->peers.update_known_hosts(hosts_in(snapshot)); };
         auto snapshot = [&reachability, this] {
             KnownHost const own { this->peers.address(), this->settings.failure_domain, reachability.strength() };
             return std::optional(snapshot_of_hosts(reachability.known_hosts(this->context.now()), own));
@@ -457,7 +452,7 @@
         if (now < this->next_share_at)
             return;
         this->next_share_at = now + share_period;
-        share_allowance(this->context.budget, this->context.reachability, now);
+        share_allowance(this->context.budget, this->context.reachability, this->settings.peer_address, now);
     }
 
     void await_signal()
--- a/Libraries/LibServing/RetryBudget.h
+++ b/Libraries/LibServing/RetryBudget.h
@@ -20,6 +20,10 @@
 /// of what its requests have earned, and this amount is deducted from its share of the allowance. The rest of the share
 /// can be spent once per window, which is enforced by a record of the window itself. A host that has just started has
 /// nothing saved and no share yet, so it cannot repeat again what its previous process repeated.
+///
+/// With about as many hosts as repeats in the allowance, a division would leave each of them next to nothing. The
+/// repeats of the allowance are then dealt out whole. A host that gets one may spend it once per window or, if its
+/// requests earn more than that, use it to save up what they earn.
 class RetryBudget {
 public:
     struct Limits {
@@ -54,6 +58,10 @@
     /// repeats of its previous process, nor those that other hosts made with larger shares before they knew of this
     /// host.
     void set_sharing_hosts(std::optional<u32> hosts, Instant now);
+    /// Sets how many whole repeats of the allowance are dealt to this host. More of them count only a window later,
+    /// when the window no longer contains what another host spent of them.
+    void set_dealt_repeats(u32 dealt, Instant now);
+    [[nodiscard]] u32 whole_allowance() const { return static_cast<u32>(this->limits.allowance); }
     /// Records a request, which earns its fraction of a further dispatch.
     void record_request(ServiceName const&, Instant now);
     /// Takes one further dispatch out of the budget, if there is one.
@@ -64,6 +72,9 @@
         /// Earned by requests and not spent yet.
         double earned { 0 };
         RecentCount spent_allowance;
+        RecentCount requests;
+        /// When an earned repeat was last spent.
+        std::optional<Instant> earned_spent_at;
     };
     /// This host's share of the allowance.
     struct Share {
@@ -72,7 +83,8 @@
         double max_saved { 0 };
         u32 in_window { 0 };
     };
-    [[nodiscard]] Share share_at(Instant now) const;
+    [[nodiscard]] Share share_at(Account const&, Instant now) const;
+    [[nodiscard]] Share dealt_share_at(Account const&, u32 hosts, Instant now) const;
     /// How long a repeat counts as spent. This is longer than a window, since a repeat may reach its backend server
     /// later than it was granted.
     [[nodiscard]] Duration accounting_window() const;
@@ -80,6 +92,10 @@
     Limits limits;
     std::optional<u32> sharing_hosts;
     Instant known_since {};
+    /// The dealt repeats, and what counts of them: the lowest number of the last window.
+    u32 dealt { 0 };
+    u32 counted_dealt { 0 };
+    Instant dealt_since {};
     std::unordered_map<ServiceName, Account> accounts;
 };
 
--- a/Tests/Fleet/ModelFleet.h
+++ b/Tests/Fleet/ModelFleet.h
@@ -174,7 +174,7 @@
             std::erase_if(host.inbox, [&](StateMessage const& message) { return message.arrives_at <= this->now; });
             if (this->now >= host.next_broadcast)
                 this->broadcast_state(host);
-            Serving::share_allowance(*host.budget, *host.reachability, this->now);
+            Serving::share_allowance(*host.budget, *host.reachability, host.address, this->now);
         }
     }
 
--- a/Tests/Fleet/TestRepeats.cpp
+++ b/Tests/Fleet/TestRepeats.cpp
@@ -105,6 +105,43 @@
     }
 }
 
+SCENARIO("more hosts than repeats in the allowance keep the bound")
+{
+    ModelFleet::Shape shape;
+    shape.hosts = 120;
+    shape.domains = 5;
+    shape.limits = { 0.2, 100, 10s, 8 };
+    shape.requests_per_second = GENERATE(30, 600);
+    ModelFleet fleet(shape);
+    fleet.run(30s);
+    fleet.set_failure_rate(0.9);
+    WHEN("they are not disturbed") { fleet.run(25s); }
+    WHEN("hosts join, so that others get the dealt repeats")
+    {
+        for (int i = 0; i < 40; ++i) {
+            fleet.add_host();
+            fleet.run(500ms);
+        }
+    }
+    WHEN("some are killed every second")
+    {
+        for (int i = 0; i < 15; ++i) {
+            fleet.restart(0.3);
+            fleet.run(1s);
+        }
+    }
+    WHEN("a domain is partitioned, and the load changes")
+    {
+        fleet.partition_domain(1);
+        fleet.set_load(5);
+        fleet.run(6s);
+        fleet.set_load(0.2);
+        fleet.run(20s);
+    }
+    check_bound(fleet);
+    CHECK(fleet.repeat_count() > 20);
+}
+
 SCENARIO("few hosts, each with a large part, repeat no more than the bound allows")
 {
     ModelFleet::Shape shape;
