LibServing: Walk the backend servers and the known hosts less

Cause: with 10,001 backend servers each message and each round of polls copied all of them, the deltas of a host kept an entry for every engine, and every tick derived from all 986 known hosts what the host reads.

Change: visit the servers without copies, keep nothing for engines without work, look for limits only where one was reported lately, poll only engines with work, and check the known hosts less often the more there are. Decisions are unchanged up to 128 hosts.

--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -185,12 +185,7 @@
 {
     std::vector<BackendPointer> all;
     all.reserve(this->by_id.size() + this->recently_removed.size());
-    for (auto const& [id, backend] : this->by_id)
-        all.push_back(backend);
-    for (auto const& [id, entry] : this->recently_removed) {
-        if (!this->by_id.contains(id))
-            all.push_back(entry.backend);
-    }
+    this->for_each_running([&](BackendPointer const& backend) { all.push_back(backend); });
     return all;
 }
 
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -195,6 +195,17 @@
     [[nodiscard]] BackendPointer find_running(EngineId const&) const;
     /// All backend servers that `find_running` can return.
     [[nodiscard]] std::vector<BackendPointer> running() const;
+    /// Calls `visit` with each of them. It must not change the table.
+    template<typename Visit>
+    void for_each_running(Visit visit) const
+    {
+        for (auto const& [id, backend] : this->by_id)
+            visit(backend);
+        for (auto const& [id, entry] : this->recently_removed) {
+            if (!this->by_id.contains(id))
+                visit(entry.backend);
+        }
+    }
     /// Drops removed backend servers that can no longer be running, and expired reported states.
     void expire_removed(Instant now);
     [[nodiscard]] std::vector<BackendPointer> const& of_service(ServiceName const&) const;
--- a/Libraries/LibServing/EnginePoller.h
+++ b/Libraries/LibServing/EnginePoller.h
@@ -68,13 +68,19 @@
     void poll_round()
     {
         ++this->rounds;
-        this->local_count = std::ranges::count_if(
-            this->context.backends.all(), [this](auto const& entry) { return this->is_local(*entry.second); });
         bool const is_partitioned = this->context.reachability.is_partitioned(this->context.now());
-        for (auto const& backend : this->context.backends.running()) {
-            if (this->is_engine(*backend) && this->wants_report_of(*backend, is_partitioned))
-                this->poll(backend);
-        }
+        if (is_partitioned)
+            this->local_count = std::ranges::count_if(
+                this->context.backends.all(), [this](auto const& entry) { return this->is_local(*entry.second); });
+        std::vector<BackendPointer> polled;
+        this->context.backends.for_each_running([&](BackendPointer const& backend) {
+            // Most engines of a large fleet run nothing at a time.
+            bool const may_be_polled = is_partitioned || backend->engine.generations() > 0;
+            if (may_be_polled && this->is_engine(*backend) && this->wants_report_of(*backend, is_partitioned))
+                polled.push_back(backend);
+        });
+        for (auto const& backend : polled)
+            this->poll(backend);
     }
 
     [[nodiscard]] bool wants_report_of(Backend const& backend, bool is_partitioned)
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -141,6 +141,8 @@
     static constexpr Duration min_logged_stall = 20ms;
     /// A joining host has no share of the allowance for its first ten seconds, so the shares need no faster update.
     static constexpr Duration share_period = 500ms;
+    /// Known hosts that are checked in each tick.
+    static constexpr size_t hosts_per_tick = 128;
     /// After its start, a host waits for the other hosts to report which of them read the platform's tables. That takes
     /// two calls of the platform and one message each way, about ten milliseconds; the rest allows for a slow start.
     static constexpr Duration settling_time = 500ms;
@@ -424,12 +426,24 @@
                 "first", this->unreachable_services.empty() ? ServiceName("none") : this->unreachable_services.front());
     }
 
+    /// Derives from the reachable hosts what this host reads and whether it is ready. The work grows with the number of
+    /// known hosts, and so does the period.
+    void update_reachability()
+    {
+        auto const now = this->context.now();
+        if (now < this->next_reachability_update_at)
+            return;
+        auto const steps = static_cast<i64>(1 + this->context.reachability.known_host_count() / hosts_per_tick);
+        this->next_reachability_update_at = now + steps * tick_period - tick_period / 2;
+        this->update_unreachable_services();
+        this->update_following();
+    }
+
     void tick()
     {
         this->backends.tick();
-        this->update_unreachable_services();
         this->table_loader.tick();
-        this->update_following();
+        this->update_reachability();
         this->update_allowance_share();
         this->quarantine_table.tick();
         this->rollouts.tick();
@@ -521,6 +535,7 @@
     AK::Timer tick_timer;
     Instant started_at {};
     Instant next_share_at {};
+    Instant next_reachability_update_at {};
     std::optional<PlannedStop> stop;
     bool backends_known { false };
     /// An invalid entry is reported again with each heartbeat of its writer.
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -137,32 +137,33 @@
     wire::HostUse message;
     message.set_is_whole(true);
     this->last_sent.clear();
-    for (auto const& backend : table.running()) {
-        auto const& id = backend->server.id;
-        auto use = use_of(*backend);
+    table.for_each_running([&](BackendPointer const& backend) {
+        auto const use = use_of(*backend);
         if (use == PeerUse::Use {})
-            continue;
+            return;
         append(message, backend->server, use);
-        this->last_sent[id] = use;
-    }
+        this->last_sent[backend->server.id] = use;
+    });
     return message;
 }
 
 std::optional<wire::HostUse> OwnUse::delta(BackendTable const& table)
 {
     wire::HostUse message;
-    for (auto const& backend : table.running()) {
+    table.for_each_running([&](BackendPointer const& backend) {
         auto const& id = backend->server.id;
-        auto use = use_of(*backend);
+        auto const use = use_of(*backend);
+        if (use == PeerUse::Use {} && !this->last_sent.contains(id))
+            return;
         auto& before = this->last_sent[id];
         bool const has_changed = use.generations != before.generations || use.unread_tokens != before.unread_tokens
             || use.uncopied_tokens != before.uncopied_tokens || use.incoming_tokens != before.incoming_tokens
             || std::abs(use.tokens - before.tokens) >= min_token_change;
         if (!has_changed)
-            continue;
+            return;
         append(message, backend->server, use);
         before = use;
-    }
+    });
     if (message.engines_size() == 0)
         return {};
     return message;
--- a/Libraries/LibServing/RateLimit.cpp
+++ b/Libraries/LibServing/RateLimit.cpp
@@ -35,6 +35,7 @@
     bool const has_changed = backend.limit != limit;
     backend.limit = limit;
     backend.limit_reported_at = now;
+    context.limit_reported_at = now;
     backend.limit_is_first_hand = true;
     if (!has_changed || now - backend.limit_announced_at < min_announcement_interval)
         return;
@@ -59,6 +60,7 @@
         bool const has_changed = backend->limit != limit;
         backend->limit = limit;
         backend->limit_reported_at = reported_at;
+        context.limit_reported_at = std::max(context.limit_reported_at, reported_at);
         backend->limit_is_first_hand = false;
         if (has_changed)
             log_limit(context, *backend);
@@ -78,6 +80,8 @@
 
 void put_recent_rate_limits(wire::HostUse& message, ServingContext const& context, LimitScope scope)
 {
+    if (context.now() - context.limit_reported_at >= reannounced_for)
+        return;
     size_t count = 0;
     for (auto const& [id, backend] : context.backends.all()) {
         bool const is_recent
--- a/Libraries/LibServing/Reachability.h
+++ b/Libraries/LibServing/Reachability.h
@@ -98,6 +98,7 @@
     /// The receivers of a message to all other domains: for each domain the representative that was last seen or, if
     /// none was seen lately, a few of its hosts that are drawn at random by `draw`.
     [[nodiscard]] std::vector<Address> remote_receivers(u64 draw, Instant now) const;
+    [[nodiscard]] size_t known_host_count() const { return this->hosts.size(); }
     /// Number of known hosts of other domains, reachable or not.
     [[nodiscard]] size_t remote_host_count() const;
     /// Number of other hosts of this domain that are reachable.
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -57,6 +57,8 @@
     ProcessCheck processes;
     Rollout::Rollouts rollouts;
     Quarantine quarantine;
+    /// When any backend server last reported a rate limit.
+    Instant limit_reported_at {};
     /// Whether this host has read the quarantine entries from before its start.
     bool knows_quarantine { false };
     /// Maximum age of the estimates of remote failure domains while their hosts are reachable.
