LibServing: Count unanswered requests in a roll-out, and serve where only one version is left

An order for the version that all servers run already would have refused most calls. Tests: "a version that never answers is rolled back", "an order for the version that all servers run already stops no calls".

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -503,6 +503,8 @@
     {
         this->log_end("deadline");
         bool const has_begun = this->exchange().is_streaming();
+        if (!has_begun && this->connection)
+            this->record_answer(*this->backend, true, {});
         this->abandon();
         if (has_begun)
             return this->exchange().abort();
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -105,8 +105,10 @@
         auto const& rollouts = this->context.rollouts;
         auto const& service = this->call.service->name;
         auto const* rollout = rollouts.find(service);
-        // The former version's servers stop when a roll-out is completed, which this host may not know yet.
-        if (rollout && !rollout->record && !this->context.backends.has_side(service, Rollout::Side::Former))
+        // The former version's servers stop when a roll-out is completed, which this host may not know yet. A version
+        // that was rolled back gets nothing even if no other is left.
+        bool const is_rolled_back = rollout && rollout->record && rollout->record->stage == Rollout::Stage::RolledBack;
+        if (rollout && !is_rolled_back && !this->context.backends.has_side(service, Rollout::Side::Former))
             return {};
         return is_first_dispatch ? rollouts.side_for(service, this->attempt()) : rollouts.side_for_repeats(service);
     }
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -269,6 +269,8 @@
     void deadline_passed()
     {
         bool const was_sent = this->connection != nullptr;
+        if (was_sent)
+            this->record_answer(*this->backend, true, {});
         this->abandon();
         if (was_sent || this->may_have_run)
             return this->respond_with_error(
--- a/Tests/Hosts/TestRollouts.cpp
+++ b/Tests/Hosts/TestRollouts.cpp
@@ -139,3 +139,25 @@
         CHECK_FALSE(
             (call->has_begun() && call->status == 200 && call->end && *call->end != Http::ExchangeEnd::Complete));
 }
+
+SCENARIO("an order for the version that all servers run already stops no calls")
+{
+    RolloutGroup group("lanes");
+    group.roll_out("v1", 3);
+    group.apply_load(1s, [] { return false; });
+    group.hosts.platform.until(
+        [&] { return std::ranges::all_of(group.calls, [](auto const& call) { return call->is_over(); }); });
+    for (auto const& call : group.calls)
+        CHECK(call->status == 200);
+}
+
+SCENARIO("a version that never answers is rolled back")
+{
+    RolloutGroup group("lanes");
+    auto& runner = group.add("new-1", "v2");
+    for (int i = 0; i < 500; ++i)
+        runner.add_fault(PlatformRunner::Fault::Hang);
+    group.roll_out("v2", 6);
+    group.apply_load(15s, [&] { return group.is("rolled_back"); });
+    CHECK(group.is("rolled_back"));
+}
