LibServing: Hand on empty tables, too, and promise the right next message

And the first message to a host promised the next one after a second where it came in turn, so hosts of a large domain took each other for silent and sent their state again every four seconds.

--- a/Libraries/LibServing/Compression.cpp
+++ b/Libraries/LibServing/Compression.cpp
@@ -14,10 +14,13 @@
 
 static constexpr size_t decompression_step_bytes = 16 << 10;
 
-std::string compress(std::string const& bytes)
+std::string compress(std::string const& bytes, CompressionEffort effort)
 {
+    constexpr int fastest = 1;
+    constexpr int usual = -1;
     std::ostringstream compressed;
-    Poco::DeflatingOutputStream stream(compressed, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+    Poco::DeflatingOutputStream stream(
+        compressed, Poco::DeflatingStreamBuf::STREAM_ZLIB, effort == CompressionEffort::Fast ? fastest : usual);
     stream << bytes;
     stream.close();
     return compressed.str();
--- a/Libraries/LibServing/Compression.h
+++ b/Libraries/LibServing/Compression.h
@@ -7,11 +7,18 @@
 #pragma once
 
 #include <AK/Error.h>
+#include <AK/Types.h>
 #include <string>
 
 namespace Serving {
 
-std::string compress(std::string const&);
+enum class CompressionEffort : u8 {
+    /// For large tables, which a slow host compresses while it serves callers.
+    Fast,
+    Usual,
+};
+
+std::string compress(std::string const&, CompressionEffort = CompressionEffort::Usual);
 /// Errors: InvalidRequest if the bytes are not compressed data, or hold more than `max_bytes`.
 Result<std::string> decompress(std::string const&, size_t max_bytes);
 
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -376,6 +376,15 @@
     return std::max<Duration>(this->period(), static_cast<i64>(this->peers.size()) * period_per_peer);
 }
 
+Duration PeerLink::next_full_state_in(Address const& peer) const
+{
+    if (this->own_representative_rank() < frequent_hosts)
+        return this->period();
+    auto const first = this->context.reachability.first_local_hosts(frequent_hosts, this->context.now());
+    bool const is_first = std::ranges::find(first, peer) != first.end();
+    return is_first ? this->period() : this->background_period();
+}
+
 /// The next of the reachable hosts in turn, so many that each gets a message in every background period.
 std::vector<Address> PeerLink::next_background_receivers(std::vector<Address> const& reachable)
 {
@@ -448,7 +457,7 @@
 void PeerLink::send_full_state(Address const& peer, bool wants_answer)
 {
     auto message = OwnUse(UseScope::Host).full_state(this->context.backends);
-    this->complete_full_state(message, this->period());
+    this->complete_full_state(message, this->next_full_state_in(peer));
     message.set_wants_answer(wants_answer);
     message.clear_ending();
     put_all_request_terminations(message, this->context);
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -99,6 +99,8 @@
     void complete_full_state(wire::HostUse&, Duration period);
     [[nodiscard]] size_t own_representative_rank() const;
     [[nodiscard]] Duration period() const;
+    /// Time until this host's next full state message to another one.
+    [[nodiscard]] Duration next_full_state_in(Address const& peer) const;
     /// Time between two full state messages to a host that gets them in turn.
     [[nodiscard]] Duration background_period() const;
     [[nodiscard]] Duration domain_delta_delay() const;
--- a/Libraries/LibServing/Snapshot/PackedSnapshot.cpp
+++ b/Libraries/LibServing/Snapshot/PackedSnapshot.cpp
@@ -38,8 +38,10 @@
         row.set_value(source.value);
         row.set_version(source.version);
     }
+    // A last row without a key, so that the snapshot of an empty table has content, too.
+    rows.add_rows()->set_version(snapshot.version);
     PackedSnapshot packed { std::move(table), snapshot.version, snapshot.last_change,
-        compress(rows.SerializeAsString()), 0 };
+        compress(rows.SerializeAsString(), CompressionEffort::Fast), 0 };
     packed.checksum = checksum_of(packed.bytes);
     return packed;
 }
@@ -52,8 +54,11 @@
         return invalid;
     TRY(auto bytes, decompress(packed.bytes, max_unpacked_bytes));
     wire::TableRows rows;
-    if (!rows.ParseFromString(bytes))
+    bool const is_whole = rows.ParseFromString(bytes) && rows.rows_size() > 0
+        && rows.rows(rows.rows_size() - 1).version() == packed.version;
+    if (!is_whole)
         return invalid;
+    rows.mutable_rows()->RemoveLast();
     Platform::TableSnapshot snapshot { {}, packed.version, packed.last_change };
     for (auto& row : *rows.mutable_rows())
         snapshot.rows.push_back({ std::move(*row.mutable_key()), std::move(*row.mutable_value()), row.version() });
--- a/Tests/LibServing/TestHostSettings.cpp
+++ b/Tests/LibServing/TestHostSettings.cpp
@@ -58,3 +58,19 @@
     INFO((finished ? "" : finished.error().message));
     CHECK(finished);
 }
+
+SCENARIO("the class of a host follows the weaker of its processor and link")
+{
+    auto strength = [](double cores, double megabits) {
+        Serving::HostSettings settings;
+        settings.cores = cores;
+        settings.link_megabits_per_second = megabits;
+        return Serving::strength_of(settings);
+    };
+    CHECK(strength(0.12, 20) == 0);
+    CHECK(strength(0.25, 10) == 0);
+    CHECK(strength(0.25, 1000) == 1);
+    CHECK(strength(0.5, 200) == 2);
+    CHECK(strength(1, 1000) == 3);
+    CHECK(strength(1, 40) == 2);
+}
--- a/Tests/LibServing/TestPeerLink.cpp
+++ b/Tests/LibServing/TestPeerLink.cpp
@@ -271,6 +271,12 @@
     auto const sent = sent_by_all() - before;
     CHECK(sent <= 4 * per_round);
     CHECK(sent < 3 * u64(host_count) * (host_count - 1) * 3 / 4);
+    THEN("hosts that get messages in turn are not taken for silent in between")
+    {
+        run_for(4s);
+        for (auto const& host : fleet.hosts)
+            CHECK(host.context.reachability.reachable_local_hosts(host.context.now()) == host_count - 1);
+    }
 
     WHEN("a host terminates that is none of the first")
     {
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -459,3 +459,29 @@
         CHECK(engine->engine.domain_peer_work == EngineWork {});
     }
 }
+
+SCENARIO("the strongest hosts of a domain represent it and read the platform")
+{
+    Address const own("10.0.0.1:1");
+    Instant const now { 100s };
+    for (int number = 2; number < 12; ++number) {
+        Reachability reachability(FailureDomainId("hall-a"), 1);
+        Address const other("10.0.0." + std::to_string(number) + ":1");
+        Reachability::HostStatus status { FailureDomainId("hall-a"), 1s };
+        status.strength = 2;
+        reachability.record_message(other, status, now);
+        CHECK(reachability.first_representative(own, now) == other);
+        CHECK_FALSE(reachability.is_primary_reader(own, now));
+        WHEN("the platform is unavailable to the stronger host " + std::to_string(number))
+        {
+            status.platform_unavailable = true;
+            reachability.record_message(other, status, now);
+            CHECK(reachability.first_representative(own, now) == own);
+            CHECK(reachability.is_primary_reader(own, now));
+        }
+        WHEN("the stronger host " + std::to_string(number) + " falls silent")
+        {
+            CHECK(reachability.first_representative(own, now + 5s) == own);
+        }
+    }
+}
--- a/Tests/LibServing/TestSnapshot.cpp
+++ b/Tests/LibServing/TestSnapshot.cpp
@@ -54,6 +54,18 @@
         CHECK(unpacked.value().rows[5].value == table.rows[5].value);
         CHECK(unpacked.value().rows[5].version == 6);
     }
+    GIVEN("the snapshot of an empty table")
+    {
+        SnapshotAssembly other;
+        auto const empty = pack_snapshot("servers", { {}, 7, 0 });
+        REQUIRE(empty.chunk_count() == 1);
+        other.add(empty.chunk(0));
+        REQUIRE(other.is_complete());
+        auto const unpacked = unpack_snapshot(other.take());
+        REQUIRE(unpacked);
+        CHECK(unpacked.value().rows.empty());
+        CHECK(unpacked.value().version == 7);
+    }
     GIVEN("chunks of a later snapshot in between")
     {
         add(0);
