Tests, Meta: Check again that hosts are passed once, and aim two guards at the changed code

Cause: the new test of the host directory had lost the checks that each list is passed once and holds the host itself, and two guards looked for text that is gone: the saved part of a share, and the scenario of the host directory. Change: the three checks are back, for both lists, and the guards name the present text. The guards were not run.

--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -185,7 +185,7 @@
         return {};
 " ""
 guard "little that was earned is saved" TestFleet "Scenario: all hosts together repeat no more than the bound allows" \
-    Libraries/LibServing/RetryBudget.cpp "std::min(share, share - whole + 1)" "share"
+    Libraries/LibServing/RetryBudget.cpp "share - whole + 1," "share,"
 guard "the allowance is spent once in a window" TestFleet \
     "Scenario: all hosts together repeat no more than the bound allows" \
     Libraries/LibServing/RetryBudget.cpp "account.spent_allowance.upper_bound_within(this->accounting_window(), now)" "0U"
@@ -211,7 +211,7 @@
 guard "a refusal is believed" TestLibServing "Scenario: engines that refuse do not draw all hosts because they look empty" \
     Libraries/LibServing/BackendTable.cpp " || now < this->health.refusal_avoidance_until" ""
 guard "the table of hosts is read to its end" TestLibServing \
-    "Scenario: a host reads all pages of the platform's table of hosts" \
+    "Scenario: a host reads the hosts of its domain, and those of all domains when it must" \
     Libraries/LibServing/HostDirectory.h "page.value().more && " "false && "
 guard "missed changes are awaited from others" TestLibPlatform \
     "Scenario: changes that others know are awaited from them for a while" \
--- a/Tests/LibServing/TestHostDirectory.cpp
+++ b/Tests/LibServing/TestHostDirectory.cpp
@@ -79,11 +79,20 @@
     boost::asio::io_context loop;
     std::vector<KnownHost> local;
     std::vector<KnownHost> all;
+    int local_call_count = 0;
+    int all_call_count = 0;
     KnownHost const own { Address("10.9.0.1:7200"), FailureDomainId("hall-0"), 2 };
     HostDirectory<PagedTable> directory(loop, table, MemberId("own"), own,
-        { [&](std::vector<KnownHost> hosts) { local = std::move(hosts); },
-            [&](std::vector<KnownHost> hosts) { all = std::move(hosts); } });
+        { [&](std::vector<KnownHost> hosts) {
+             ++local_call_count;
+             local = std::move(hosts);
+         },
+            [&](std::vector<KnownHost> hosts) {
+                ++all_call_count;
+                all = std::move(hosts);
+            } });
     directory.start();
+    CHECK(local_call_count == 1);
     CHECK(addresses_of(local).size() == others / 2 + 1);
     CHECK(addresses_of(local).contains(own.address));
     CHECK(std::ranges::find(local, own.address, &KnownHost::address)->strength == 2);
@@ -91,7 +100,9 @@
     WHEN("all hosts are read")
     {
         directory.read_all();
+        CHECK(all_call_count == 1);
         CHECK(addresses_of(all).size() == others + 1);
+        CHECK(addresses_of(all).contains(own.address));
         THEN("that is done once")
         {
             auto const before = table.rows_read;
