LibOverload: Agree on the interfaces of decisions on slow and full servers

Cause: several parts are to be built side by side (slowness, interference, shortage, returns, moving demand). They share the state of a server and the messages between hosts.

Nothing reads them yet.

--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <LibOverload/SlownessDistribution.h>
 #include <LibServing/BackendTable.h>
 #include <LibServing/Regions.h>
 #include <LibServing/ServerLimits.h>
@@ -43,6 +44,8 @@
     std::optional<Rollout::Side> side {};
     /// Where the request may be served and its content may be stored.
     AllowedRegions regions {};
+    /// Null if the servers of the service don't report their slowness. Their speeds are then not considered.
+    Overload::SlownessDistribution const* slowness { nullptr };
 };
 
 /// Whether the backend server accepts new work now, and may get this request at all.
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -8,6 +8,8 @@
 
 #include <AK/Identifiers.h>
 #include <LibHttp/Types.h>
+#include <LibOverload/EnginePace.h>
+#include <LibOverload/Slowness.h>
 #include <LibRollout/Rollout.h>
 #include <LibServing/EngineLoad.h>
 #include <LibServing/RecentCount.h>
@@ -56,6 +58,8 @@
     u32 running { 0 };
     u32 waiting { 0 };
     u32 slots { 0 };
+    /// Empty if the server does not report it.
+    std::optional<Overload::Slowness> slowness {};
 };
 
 /// The health of a backend server, derived from the results of requests.
@@ -101,6 +105,10 @@
     RecentCount sent;
     std::optional<LoadReport> load;
     Instant load_received_at {};
+    /// Its speed, if it is an engine.
+    Overload::EnginePace pace;
+    /// Its present slowness, as reported by itself or derived from its streams; empty if neither is known.
+    std::optional<Overload::SlownessReading> slowness;
     /// The rate that the server accepts from all hosts together, as it last reported; empty if it reported no limit.
     std::optional<RequestRate> limit;
     /// When the server reported the limit, to this host or to another one; empty if it has never reported one.
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -9,6 +9,7 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
+#include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
 #include <LibServing/Admission.h>
 #include <LibServing/HostSettings.h>
@@ -54,6 +55,8 @@
     Reachability reachability;
     ServerLimits server_limits;
     PlacementRate placements;
+    /// Only services whose servers report a slowness have an entry.
+    std::unordered_map<ServiceName, Overload::SlownessDistribution> slowness_of_services;
     ProcessCheck processes;
     Rollout::Rollouts rollouts;
     Quarantine quarantine;
