LibOverload: Observe how fast each backend server works, and tell the other hosts

Cause: engines of one service are of two lasting kinds, one of which takes 2.2 times as long for each event and prompt token, and the machines of a part of them are slow at a time. Hosts placed generations without knowing either. The fourth figure of the load header was not decoded.

Found on the way: the figure is not relative to the server's own usual speed.

Change: the header is decoded; a figure that is not credible counts in a metric, and the other three are kept. EventGaps, PaceEstimator, ServicePace and KnownPace estimate the lasting pace of one start of an engine from its streams, its prompts and its figures; PaceTable says what is told to whom. Deltas, full states and domain messages carry it (HostUse.paces). Nothing is observed of services whose servers report no figure. No choice reads any of it yet. A misdirected response's load no longer counts for the server that it was meant for.

Ruled out: dividing own samples by the figure (a phase that ends in between makes an engine look too quick, and the quicker value wins).

TestLibOverload, TestLibServing and TestLibCore pass. TestPlatform was not run yet on this commit.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -70,6 +70,8 @@
     { ServerAnnouncedLeaving, "server_said_it_leaves", Information },
     { RolloutAdvanced, "rollout_advanced", Information },
     { RolloutRolledBack, "rollout_rolled_back", Warning },
+    { ServiceReportsSlowness, "service_reports_slowness", Information },
+    { ServerPaceKnown, "server_pace_known", Information },
     { ServiceCallDispatched, "service_call_dispatched", Information },
     { ServiceCallEnded, "service_call_ended", Information },
     { ClaimRefused, "claim_refused", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -70,6 +70,8 @@
     ServerAnnouncedLeaving = 2315,
     RolloutAdvanced = 2316,
     RolloutRolledBack = 2317,
+    ServiceReportsSlowness = 2318,
+    ServerPaceKnown = 2319,
     ServiceCallDispatched = 2401,
     ServiceCallEnded = 2402,
     ClaimRefused = 2403,
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -9,6 +9,7 @@
 #include <AK/Identifiers.h>
 #include <LibHttp/Types.h>
 #include <LibOverload/EnginePace.h>
+#include <LibOverload/SampledQuantile.h>
 #include <LibOverload/Slowness.h>
 #include <LibRollout/Rollout.h>
 #include <LibServing/EngineLoad.h>
@@ -60,6 +61,8 @@
     u32 slots { 0 };
     /// Empty if the server does not report it.
     std::optional<Overload::Slowness> slowness {};
+    /// The server reports a slowness that is not credible.
+    bool has_invalid_slowness { false };
 };
 
 /// The health of a backend server, derived from the results of requests.
@@ -107,7 +110,11 @@
     Instant load_received_at {};
     /// Its speed, if it is an engine.
     Overload::EnginePace pace;
-    /// Its present slowness, as reported by itself or derived from its streams; empty if neither is known.
+    /// The slowness that it has reported to this host. Servers of one service may be of lastingly different speed, and
+    /// report it like a momentary slowness.
+    Overload::UsualValue reported_slowness;
+    /// Its present slowness relative to its lasting speed, as reported by itself or derived from its streams; empty if
+    /// neither is known.
     std::optional<Overload::SlownessReading> slowness;
     /// The rate that the server accepts from all hosts together, as it last reported; empty if it reported no limit.
     std::optional<RequestRate> limit;
@@ -146,6 +153,12 @@
         return start == this->server.start || start == ServerStart(0) || this->server.start == ServerStart(0);
     }
 
+    /// The slowness that the server usually reports.
+    [[nodiscard]] Overload::Slowness lasting_slowness() const
+    {
+        return Overload::Slowness(this->reported_slowness.value().value_or(Overload::usual_slowness.value()));
+    }
+
     void record_leaving()
     {
         this->has_announced_leaving = true;
--- a/Libraries/LibServing/EnginePoller.h
+++ b/Libraries/LibServing/EnginePoller.h
@@ -151,8 +151,10 @@
                 backend->engine.poll_in_flight = false;
                 this->context.connections.release(connection);
                 auto report = D::decode_engine_report(*body);
-                if (!report || is_from(*backend, report.value()))
+                if (!report || is_from(*backend, report.value())) {
                     apply_server_notice(this->context, *backend, *response_head);
+                    record_load(this->context, *backend, response_head->load);
+                }
                 this->handle_response(*backend, end, reason, report);
             },
         };
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -125,6 +125,8 @@
         this->reader = {};
         this->dispatched_at = this->context.now();
         this->gap_sample = {};
+        this->gaps = {};
+        this->reads_alone = !continuation && target->engine.unread_tokens() == this->demand().prompt.value();
         this->connection = this->context.connections.make_new(target->endpoint);
         this->watch_termination(*target, [weak = this->weak_from_this()] {
             if (auto self = weak.lock())
@@ -201,7 +203,7 @@
         if (this->order.count() == 1)
             this->first_event(now);
         else
-            this->context.metrics.observe("event_gap_seconds", now - this->last_event_at);
+            this->further_event(now - this->last_event_at);
         this->max_gap = std::max(this->max_gap, now - this->last_event_at);
         this->last_event_at = now;
         this->sample_event_gap(now);
@@ -209,6 +211,12 @@
         this->exchange().send_chunk(event.text);
     }
 
+    void further_event(Duration gap)
+    {
+        this->context.metrics.observe("event_gap_seconds", gap);
+        observe_event_gap(this->context, *this->backend, this->gaps, gap);
+    }
+
     /// Records the mean gap of each few events, so that a slow version shows before its streams end.
     void sample_event_gap(Instant now)
     {
@@ -225,6 +233,8 @@
         this->record_answer(*this->backend, false, now - this->dispatched_at);
         this->last_event_at = now;
         this->claim->prompt_read();
+        if (this->reads_alone && this->backend->engine.unread_tokens() == 0)
+            observe_prompt_time(this->context, *this->backend, this->demand().prompt, now - this->dispatched_at);
         this->context.use_changed();
         auto waited = now - this->exchange().received_at();
         this->context.metrics.observe("first_event_seconds", waited);
@@ -562,6 +572,9 @@
     Delivery::EventOrder order;
     Instant dispatched_at {};
     GapSample gap_sample;
+    Overload::EventGaps gaps;
+    /// At the dispatch, the engine had no other prompt to read.
+    bool reads_alone { false };
     Instant last_event_at {};
     Duration max_gap { 0 };
     std::shared_ptr<Move> move;
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -162,7 +162,10 @@
         Http::ExchangeObserver observer {
             [self](Http::ResponseHead const& head) {
                 self->response_status = head.result_int();
-                apply_server_notice(self->context, *self->inputs.source, D::decode_response(head));
+                auto const decoded = D::decode_response(head);
+                apply_server_notice(self->context, *self->inputs.source, decoded);
+                if (!decoded.is_misdirected)
+                    record_load(self->context, *self->inputs.source, decoded.load);
                 return Http::HeadAction::Accept;
             },
             [self](std::string_view piece) { self->response_body += piece; },
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -9,6 +9,7 @@
 #include <LibServing/Refusal.h>
 #include <LibServing/Relays.h>
 #include <LibServing/RequestTerminations.h>
+#include <LibServing/ServerPace.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
 
@@ -67,6 +68,7 @@
         = [this](Backend const& backend, Duration avoided) { this->announce_unreachable(backend, avoided); };
     this->context.backend_refuses = [this](Backend const& backend) { this->announce_refusals(backend); };
     this->context.limit_changed = [this](Backend const& backend) { this->announce_limit(backend); };
+    this->context.paces_changed = [this] { this->schedule_delta(); };
     this->context.quarantine_changed
         = [this](RequestFingerprint const& request) { this->announce_request_termination(request); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->handle_message(envelope); });
@@ -278,10 +280,12 @@
     this->digest_timer.async_wait(this->guard.wrap([this, period](boost::system::error_code error) {
         if (error)
             return;
+        drop_removed_server_paces(this->context);
         if (this->own_representative_rank() < Reachability::representatives_per_domain) {
             auto message = this->domain_use.full_state(this->context.backends);
             this->complete_full_state(message, period);
             put_recent_rate_limits(message, this->context, LimitScope::All);
+            put_recent_server_paces(message, this->context, Overload::PaceScope::Domain);
             this->send_to_remote_domains(std::move(message));
         }
         this->schedule_digest();
@@ -297,6 +301,8 @@
     }
 }
 
+static bool has_changes(wire::HostUse const& delta) { return delta.engines_size() > 0 || delta.paces_size() > 0; }
+
 void PeerLink::schedule_delta()
 {
     this->schedule_domain_delta();
@@ -307,8 +313,10 @@
         this->delta_pending = false;
         if (error)
             return;
-        if (auto delta = this->own_use.delta(this->context.backends))
-            this->broadcast(*delta);
+        auto delta = this->own_use.delta(this->context.backends).value_or(wire::HostUse());
+        put_unsent_server_paces(delta, this->context, Overload::PaceScope::Host);
+        if (has_changes(delta))
+            this->broadcast(delta);
     }));
 }
 
@@ -323,8 +331,10 @@
         this->domain_delta_pending = false;
         if (error || this->own_representative_rank() > 0)
             return;
-        if (auto delta = this->domain_use.delta(this->context.backends))
-            this->send_to_remote_domains(std::move(*delta));
+        auto delta = this->domain_use.delta(this->context.backends).value_or(wire::HostUse());
+        put_unsent_server_paces(delta, this->context, Overload::PaceScope::Domain);
+        if (has_changes(delta))
+            this->send_to_remote_domains(std::move(delta));
     }));
 }
 
@@ -360,6 +370,7 @@
         auto message = state;
         this->complete_full_state(message, next_in);
         put_recent_rate_limits(message, this->context, limit_scope);
+        put_recent_server_paces(message, this->context, Overload::PaceScope::Host);
         this->send(receivers, std::move(message));
     };
     if (!is_large || is_frequent)
@@ -462,6 +473,7 @@
     message.clear_ending();
     put_all_request_terminations(message, this->context);
     put_recent_rate_limits(message, this->context, LimitScope::All);
+    put_all_server_paces(message, this->context);
     this->send(std::span(&peer, 1), std::move(message));
 }
 
@@ -526,7 +538,7 @@
         this->context.reachability.record_message(sender, now);
     }
     this->peer_use.apply(MemberId(name), message, this->context.backends, now);
-    if (message.engines_size() > 0)
+    if (has_changes(message))
         this->schedule_domain_delta();
     apply_suspicions(this->context, MemberId(name), message);
     this->handle_lost_hosts(message);
@@ -535,6 +547,7 @@
     apply_refusals(this->context, message);
     apply_request_terminations(this->context, message);
     apply_rate_limits(this->context, message);
+    apply_server_paces(this->context, message);
     this->handle_progress(sender, message);
     if (message.wants_answer())
         this->send_full_state(sender, false);
@@ -563,6 +576,7 @@
     apply_refusals(this->context, message);
     apply_request_terminations(this->context, message);
     apply_rate_limits(this->context, message);
+    apply_server_paces(this->context, message);
     this->handle_progress(sender, message);
 }
 
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -15,6 +15,7 @@
 #include <LibServing/Refusal.h>
 #include <LibServing/RequestTerminations.h>
 #include <LibServing/ServerNotice.h>
+#include <LibServing/ServerPace.h>
 #include <LibServing/Suspicion.h>
 #include <functional>
 #include <optional>
@@ -96,6 +97,9 @@
         auto inputs = this->context.choice_inputs(other_domain_cost);
         inputs.side = side;
         inputs.regions = this->call.regions;
+        auto const& slowness = this->context.slowness_of_services;
+        auto const known = slowness.find(this->call.service->name);
+        inputs.slowness = known == slowness.end() ? nullptr : &known->second;
         return inputs;
     }
 
@@ -178,10 +182,11 @@
             return false;
         this->response_head = head;
         this->decoded_response = decoded;
-        this->record_load(backend, decoded);
-        // A misdirected response comes from another process and doesn't carry this server's limit.
-        if (!decoded.is_misdirected)
-            record_rate_limit(this->context, backend, decoded.limit);
+        // A misdirected response comes from another process and doesn't carry this server's load and limit.
+        if (decoded.is_misdirected)
+            return true;
+        record_load(this->context, backend, decoded.load);
+        record_rate_limit(this->context, backend, decoded.limit);
         return true;
     }
 
@@ -285,15 +290,6 @@
         record_refusal(this->context, backend, this->attempt(), "status " + std::to_string(this->response_status()));
     }
 
-    /// Records the load that the backend server reports, if any.
-    void record_load(Backend& backend, BackendResponseHead const& response)
-    {
-        if (!response.load)
-            return;
-        backend.load = response.load;
-        backend.load_received_at = this->context.now();
-    }
-
     [[nodiscard]] Rollout::Answers* answers_of(Backend const& backend) const
     {
         auto* rollout = this->context.rollouts.find(this->call.service->name);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -9,10 +9,13 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
+#include <LibOverload/PaceTable.h>
+#include <LibOverload/ServicePace.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
 #include <LibServing/Admission.h>
 #include <LibServing/HostSettings.h>
+#include <LibServing/LogRateLimiter.h>
 #include <LibServing/PlacementRate.h>
 #include <LibServing/ProcessCheck.h>
 #include <LibServing/Quarantine.h>
@@ -57,6 +60,11 @@
     PlacementRate placements;
     /// Only services whose servers report a slowness have an entry.
     std::unordered_map<ServiceName, Overload::SlownessDistribution> slowness_of_services;
+    /// The lasting speeds of engines.
+    Overload::PaceTable paces;
+    /// How engines of a service work, for the same services.
+    std::unordered_map<ServiceName, Overload::ServicePace> pace_of_services;
+    LogRateLimiter pace_log { 1s };
     ProcessCheck processes;
     Rollout::Rollouts rollouts;
     Quarantine quarantine;
@@ -85,6 +93,8 @@
     std::function<void(Rollout::KnownRollout const&)> rollout_advanced { [](Rollout::KnownRollout const&) {} };
     /// To be called when a backend server has reported a different limit, or no longer reports one.
     std::function<void(Backend const&)> limit_changed { [](Backend const&) {} };
+    /// To be called when this host has observed a speed of an engine that other hosts don't know.
+    std::function<void()> paces_changed { [] {} };
     /// To be called when this host has recorded a termination of a server that ran the request, or a completed run
     /// after such terminations.
     std::function<void(RequestFingerprint const&)> quarantine_changed { [](RequestFingerprint const&) {} };
