LibOverload, LibServing: Doubt domains whose servers fail together, and refuse what is out of reach

Cause: a host whose domain is partitioned knew that a service was out of reach and still tried its servers for each call; and each host learned of a crashed or partitioned domain server by server.

Ruled out: requests as probes (a host of a large domain places less than one generation a second, so most would have been probes), and silence alone as evidence (the hosts of a domain may have failed while its servers have not).

Change: Overload::DomainDoubt counts failed connections of distinct servers by domain and service, and reports of other hosts (HostUse.doubtful_domains). Doubtful servers cost as much more as avoided ones. One connection at a time probes them, by one host of all that reach each other. A service all of whose servers are in silent domains and have failed or are doubtful is refused at once, on a connection that is then closed.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -219,9 +219,9 @@
 
 void CallerConnection::advertise_keep_alive(ResponseHead& head)
 {
-    if (this->context->closing)
-        this->keep_alive = false;
     head.version(http_1_1);
+    if (this->context->closing || head[Name::connection] == "close")
+        this->keep_alive = false;
     if (!this->keep_alive)
         return head.set(Name::connection, "close");
     // Stored because the configuration may change before the response is complete.
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -36,6 +36,14 @@
 /// Cost per unit of memory share above that threshold, and the flat cost of an engine whose slots are all taken.
 static constexpr double crowded_cost = 10;
 
+/// Servers that have become available during the doubt are not part of it.
+static bool is_in_doubt(Backend const& backend, ChoiceInputs const& inputs)
+{
+    return std::ranges::any_of(inputs.doubtful_domains, [&](auto const& doubtful) {
+        return doubtful.domain == backend.server.failure_domain && backend.available_since <= doubtful.since;
+    });
+}
+
 static double common_cost(Backend const& backend, ChoiceInputs const& inputs, boost::random::mt19937& random)
 {
     boost::random::uniform_real_distribution<double> noise(0, tie_breaking_noise);
@@ -46,6 +54,8 @@
         cost += silent_domain_cost;
     if (backend.is_avoided(inputs.now))
         cost += avoided_cost;
+    if (is_in_doubt(backend, inputs))
+        cost += avoided_cost;
     return cost;
 }
 
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <LibOverload/DomainDoubt.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibServing/BackendTable.h>
 #include <LibServing/Regions.h>
@@ -46,6 +47,8 @@
     AllowedRegions regions {};
     /// Null if the servers of the service don't report their slowness. Their speeds are then not considered.
     Overload::SlownessDistribution const* slowness { nullptr };
+    /// Failure domains whose servers of the service seem to have failed together.
+    std::vector<Overload::DomainDoubt::DoubtfulDomain> doubtful_domains {};
 };
 
 /// Whether the backend server accepts new work now, and may get this request at all.
--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -247,6 +247,15 @@
     return min_left;
 }
 
+void record_connection(Backend& backend)
+{
+    if (!backend.health.unreachable_at)
+        return;
+    backend.health.peer_avoidance.clear();
+    backend.health.avoid_until = {};
+    backend.health.unreachable_at = {};
+}
+
 void record_success(Backend& backend)
 {
     backend.health.peer_avoidance.clear();
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -249,6 +249,8 @@
 std::optional<Duration> min_back_off(std::span<BackendPointer const>, Instant now);
 
 void record_success(Backend&);
+/// Records that the backend server accepts connections, which ends its avoidance for failed ones.
+void record_connection(Backend&);
 /// Records a failed request. `is_unreachable` means that the request could not be sent at all, which weighs more than a
 /// failed response. Returns how long the backend server is avoided.
 Duration record_failure(Backend&, Instant now, bool is_unreachable);
--- a/Libraries/LibServing/EnginePoller.h
+++ b/Libraries/LibServing/EnginePoller.h
@@ -188,6 +188,7 @@
                 this->context.backend_terminated(backend);
             return;
         }
+        record_responding_server(this->context, backend);
         backend.engine.report = report.value();
         backend.engine.report_received_at = now;
         if (report.value().ends_in)
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -59,6 +59,10 @@
             this->finish();
             return this->respond_quarantined(*left);
         }
+        if (this->is_out_of_reach()) {
+            this->finish();
+            return this->refuse_out_of_reach();
+        }
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
         AdmissionDemand const demand { this->need(), this->call.route->latency_goal - this->elapsed() };
         auto admit_at = [&](std::optional<Rollout::Side> side) {
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -125,6 +125,8 @@
         inputs.regions = this->inputs.regions;
         inputs.side = this->context.rollouts.side_for_moves(this->inputs.source->server.service);
         inputs.copied_tokens_per_second = this->copied_tokens_per_second();
+        inputs.doubtful_domains
+            = this->context.domain_doubt.doubtful_domains(this->inputs.source->server.service, inputs.now);
         return inputs;
     }
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -10,6 +10,8 @@
 #include <LibHttp/CallerServer.h>
 #include <LibServing/AllowanceShare.h>
 #include <LibServing/BackendList.h>
+#include <LibServing/ConnectionProbes.h>
+#include <LibServing/DomainFailures.h>
 #include <LibServing/EnginePoller.h>
 #include <LibServing/HostDirectory.h>
 #include <LibServing/HostPlatform.h>
@@ -43,6 +45,7 @@
         , context(loop, this->settings, log)
         , request_handler(this->context)
         , engine_poller(this->context)
+        , probes(this->context)
         , peers(this->context, this->make_peer_observer())
         , backends(this->context,
               { [this](BackendPointer const& backend) { this->peers.backend_added(*backend); },
@@ -167,7 +170,7 @@
     [[nodiscard]] bool is_ready() const
     {
         return !this->context.leaving && this->context.routing && this->backends_known
-            && this->unreachable_services.empty();
+            && this->context.unreachable_services.empty();
     }
 
     Http::Response readiness_response()
@@ -415,15 +418,15 @@
         this->log_silent_domains(this->context.reachability.silent_domains(now));
         if (!this->context.routing)
             return;
-        auto unreachable
-            = Serving::unreachable_services(this->context.backends, *this->context.routing, this->silent_domains, now);
-        if (unreachable == this->unreachable_services)
+        auto unreachable = Serving::unreachable_services(
+            this->context.backends, *this->context.routing, this->silent_domains, now, this->context.domain_doubt);
+        auto& known = this->context.unreachable_services;
+        if (unreachable == known)
             return;
-        this->unreachable_services = std::move(unreachable);
+        known = std::move(unreachable);
         this->log.event(Core::EventNumber::ServicesUnreachable, this->settings.host.value())
-            .with("services", this->unreachable_services.size())
-            .with(
-                "first", this->unreachable_services.empty() ? ServiceName("none") : this->unreachable_services.front());
+            .with("services", known.size())
+            .with("first", known.empty() ? ServiceName("none") : known.front());
     }
 
     /// Derives from the reachable hosts what this host reads and whether it is ready. The work grows with the number of
@@ -444,6 +447,8 @@
         this->backends.tick();
         this->table_loader.tick();
         this->update_reachability();
+        log_doubt_changes(this->context);
+        this->probes.tick();
         this->update_allowance_share();
         this->quarantine_table.tick();
         this->rollouts.tick();
@@ -513,6 +518,7 @@
     ServingContext context;
     RequestHandler<typename P::Dialect> request_handler;
     EnginePoller<typename P::Dialect> engine_poller;
+    ConnectionProbes probes;
     PeerLink peers;
     BackendList backends;
     OperatorTable<P> operator_table;
@@ -540,7 +546,6 @@
     bool backends_known { false };
     /// An invalid entry is reported again with each heartbeat of its writer.
     LogRateLimiter rejected_rows { 1min };
-    std::vector<ServiceName> unreachable_services;
     std::vector<FailureDomainId> silent_domains;
     bool has_logged_ready { false };
 };
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibServing/DomainFailures.h>
 #include <LibServing/PeerLink.h>
 #include <LibServing/RateLimit.h>
 #include <LibServing/Refusal.h>
@@ -65,6 +66,7 @@
     this->context.use_changed = [this] { this->schedule_delta(); };
     this->context.backend_unreachable
         = [this](Backend const& backend, Duration avoided) { this->announce_unreachable(backend, avoided); };
+    this->context.doubt_changed = [this] { this->announce_doubts(); };
     this->context.backend_refuses = [this](Backend const& backend) { this->announce_refusals(backend); };
     this->context.limit_changed = [this](Backend const& backend) { this->announce_limit(backend); };
     this->context.quarantine_changed
@@ -155,6 +157,25 @@
     this->broadcast(message);
 }
 
+void PeerLink::announce_doubts()
+{
+    wire::HostUse message;
+    put_doubts(message, this->context.domain_doubt.own_reports(this->context.now()));
+    if (message.doubtful_domains_size() > 0)
+        this->broadcast(message);
+    this->announce_domain_doubts();
+}
+
+void PeerLink::announce_domain_doubts()
+{
+    if (this->own_representative_rank() > 0)
+        return;
+    wire::HostUse message;
+    put_doubts(message, this->context.domain_doubt.domain_reports(this->context.now()));
+    if (message.doubtful_domains_size() > 0)
+        this->send_to_remote_domains(std::move(message));
+}
+
 std::vector<Address> PeerLink::reachable_local_addresses() const
 {
     auto now = this->context.now();
@@ -282,6 +303,7 @@
             auto message = this->domain_use.full_state(this->context.backends);
             this->complete_full_state(message, period);
             put_recent_rate_limits(message, this->context, LimitScope::All);
+            put_doubts(message, this->context.domain_doubt.domain_reports(this->context.now()));
             this->send_to_remote_domains(std::move(message));
         }
         this->schedule_digest();
@@ -360,6 +382,7 @@
         auto message = state;
         this->complete_full_state(message, next_in);
         put_recent_rate_limits(message, this->context, limit_scope);
+        put_doubts(message, this->context.domain_doubt.own_reports(now));
         this->send(receivers, std::move(message));
     };
     if (!is_large || is_frequent)
@@ -462,6 +485,7 @@
     message.clear_ending();
     put_all_request_terminations(message, this->context);
     put_recent_rate_limits(message, this->context, LimitScope::All);
+    put_doubts(message, this->context.domain_doubt.own_reports(this->context.now()));
     this->send(std::span(&peer, 1), std::move(message));
 }
 
@@ -529,6 +553,9 @@
     if (message.engines_size() > 0)
         this->schedule_domain_delta();
     apply_suspicions(this->context, MemberId(name), message);
+    bool const is_local = this->context.reachability.is_local(sender);
+    if (is_local && apply_doubts(this->context, MemberId(name), Overload::DoubtReporter::LocalHost, message))
+        this->announce_domain_doubts();
     this->handle_lost_hosts(message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
@@ -558,6 +585,7 @@
     this->send_through_relays(
         message, is_relayed ? addresses_of(message.relay_to()) : this->reachable_local_addresses());
     this->peer_use.apply(MemberId(domain.value()), message, this->context.backends, now);
+    apply_doubts(this->context, MemberId(domain.value()), Overload::DoubtReporter::Domain, message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
     apply_refusals(this->context, message);
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -77,6 +77,8 @@
     void announce_request_termination(RequestFingerprint const&);
     /// Announces, to the hosts of this domain only, a backend server to which no connection can be established.
     void announce_unreachable(Backend const&, Duration avoided);
+    /// Announces the failure domains that seem to have failed, or have responded again, by this host's own connections.
+    void announce_doubts();
     /// Sends an update of a table that this host has read to the hosts of this domain and to one host of each other
     /// domain.
     void announce_update(wire::PlatformNews);
@@ -118,6 +120,8 @@
     void handle_progress(Address const& sender, wire::HostUse const&);
     [[nodiscard]] std::vector<Address> next_background_receivers(std::vector<Address> const& reachable);
     void announce_lost_hosts();
+    /// Tells the other domains what the hosts of this one agree on, if this host is its first representative.
+    void announce_domain_doubts();
     void handle_lost_hosts(wire::HostUse const&);
     void handle_leaving_list(wire::HostUse const&);
     void handle_terminated_list(wire::HostUse const&);
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -10,11 +10,13 @@
 #include <LibHttp/Exchange.h>
 #include <LibServing/BackendChooser.h>
 #include <LibServing/Dialect.h>
+#include <LibServing/DomainFailures.h>
 #include <LibServing/ErrorResponse.h>
 #include <LibServing/RateLimit.h>
 #include <LibServing/Refusal.h>
 #include <LibServing/RequestTerminations.h>
 #include <LibServing/ServerNotice.h>
+#include <LibServing/ServiceReachability.h>
 #include <LibServing/Suspicion.h>
 #include <functional>
 #include <optional>
@@ -96,9 +98,33 @@
         auto inputs = this->context.choice_inputs(other_domain_cost);
         inputs.side = side;
         inputs.regions = this->call.regions;
+        inputs.doubtful_domains = this->context.domain_doubt.doubtful_domains(this->call.service->name, inputs.now);
         return inputs;
     }
 
+    /// Whether no backend server of the service can be reached from here, although others can most likely reach them.
+    [[nodiscard]] bool is_out_of_reach() const
+    {
+        auto const& service = this->call.service->name;
+        auto const& unreachable = this->context.unreachable_services;
+        if (std::ranges::find(unreachable, service) == unreachable.end())
+            return false;
+        auto const now = this->context.now();
+        return Serving::is_out_of_reach(this->context.backends.of_service(service),
+            this->context.reachability.silent_domains(now), now, this->context.domain_doubt);
+    }
+
+    /// Refuses a request that has not run and whose service is out of reach. The caller's next connection goes to
+    /// another host, since this one reports that it is not ready.
+    void refuse_out_of_reach()
+    {
+        this->context.metrics.add("requests_out_of_reach_total");
+        Error const error { ErrorKind::NoBackendServer,
+            "no backend server of the service can be reached from this host; send it again on a new connection",
+            other_host_retry_after };
+        this->respond_with_error(error, RequestOutcome::NotRun, true);
+    }
+
     /// The side of a roll-out that serves the next dispatch of this request.
     [[nodiscard]] Rollout::SideChoice side_choice(bool is_first_dispatch) const
     {
@@ -147,8 +173,9 @@
         return request;
     }
 
-    /// Sends the caller an error response of this host, and logs it.
-    void respond_with_error(Error const& error, RequestOutcome outcome)
+    /// Sends the caller an error response of this host, and logs it. `closes_connection`: the caller is to use a new
+    /// connection for its next request.
+    void respond_with_error(Error const& error, RequestOutcome outcome, bool closes_connection = false)
     {
         auto status = status_for(error, outcome);
         this->context.metrics.add("answers_own_total{status=\"" + std::to_string(static_cast<int>(status)) + "\"}");
@@ -158,7 +185,9 @@
             .with("organisation", this->call.organisation)
             .with("held_ms", this->elapsed())
             .with("reason", error.message);
-        this->exchange().respond(error_response(error, outcome));
+        auto response = error_response(error, outcome);
+        response.keep_alive(!closes_connection);
+        this->exchange().respond(std::move(response));
     }
 
     /// Clears the response of the previous dispatch. To be called before each dispatch.
@@ -178,6 +207,8 @@
             return false;
         this->response_head = head;
         this->decoded_response = decoded;
+        if (!decoded.is_misdirected)
+            record_responding_server(this->context, backend);
         this->record_load(backend, decoded);
         // A misdirected response comes from another process and doesn't carry this server's limit.
         if (!decoded.is_misdirected)
@@ -302,6 +333,8 @@
         return &rollout->own_answers[this->call.route->name].of(*backend.rollout_side);
     }
 
+    /// Retry-After if another host can serve the request at once.
+    static constexpr Duration other_host_retry_after = 50ms;
     /// A process that is not the target of a request refuses it within milliseconds, or within a second over a link
     /// that loses packets.
     static constexpr Duration max_refusal_delay = 1s;
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -39,6 +39,10 @@
     {
         if (auto left = this->quarantined_for())
             return this->reject_quarantined(*left);
+        if (!this->may_have_run && this->is_out_of_reach()) {
+            this->end();
+            return this->refuse_out_of_reach();
+        }
         this->choose_backend();
         if (!this->backend)
             return this->no_backend();
--- a/Libraries/LibServing/ServiceReachability.h
+++ b/Libraries/LibServing/ServiceReachability.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <LibOverload/DomainDoubt.h>
 #include <LibServing/BackendTable.h>
 #include <LibServing/RoutingTable.h>
 #include <span>
@@ -18,7 +19,13 @@
 ///
 /// Both conditions are needed: a host that receives no messages from other hosts may still reach all servers, and a
 /// server that accepts no connections has most likely terminated.
-std::vector<ServiceName> unreachable_services(
-    BackendTable const&, RoutingTable const&, std::span<FailureDomainId const> silent_domains, Instant now);
+/// A server whose domain is doubtful counts as tried as well.
+std::vector<ServiceName> unreachable_services(BackendTable const&, RoutingTable const&,
+    std::span<FailureDomainId const> silent_domains, Instant now, Overload::DomainDoubt const& = {});
+
+/// Whether this holds for the service with these servers. A service without a server that accepts work is not out of
+/// reach.
+bool is_out_of_reach(std::span<BackendPointer const> servers, std::span<FailureDomainId const> silent_domains,
+    Instant now, Overload::DomainDoubt const&);
 
 }
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -9,6 +9,7 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
+#include <LibOverload/DomainDoubt.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
 #include <LibServing/Admission.h>
@@ -58,6 +59,9 @@
     /// Only services whose servers report a slowness have an entry.
     std::unordered_map<ServiceName, Overload::SlownessDistribution> slowness_of_services;
     ProcessCheck processes;
+    Overload::DomainDoubt domain_doubt;
+    /// The services of which this host can reach no backend server, as of the last tick.
+    std::vector<ServiceName> unreachable_services;
     Rollout::Rollouts rollouts;
     Quarantine quarantine;
     /// When any backend server last reported a rate limit.
@@ -74,6 +78,8 @@
     std::function<void()> use_changed { [] {} };
     /// To be called when connecting to a backend server failed. This host avoids it for `avoided`.
     std::function<void(Backend const&, Duration avoided)> backend_unreachable { [](Backend const&, Duration) {} };
+    /// To be called when a doubt about a failure domain has begun or ended by this host's own evidence.
+    std::function<void()> doubt_changed { [] {} };
     /// To be called when a backend server refuses requests, on its first refusal and on later ones.
     std::function<void(Backend const&)> backend_refuses { [](Backend const&) {} };
     /// To be called when a backend server reports in a response that it is leaving.
--- a/Libraries/LibServing/Suspicion.cpp
+++ b/Libraries/LibServing/Suspicion.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibServing/DomainFailures.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
 
@@ -16,6 +17,8 @@
 void suspect(ServingContext& context, Backend& backend, Failure const& failure)
 {
     auto avoidance = record_failure(backend, context.now(), failure.is_unreachable);
+    if (failure.is_unreachable)
+        record_failed_connection(context, backend);
     if (avoidance == 0s)
         return;
     context.log.event(Core::EventNumber::BackendServerSuspected, backend.server.id.value())
--- a/Tests/Hosts/HostGroup.h
+++ b/Tests/Hosts/HostGroup.h
@@ -47,6 +47,8 @@
         this->await_ready();
     }
 
+    [[nodiscard]] bool is_ready(size_t number) { return this->is_ready(*this->members.at(number)); }
+
     [[nodiscard]] size_t size() const { return this->members.size(); }
 
     std::shared_ptr<Call> call(size_t number, Http::Request request)
--- a/Tests/LibServing/TestPeerLink.cpp
+++ b/Tests/LibServing/TestPeerLink.cpp
@@ -201,6 +201,37 @@
     }
 }
 
+SCENARIO("all hosts of all domains learn of a domain whose engines have crashed")
+{
+    PeerFleet fleet({ "hall-a", "hall-b", "hall-c" }, 3);
+    fleet.until_connected();
+    Overload::ServerGroup const group { FailureDomainId("hall-a"), ServiceName("models") };
+    auto is_doubtful
+        = [&](PeerHost const& host) { return host.context.domain_doubt.is_doubtful(group, host.context.now()); };
+    auto run_into_crash = [&](PeerHost& host) {
+        for (int i = 0; i < 2; ++i)
+            host.context.domain_doubt.record_failure(
+                group, EngineId("engine-" + std::to_string(i)), 2, host.context.now());
+        host.context.doubt_changed();
+    };
+    auto& first = fleet.hosts.front();
+    auto& second = *std::next(fleet.hosts.begin());
+    run_into_crash(first);
+    fleet.loop.restart();
+    fleet.loop.run_for(700ms);
+    REQUIRE(is_doubtful(first));
+    CHECK(std::ranges::count_if(fleet.hosts, is_doubtful) == 1);
+    run_into_crash(first);
+    run_into_crash(second);
+    fleet.until_all(is_doubtful);
+    WHEN("one host gets a response from there")
+    {
+        REQUIRE(first.context.domain_doubt.record_response(group, first.context.now()));
+        first.context.doubt_changed();
+        fleet.until_all([&](PeerHost const& host) { return !is_doubtful(host); });
+    }
+}
+
 SCENARIO("hosts of all domains count a host that has joined")
 {
     PeerFleet fleet({ "hall-a", "hall-b" }, 3);
