--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibServing/DomainFailures.h>
 #include <LibServing/PeerLink.h>
 #include <LibServing/RateLimit.h>
 #include <LibServing/Refusal.h>
@@ -66,6 +67,7 @@
     this->context.use_changed = [this] { this->schedule_delta(); };
     this->context.backend_unreachable
         = [this](Backend const& backend, Duration avoided) { this->announce_unreachable(backend, avoided); };
+    this->context.doubt_changed = [this] { this->announce_doubts(); };
     this->context.backend_refuses = [this](Backend const& backend) { this->announce_refusals(backend); };
     this->context.limit_changed = [this](Backend const& backend) { this->announce_limit(backend); };
     this->context.paces_changed = [this] { this->schedule_delta(); };
@@ -157,6 +159,25 @@
     this->broadcast(message);
 }
 
+void PeerLink::announce_doubts()
+{
+    wire::HostUse message;
+    put_doubts(message, this->context.domain_doubt.own_reports(this->context.now()));
+    if (message.doubtful_domains_size() > 0)
+        this->broadcast(message);
+    this->announce_domain_doubts();
+}
+
+void PeerLink::announce_domain_doubts()
+{
+    if (this->own_representative_rank() > 0)
+        return;
+    wire::HostUse message;
+    put_doubts(message, this->context.domain_doubt.domain_reports(this->context.now()));
+    if (message.doubtful_domains_size() > 0)
+        this->send_to_remote_domains(std::move(message));
+}
+
 std::vector<Address> PeerLink::reachable_local_addresses() const
 {
     auto now = this->context.now();
@@ -286,6 +307,7 @@
             this->complete_full_state(message, period);
             put_recent_rate_limits(message, this->context, LimitScope::All);
             put_recent_server_paces(message, this->context, Overload::PaceScope::Domain);
+            put_doubts(message, this->context.domain_doubt.domain_reports(this->context.now()));
             this->send_to_remote_domains(std::move(message));
         }
         this->schedule_digest();
@@ -371,6 +393,7 @@
         this->complete_full_state(message, next_in);
         put_recent_rate_limits(message, this->context, limit_scope);
         put_recent_server_paces(message, this->context, Overload::PaceScope::Host);
+        put_doubts(message, this->context.domain_doubt.own_reports(now));
         this->send(receivers, std::move(message));
     };
     if (!is_large || is_frequent)
@@ -474,6 +497,7 @@
     put_all_request_terminations(message, this->context);
     put_recent_rate_limits(message, this->context, LimitScope::All);
     put_all_server_paces(message, this->context);
+    put_doubts(message, this->context.domain_doubt.own_reports(this->context.now()));
     this->send(std::span(&peer, 1), std::move(message));
 }
 
@@ -541,6 +565,9 @@
     if (has_changes(message))
         this->schedule_domain_delta();
     apply_suspicions(this->context, MemberId(name), message);
+    bool const is_local = this->context.reachability.is_local(sender);
+    if (is_local && apply_doubts(this->context, MemberId(name), Overload::DoubtReporter::LocalHost, message))
+        this->announce_domain_doubts();
     this->handle_lost_hosts(message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
@@ -571,6 +598,7 @@
     this->send_through_relays(
         message, is_relayed ? addresses_of(message.relay_to()) : this->reachable_local_addresses());
     this->peer_use.apply(MemberId(domain.value()), message, this->context.backends, now);
+    apply_doubts(this->context, MemberId(domain.value()), Overload::DoubtReporter::Domain, message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
     apply_refusals(this->context, message);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -11,6 +11,7 @@
 #include <LibHttp/ConnectionPool.h>
 #include <LibOverload/PaceTable.h>
 #include <LibOverload/ServicePace.h>
+#include <LibOverload/DomainDoubt.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
 #include <LibServing/Admission.h>
@@ -66,6 +67,9 @@
     std::unordered_map<ServiceName, Overload::ServicePace> pace_of_services;
     LogRateLimiter pace_log { 1s };
     ProcessCheck processes;
+    Overload::DomainDoubt domain_doubt;
+    /// The services of which this host can reach no backend server, as of the last tick.
+    std::vector<ServiceName> unreachable_services;
     Rollout::Rollouts rollouts;
     Quarantine quarantine;
     /// When any backend server last reported a rate limit.
@@ -82,6 +86,8 @@
     std::function<void()> use_changed { [] {} };
     /// To be called when connecting to a backend server failed. This host avoids it for `avoided`.
     std::function<void(Backend const&, Duration avoided)> backend_unreachable { [](Backend const&, Duration) {} };
+    /// To be called when a doubt about a failure domain has begun or ended by this host's own evidence.
+    std::function<void()> doubt_changed { [] {} };
     /// To be called when a backend server refuses requests, on its first refusal and on later ones.
     std::function<void(Backend const&)> backend_refuses { [](Backend const&) {} };
     /// To be called when a backend server reports in a response that it is leaving.
