LibHttp, LibServing: Bound what callers leave unread by the host's memory

Cause: a caller could leave 5 MiB unread before it was disconnected, nothing bounded the sum of all callers, and nothing slowed down the engine. The smallest hosts have 88 MB.

Change: a quarter of the host's memory may hold unsent bytes. Each caller's part is what is still free (a dynamic threshold); above it the host stops reading that stream from the engine. If complete responses exceed the sum, the slowest reader is disconnected with its reason. Off without the new setting.

Ruled out: a fixed bound for each caller, which pauses ordinary readers or does not bound the sum.

Measured: TestOutputBudget, TestSlowReaders (sockets) and Platform/ TestSlowReaders (a host with its engine) pass; the bound of the caller alone still holds where no memory is set.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -68,6 +68,8 @@
     this->in_exchange = true;
     this->request_written = false;
     this->response_allows_reuse = false;
+    this->is_paused = false;
+    this->has_unread_body = false;
     this->request = std::move(new_request);
     this->observer = std::make_shared<ExchangeObserver>(std::move(new_observer));
     ++this->exchange_number;
@@ -174,6 +176,9 @@
         return;
     if (this->parser->is_done())
         return this->finish_response();
+    this->has_unread_body = this->is_paused;
+    if (this->is_paused)
+        return;
     beast::http::async_read_some(this->socket, this->buffer, *this->parser,
         [self = shared_from_this(), number](beast::error_code error, size_t) {
             if (number == self->exchange_number && self->in_exchange)
@@ -181,6 +186,13 @@
         });
 }
 
+void BackendConnection::resume()
+{
+    this->is_paused = false;
+    if (this->in_exchange && std::exchange(this->has_unread_body, false))
+        this->read_body();
+}
+
 void BackendConnection::handle_body(beast::error_code error)
 {
     if (!error)
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -59,6 +59,11 @@
     void exchange(Request request, ExchangeObserver observer, Duration connect_timeout, Duration silence_limit);
     /// Ends the exchange and closes the connection, so that the backend server can abandon the request.
     void cancel();
+    /// Stops reading the response body, so that the backend server has to wait with the rest. What was already received
+    /// is still reported.
+    void pause() { this->is_paused = true; }
+    /// Continues to read the response body.
+    void resume();
     /// Whether another request may be sent on this connection: its last response was complete, it has not been idle for
     /// longer than the peer allows, and nothing was received since.
     [[nodiscard]] bool is_reusable();
@@ -98,6 +103,9 @@
     bool skipping { false };
     bool request_written { false };
     bool response_allows_reuse { false };
+    bool is_paused { false };
+    /// The next read of the body was left out because of a pause.
+    bool has_unread_body { false };
     Instant idle_until {};
     Instant idle_since {};
     /// Distinguishes callbacks of a cancelled exchange from those of the current one.
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -37,7 +37,11 @@
     set_peer_timeout(this->socket, caller_silence_limit);
 }
 
-CallerConnection::~CallerConnection() { this->enter(ConnectionPhase::Closed); }
+CallerConnection::~CallerConnection()
+{
+    this->account_sent(this->outgoing_bytes);
+    this->enter(ConnectionPhase::Closed);
+}
 
 void CallerConnection::enter(ConnectionPhase next)
 {
@@ -266,12 +270,54 @@
 {
     if (!this->is_open())
         return;
-    this->outgoing_bytes += bytes.size();
-    if (this->outgoing_bytes > CallerContext::max_pending_bytes + this->context->limits.body_bytes)
+    this->account_unsent(bytes);
+    bool const is_over_limit
+        = this->outgoing_bytes > CallerContext::max_pending_bytes + this->context->limits.body_bytes;
+    if (!this->context->output_budget && is_over_limit)
         return this->close(CloseReason::TooManyPendingBytes);
     this->outgoing.push_back(std::move(bytes));
     if (!this->writing)
         this->write_next();
+    auto const& budget = this->context->output_budget;
+    if (budget && budget->is_exceeded() && this->context->on_budget_exceeded)
+        this->context->on_budget_exceeded();
+}
+
+void CallerConnection::account_unsent(std::string const& bytes)
+{
+    if (this->outgoing_bytes == 0)
+        this->unread_since = AK::BootClock::now();
+    this->outgoing_bytes += bytes.size();
+    if (this->context->output_budget)
+        this->context->output_budget->add(bytes.size());
+}
+
+void CallerConnection::account_sent(size_t bytes)
+{
+    this->outgoing_bytes -= bytes;
+    this->unread_since = AK::BootClock::now();
+    if (this->context->output_budget)
+        this->context->output_budget->remove(bytes);
+}
+
+Duration CallerConnection::unread_for() const
+{
+    return this->outgoing_bytes == 0 ? Duration(0) : AK::BootClock::now() - this->unread_since;
+}
+
+bool CallerConnection::must_pause() const
+{
+    auto const& budget = this->context->output_budget;
+    return budget && budget->must_pause(this->outgoing_bytes);
+}
+
+void CallerConnection::resume_if_read()
+{
+    if (!this->is_paused || !this->context->output_budget->may_resume(this->outgoing_bytes))
+        return;
+    this->is_paused = false;
+    if (auto paused = this->exchange.lock())
+        paused->caller_has_read();
 }
 
 void CallerConnection::write_next()
@@ -289,9 +335,12 @@
     if (error)
         return this->close(CloseReason::WriteFailed);
     if (!this->outgoing.empty()) {
-        this->outgoing_bytes -= this->outgoing.front().size();
+        this->account_sent(this->outgoing.front().size());
         this->outgoing.pop_front();
     }
+    this->resume_if_read();
+    if (!this->is_open())
+        return;
     if (!this->outgoing.empty())
         return this->write_next();
     if (this->finish_when_written)
@@ -316,6 +365,10 @@
         AK::BootClock::now() - this->phase_began };
     this->enter(ConnectionPhase::Closed);
     this->timer.cancel();
+    this->account_sent(this->outgoing_bytes);
+    // The buffer of a write in progress has to live until its handler has run.
+    if (this->outgoing.size() > 1)
+        this->outgoing.resize(1);
     boost::system::error_code ignored;
     this->socket.close(ignored);
     if (this->context->on_closed)
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -9,6 +9,7 @@
 #include <AK/Timer.h>
 #include <LibHttp/ConnectionPhase.h>
 #include <LibHttp/Exchange.h>
+#include <LibOverload/OutputBudget.h>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <deque>
@@ -34,8 +35,12 @@
     bool closing { false };
     /// Number of requests that have begun to arrive and whose response is not complete.
     size_t open_requests { 0 };
-    /// Maximum number of unsent bytes for one caller, in addition to one body of maximum size. The connection is closed
-    /// when there are more.
+    /// Bounds the unsent bytes of all callers by the host's memory. Empty if the memory is not known.
+    std::optional<Overload::OutputBudget> output_budget {};
+    /// Called when the budget is exceeded.
+    std::function<void()> on_budget_exceeded {};
+    /// Without a budget: maximum number of unsent bytes for one caller, in addition to one body of maximum size. The
+    /// connection is closed when there are more.
     static constexpr size_t max_pending_bytes = 1 << 20;
     std::function<void(std::shared_ptr<Exchange>)> on_request {};
     /// Called for input that is not an acceptable request, with the message that was sent to the caller.
@@ -53,6 +58,11 @@
     /// Closes the connection immediately if no request is in progress and none is waiting in the socket.
     void close_if_idle(CloseReason);
     [[nodiscard]] bool is_open() const { return this->phase != ConnectionPhase::Closed; }
+    [[nodiscard]] size_t unsent_bytes() const { return this->outgoing_bytes; }
+    /// Time since the caller last read something; 0 if nothing is unsent.
+    [[nodiscard]] Duration unread_for() const;
+    /// Closes the connection, because unsent bytes of all callers take too much memory.
+    void close_as_slowest_reader() { this->close(CloseReason::SlowestReader); }
 
 private:
     friend class Exchange;
@@ -84,6 +94,10 @@
     void send_chunk(std::string_view);
     void send_last_chunk();
     void enqueue(std::string bytes);
+    void account_unsent(std::string const& bytes);
+    void account_sent(size_t bytes);
+    [[nodiscard]] bool must_pause() const;
+    void resume_if_read();
     void write_next();
     void written(beast::error_code);
     void request_finished();
@@ -101,6 +115,10 @@
     std::weak_ptr<Exchange> exchange;
     std::deque<std::string> outgoing;
     size_t outgoing_bytes { 0 };
+    /// When the first of the unsent bytes became the first.
+    Instant unread_since {};
+    /// The handler of the request waits until the caller has read enough.
+    bool is_paused { false };
     ConnectionPhase phase { ConnectionPhase::BetweenRequests };
     Instant phase_began {};
     u64 requests_accepted { 0 };
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -17,9 +17,38 @@
     , retry_timer(loop)
     , context(std::move(context))
 {
+    this->context->on_budget_exceeded = this->guard.wrap([this, &loop] {
+        // The connection that exceeds the budget is in use by its caller at this point.
+        if (!std::exchange(this->is_relieving, true))
+            asio::post(loop, this->guard.wrap([this] { this->relieve_memory(); }));
+    });
     this->accept();
 }
 
+void CallerServer::relieve_memory()
+{
+    this->is_relieving = false;
+    while (this->context->output_budget && this->context->output_budget->is_exceeded()) {
+        auto slowest = this->slowest_reader();
+        if (!slowest)
+            return;
+        slowest->close_as_slowest_reader();
+    }
+}
+
+std::shared_ptr<CallerConnection> CallerServer::slowest_reader() const
+{
+    std::shared_ptr<CallerConnection> slowest;
+    for (auto const& known : this->connections) {
+        auto connection = known.lock();
+        if (!connection || !connection->is_open() || connection->unsent_bytes() == 0)
+            continue;
+        if (!slowest || connection->unread_for() > slowest->unread_for())
+            slowest = connection;
+    }
+    return slowest;
+}
+
 void CallerServer::accept()
 {
     this->acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <AK/Timer.h>
+#include <LibCore/HandlerGuard.h>
 #include <LibHttp/CallerConnection.h>
 #include <vector>
 
@@ -32,11 +33,16 @@
     /// Accepts again after a delay. Closes idle connections first when file descriptors have run out.
     void accept_later(beast::error_code);
     void serve(tcp::socket);
+    /// Disconnects the slowest readers until the unsent bytes of all callers are within the budget.
+    void relieve_memory();
+    [[nodiscard]] std::shared_ptr<CallerConnection> slowest_reader() const;
 
     tcp::acceptor acceptor;
     AK::Timer retry_timer;
     std::shared_ptr<CallerContext> context;
     std::vector<std::weak_ptr<CallerConnection>> connections;
+    bool is_relieving { false };
+    Core::HandlerGuard guard;
 };
 
 }
--- a/Libraries/LibHttp/ConnectionPhase.cpp
+++ b/Libraries/LibHttp/ConnectionPhase.cpp
@@ -43,6 +43,8 @@
         return "write_failed";
     case CloseReason::TooManyPendingBytes:
         return "too_much_waiting";
+    case CloseReason::SlowestReader:
+        return "slowest_reader";
     case CloseReason::Aborted:
         return "aborted";
     }
--- a/Libraries/LibHttp/ConnectionPhase.h
+++ b/Libraries/LibHttp/ConnectionPhase.h
@@ -39,6 +39,8 @@
     WriteFailed,
     /// More unsent bytes were queued for the caller than the limit allows.
     TooManyPendingBytes,
+    /// All callers together had more unsent bytes than the host's memory allows, and this one was the slowest reader.
+    SlowestReader,
     /// The handler of the request aborted it, so that the response does not look complete.
     Aborted,
 };
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -19,6 +19,7 @@
 std::shared_ptr<CallerConnection> Exchange::release_connection()
 {
     this->caller_disconnected = nullptr;
+    this->on_read = nullptr;
     return std::exchange(this->connection, nullptr);
 }
 
@@ -44,6 +45,22 @@
         this->connection->send_chunk(piece);
 }
 
+bool Exchange::must_pause() const { return this->connection && this->connection->must_pause(); }
+
+void Exchange::wait_until_read(std::function<void()> observer)
+{
+    if (!this->connection)
+        return;
+    this->on_read = std::move(observer);
+    this->connection->is_paused = true;
+}
+
+void Exchange::caller_has_read()
+{
+    if (auto observer = std::exchange(this->on_read, nullptr))
+        observer();
+}
+
 void Exchange::end_stream()
 {
     if (this->connection)
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -34,6 +34,10 @@
     /// Starts a response with a chunked body.
     void begin_stream(ResponseHead const&);
     void send_chunk(std::string_view);
+    /// Whether the caller has to read some of what was sent before more is sent. Only an open stream can be paused.
+    [[nodiscard]] bool must_pause() const;
+    /// Calls `on_read` once, when the caller has read enough for more to be sent.
+    void wait_until_read(std::function<void()> on_read);
     /// Ends the chunked body and completes the response.
     void end_stream();
     /// Closes the connection, so that the response does not look complete.
@@ -42,6 +46,7 @@
 private:
     friend class CallerConnection;
     void connection_lost();
+    void caller_has_read();
     std::shared_ptr<CallerConnection> release_connection();
 
     std::shared_ptr<CallerConnection> connection;
@@ -49,6 +54,7 @@
     Instant received;
     bool streaming { false };
     std::function<void()> caller_disconnected;
+    std::function<void()> on_read;
 };
 
 }
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -193,6 +193,22 @@
         if (this->reader.is_oversized())
             return this->fail_stream("the engine sent an event that exceeds the size limit");
         this->consider_move();
+        this->apply_back_pressure();
+    }
+
+    /// Reads no more from the engine while the caller has too much to read. The engine stops waiting after some
+    /// seconds, so this happens only when the host's memory is needed. An engine that is leaving is read to the end.
+    void apply_back_pressure()
+    {
+        if (!this->connection || this->move || this->must_move() || !this->exchange().must_pause())
+            return;
+        this->connection->pause();
+        this->context.metrics.add("streams_paused_total");
+        this->exchange().wait_until_read([weak = this->weak_from_this()] {
+            auto self = weak.lock();
+            if (self && self->connection)
+                self->connection->resume();
+        });
     }
 
     void forward(Delivery::StreamEvent const& event)
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -95,6 +95,9 @@
         this->callers_context = std::make_shared<Http::CallerContext>();
         this->callers_context->on_request
             = [this](std::shared_ptr<Http::Exchange> exchange) { this->request_handler.handle(std::move(exchange)); };
+        if (this->settings.memory_bytes > 0)
+            this->callers_context->output_budget.emplace(
+                Overload::OutputBudget::total_for(this->settings.memory_bytes));
         this->callers_context->on_rejected_request = [this](std::string const& reason) {
             this->log.event(Core::EventNumber::RequestRefused, "unread").with("reason", reason);
         };
@@ -182,6 +185,9 @@
     Http::Response metrics_response()
     {
         this->context.metrics.set("open_requests", static_cast<double>(this->callers_context->open_requests));
+        if (this->callers_context->output_budget)
+            this->context.metrics.set(
+                "unread_response_bytes", static_cast<double>(this->callers_context->output_budget->used()));
         this->context.metrics.set("log_lines_dropped", static_cast<double>(this->log.dropped_lines()));
         Http::Response response(Http::Status::ok, 11);
         response.set(Http::Name::content_type, "text/plain; version=0.0.4");
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -12,6 +12,8 @@
 
 namespace Serving {
 
+static constexpr double bytes_per_megabyte = 1e6;
+
 static double number_or(Core::SettingsReader& reader, std::string const& key, double fallback)
 {
     auto text = reader.text_or(key, "");
@@ -49,6 +51,7 @@
     settings.platform = Address(reader.address("host.platform"));
     settings.cores = number_or(reader, "host.cores", settings.cores) * number_or(reader, "host.cpu_share", 1);
     settings.link_megabits_per_second = number_or(reader, "host.link_megabits", settings.link_megabits_per_second);
+    settings.memory_bytes = static_cast<u64>(number_or(reader, "host.memory_megabytes", 0) * bytes_per_megabyte);
     settings.stop_grace = reader.duration_or("host.stop_grace", settings.stop_grace);
     settings.drain_time = reader.duration_or("backends.drain_time", settings.drain_time);
     settings.list_recovery_time = reader.duration_or("backends.list_recovery_time", settings.list_recovery_time);
--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -31,6 +31,8 @@
     double cores { 0 };
     /// Bandwidth of its link, in megabits per second.
     double link_megabits_per_second { 10 };
+    /// Memory that this host may use; 0 if unknown. Bounds the responses that callers have not read yet.
+    u64 memory_bytes { 0 };
     /// Maximum time from the stop signal to the end of the process.
     Duration stop_grace { 8s };
     /// Time for which a backend server continues to run after it has reported that it is leaving.
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -62,6 +62,7 @@
         settings.peer_address = settings.peer_listen;
         settings.platform = Address(text_of(this->store_endpoint));
         settings.drain_time = this->drain_time;
+        settings.memory_bytes = this->memory_bytes;
         return settings;
     }
 
@@ -213,6 +214,7 @@
     Http::tcp::endpoint metrics_endpoint;
     Http::tcp::endpoint peer_endpoint { free_endpoint() };
     Duration drain_time { 600ms };
+    u64 memory_bytes { 0 };
     PlatformStore store;
     std::list<PlatformRunner> runners;
     std::map<std::string, std::string> services;
