--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -501,11 +501,21 @@
         this->settings.drain_time = read.value().drain_time;
         this->settings.list_recovery_time = read.value().list_recovery_time;
         this->settings.max_back_off = read.value().max_back_off;
+        this->set_memory(read.value().memory_bytes);
         this->context.budget.set_limits(read.value().retry_budget);
         this->context.rollouts.set_limits(read.value().exposure);
         this->log.event(Core::EventNumber::SettingsReloaded, this->settings.host.value());
     }
 
+    /// A bound that was not set at the start of the process stays unset: responses in progress were not counted.
+    void set_memory(u64 bytes)
+    {
+        this->settings.memory_bytes = bytes;
+        auto& budget = this->callers_context->output_budget;
+        if (budget && bytes > 0)
+            budget->set_total(Overload::OutputBudget::total_for(bytes));
+    }
+
     void begin_stop()
     {
         this->stop.emplace(this->context, *this->callers, *this->callers_context, [this] { this->loop.stop(); });
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -72,8 +72,11 @@
             this->log_text += text;
             return text.size();
         });
-        this->host.emplace(this->loop, this->settings(), *this->log,
-            [this]() -> Result<Serving::HostSettings> { return this->settings(); });
+        this->host.emplace(this->loop, this->settings(), *this->log, [this]() -> Result<Serving::HostSettings> {
+            if (this->settings_error)
+                return *this->settings_error;
+            return this->settings();
+        });
         this->host->start();
     }
 
@@ -215,6 +218,8 @@
     Http::tcp::endpoint peer_endpoint { free_endpoint() };
     Duration drain_time { 600ms };
     u64 memory_bytes { 0 };
+    /// Reading the settings again fails with this error.
+    std::optional<Error> settings_error;
     PlatformStore store;
     std::list<PlatformRunner> runners;
     std::map<std::string, std::string> services;
