--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -98,6 +98,9 @@
         this->callers_context = std::make_shared<Http::CallerContext>();
         this->callers_context->on_request
             = [this](std::shared_ptr<Http::Exchange> exchange) { this->request_handler.handle(std::move(exchange)); };
+        if (this->settings.memory_bytes > 0)
+            this->callers_context->output_budget.emplace(
+                Overload::OutputBudget::total_for(this->settings.memory_bytes));
         this->callers_context->on_rejected_request = [this](std::string const& reason) {
             this->log.event(Core::EventNumber::RequestRefused, "unread").with("reason", reason);
         };
@@ -185,6 +188,9 @@
     Http::Response metrics_response()
     {
         this->context.metrics.set("open_requests", static_cast<double>(this->callers_context->open_requests));
+        if (this->callers_context->output_budget)
+            this->context.metrics.set(
+                "unread_response_bytes", static_cast<double>(this->callers_context->output_budget->used()));
         this->context.metrics.set("log_lines_dropped", static_cast<double>(this->log.dropped_lines()));
         Http::Response response(Http::Status::ok, 11);
         response.set(Http::Name::content_type, "text/plain; version=0.0.4");
@@ -500,11 +506,21 @@
         this->settings.drain_time = read.value().drain_time;
         this->settings.list_recovery_time = read.value().list_recovery_time;
         this->settings.max_back_off = read.value().max_back_off;
+        this->set_memory(read.value().memory_bytes);
         this->context.budget.set_limits(read.value().retry_budget);
         this->context.rollouts.set_limits(read.value().exposure);
         this->log.event(Core::EventNumber::SettingsReloaded, this->settings.host.value());
     }
 
+    /// A bound that was not set at the start of the process stays unset: responses in progress were not counted.
+    void set_memory(u64 bytes)
+    {
+        this->settings.memory_bytes = bytes;
+        auto& budget = this->callers_context->output_budget;
+        if (budget && bytes > 0)
+            budget->set_total(Overload::OutputBudget::total_for(bytes));
+    }
+
     void begin_stop()
     {
         this->stop.emplace(this->context, *this->callers, *this->callers_context, [this] { this->loop.stop(); });
