LibServing: Don't probe servers that have asked for a back-off

Cause: a probe opened a connection to any listed server of the group, also to one that wants nothing of this host at present.

Ruled out: counting such a server as out of reach, since it has responded.

Change: only servers that accept work now are probed. TestServicesOutOfReach fails at its three checks if the refusal is taken out.

--- a/Libraries/LibServing/ConnectionProbes.cpp
+++ b/Libraries/LibServing/ConnectionProbes.cpp
@@ -51,8 +51,10 @@
     auto const now = this->context.now();
     auto const subject = subject_of(group);
     std::vector<BackendPointer> candidates;
-    std::ranges::copy_if(this->context.backends.of_service(group.service), std::back_inserter(candidates),
-        [&](auto const& backend) { return backend->takes_work() && backend->server.failure_domain == group.domain; });
+    std::ranges::copy_if(
+        this->context.backends.of_service(group.service), std::back_inserter(candidates), [&](auto const& backend) {
+            return backend->takes_work_at(now) && backend->server.failure_domain == group.domain;
+        });
     auto& probe = this->probes[subject];
     if (candidates.empty() || probe.is_in_flight || now < probe.next_at)
         return;
