--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -85,6 +85,8 @@
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
     { OrderWithheld, "order_withheld", Warning },
+    { ReturnRequested, "return_requested", Information },
+    { CallerReturned, "caller_returned", Information },
 });
 
 std::span<EventDescription const> event_catalogue() { return catalogue; }
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -85,6 +85,8 @@
     LeaseLapsed = 2502,
     OrderSent = 2503,
     OrderWithheld = 2504,
+    ReturnRequested = 2611,
+    CallerReturned = 2612,
 };
 
 enum class Severity : u8 {
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -8,6 +8,7 @@
 
 #include <LibDelivery/EventStream.h>
 #include <LibServing/GenerationMove.h>
+#include <LibServing/Returns.h>
 
 namespace Serving {
 
@@ -22,6 +23,7 @@
     {
         auto self = this->shared_from_this();
         this->begin([self] { self->caller_disconnected(); }, [self] { self->deadline_passed(); });
+        this->returned = take_return(this->context, this->attempt(), this->call.fingerprint);
         this->place();
     }
 
@@ -75,12 +77,22 @@
         this->tried.push_back(chosen->server.id);
         this->context.placements.record(this->context.now());
         this->log_placement(*chosen);
+        this->record_placement();
         auto prompt = this->demand().prompt.value();
         this->claim.emplace(chosen, prompt, prompt);
         this->context.use_changed();
         this->dispatch_to(chosen, {});
     }
 
+    void record_placement()
+    {
+        auto const need = this->need();
+        auto const tokens = need.prompt.value() + need.expected_output.value();
+        this->context.return_plans[this->call.service->name].record_admitted(tokens, this->context.now());
+        if (this->tried.size() == 1)
+            count_return(this->context, this->returned, true);
+    }
+
     void log_placement(Backend const& chosen)
     {
         this->context.log.event(Core::EventNumber::GenerationPlaced, this->attempt())
@@ -329,8 +341,20 @@
         this->refuse(reason, default_retry_after);
     }
 
-    void refuse(Admission const& decision)
+    /// When the caller of a generation that no engine has capacity for should return.
+    [[nodiscard]] Duration return_time()
+    {
+        count_return(this->context, this->returned, false);
+        return plan_return(this->context,
+            { this->attempt(), this->call.service->name, this->call.fingerprint, this->need(),
+                this->call.route->latency_goal - this->elapsed(), this->time_left() },
+            this->choice_inputs(other_domain_cost, {}));
+    }
+
+    void refuse(Admission decision)
     {
+        if (decision.verdict == AdmissionVerdict::NoCapacity)
+            decision.retry_after = this->return_time();
         auto const verdict = std::string(to_string(decision.verdict));
         this->context.metrics.add("generations_refused_total{ground=\"" + verdict + "\"}");
         this->context.log.event(Core::EventNumber::GenerationRefused, this->attempt())
@@ -559,10 +583,20 @@
         if (this->move)
             this->move->cancel();
         this->move = nullptr;
+        this->record_end();
         this->claim.reset();
         this->context.use_changed();
     }
 
+    void record_end()
+    {
+        if (!this->claim || !this->backend)
+            return;
+        auto const now = this->context.now();
+        this->context.return_plans[this->call.service->name].record_ended(
+            { this->claim->held_tokens(), this->demand().prompt.value(), now - this->dispatched_at }, now);
+    }
+
     BackendPointer backend;
     std::shared_ptr<Http::BackendConnection> connection;
     std::optional<EngineClaim> claim;
@@ -579,6 +613,8 @@
     Duration max_gap { 0 };
     std::shared_ptr<Move> move;
     Instant next_move_at {};
+    /// Whether this host asked the caller to return with this request.
+    Overload::ReturningCallers::Return returned;
     bool continuing { false };
 };
 
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -9,6 +9,7 @@
 #include <LibServing/Refusal.h>
 #include <LibServing/Relays.h>
 #include <LibServing/RequestTerminations.h>
+#include <LibServing/Returns.h>
 #include <LibServing/ServerPace.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
@@ -315,7 +316,8 @@
             return;
         auto delta = this->own_use.delta(this->context.backends).value_or(wire::HostUse());
         put_unsent_server_paces(delta, this->context, Overload::PaceScope::Host);
-        if (has_changes(delta))
+        bool const has_returns = put_changed_returns(delta, this->context);
+        if (has_changes(delta) || has_returns)
             this->broadcast(delta);
     }));
 }
@@ -541,6 +543,7 @@
     if (has_changes(message))
         this->schedule_domain_delta();
     apply_suspicions(this->context, MemberId(name), message);
+    apply_returns(this->context, MemberId(name), message);
     this->handle_lost_hosts(message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -10,6 +10,8 @@
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
 #include <LibOverload/PaceTable.h>
+#include <LibOverload/ReturnPlan.h>
+#include <LibOverload/ReturningCallers.h>
 #include <LibOverload/ServicePace.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
@@ -65,6 +67,9 @@
     /// How engines of a service work, for the same services.
     std::unordered_map<ServiceName, Overload::ServicePace> pace_of_services;
     LogRateLimiter pace_log { 1s };
+    /// When callers return that were refused for lack of capacity, for each service that has refused some.
+    std::unordered_map<ServiceName, Overload::ReturnPlan> return_plans;
+    Overload::ReturningCallers returning_callers;
     ProcessCheck processes;
     Rollout::Rollouts rollouts;
     Quarantine quarantine;
