--- a/Tests/LibServing/TestPeerLink.cpp
+++ b/Tests/LibServing/TestPeerLink.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/PeerLink.h>
+#include <LibServing/Returns.h>
 #include <Tests/Support/Endpoints.h>
 #include <Tests/Support/LoopWait.h>
 #include <list>
@@ -310,3 +311,46 @@
         }
     }
 }
+
+SCENARIO("hosts of one failure domain know when each other's refused callers return")
+{
+    PeerFleet fleet({ "hall-a", "hall-b" }, 2);
+    fleet.until_connected();
+    ServiceName const models("models");
+    auto& refusing = fleet.hosts.front();
+    GenerationWithoutCapacity const generation { "attempt", models, { OrganisationId("plaza"), 7 },
+        { TokenCount(2000), TokenCount(500) }, 4s, 39s };
+    auto const after = plan_return(refusing.context, generation, refusing.context.choice_inputs(0.3));
+    CHECK(after >= 200ms);
+
+    auto due_generations = [&](PeerHost& host) {
+        u32 sum = 0;
+        auto const first = Overload::ReturnBook::slot_of(host.context.now());
+        for (auto slot = first; slot < first + Overload::ReturnBook::slot_count; ++slot)
+            sum += host.context.return_plans[models].book.due_in_slot(slot).generations;
+        return sum;
+    };
+    auto& neighbour = *std::next(fleet.hosts.begin());
+    auto& remote = fleet.hosts.back();
+    Test::run_until(fleet.loop, [&] { return due_generations(neighbour) == 1; });
+    CHECK(due_generations(remote) == 0);
+    CHECK(refusing.context.returning_callers.size() == 1);
+
+    SECTION("an entry with impossible values changes nothing")
+    {
+        wire::HostUse message;
+        auto& entry = *message.add_returns();
+        entry.set_service(models.value());
+        entry.set_generations(1);
+        entry.set_tokens(std::numeric_limits<uint64_t>::max());
+        apply_returns(neighbour.context, MemberId("other"), message);
+        message.mutable_returns(0)->set_tokens(1);
+        message.mutable_returns(0)->set_due_in_milliseconds(std::numeric_limits<uint32_t>::max());
+        apply_returns(neighbour.context, MemberId("other"), message);
+        message.mutable_returns(0)->set_due_in_milliseconds(1000);
+        message.mutable_returns(0)->set_service("unknown");
+        apply_returns(neighbour.context, MemberId("other"), message);
+        CHECK(due_generations(neighbour) <= 1);
+        CHECK(!neighbour.context.return_plans.contains(ServiceName("unknown")));
+    }
+}
