LibOverload: Count present backlogs when a caller must return to be served in time

A caller that was told the last moment before its goal met engines with a backlog, so its first event was late. Ruled out: learning the time from own first events (a host of a large fleet has too few in a shortage).

--- a/Libraries/LibOverload/ReturnPlan.cpp
+++ b/Libraries/LibOverload/ReturnPlan.cpp
@@ -12,9 +12,11 @@
 
 /// Callers obey a Retry-After for this part of their time left.
 static constexpr i64 obeyed_part = 3;
-/// A caller without capacity to return to comes in the last part of the permitted time, when the shortage has most
-/// likely ended.
-static constexpr double last_part = 1.0 / 3;
+
+static Duration obeyed_time(RefusedGeneration const& generation)
+{
+    return std::min<Duration>(generation.time_left / obeyed_part, ReturnPlan::max_return);
+}
 
 std::string_view to_string(ReturnTime::Basis basis)
 {
@@ -81,9 +83,10 @@
         time.after = from + AK::from_seconds(draw * AK::to_seconds(until - from));
     };
     take_between(min_return, short_return, ReturnTime::Basis::Unknown);
-    auto const obeyed = std::min<Duration>(generation.time_left / obeyed_part, max_return);
-    auto const in_time = std::min<Duration>(obeyed, generation.first_event_due_in - generation.first_event_takes);
-    auto const permitted = in_time > min_return ? in_time : obeyed;
+    auto const obeyed = obeyed_time(generation);
+    auto const in_time = std::min<Duration>(
+        obeyed, generation.first_event_due_in - generation.first_event_takes - generation.backlog_takes);
+    auto const permitted = permitted_time(generation, in_time);
     if (!time.capacity || permitted <= min_return)
         return;
     auto promise = [&](Duration from, Duration until, ReturnTime::Basis basis) {
@@ -103,8 +106,16 @@
         = in_time <= min_return || (time.similar_outcomes >= min_outcomes && time.refused_share > high_refused_share);
     if (is_late_better && promise(std::max(earliest, in_time), obeyed, ReturnTime::Basis::PromisedLate))
         return;
-    auto const last_part_begins = AK::from_seconds(AK::to_seconds(permitted) * (1 - last_part));
-    take_between(std::max(min_return, last_part_begins), permitted, ReturnTime::Basis::NoCapacity);
+    take_between(std::max<Duration>(min_return, permitted / 2), permitted, ReturnTime::Basis::NoCapacity);
+}
+
+Duration ReturnPlan::permitted_time(RefusedGeneration const& generation, Duration in_time)
+{
+    if (in_time > short_return)
+        return in_time;
+    // Present backlogs would delay the first event beyond the goal, but an engine with a shorter one may be found.
+    bool const may_be_in_time = generation.first_event_due_in - generation.first_event_takes > min_return;
+    return may_be_in_time ? std::min<Duration>(short_return, obeyed_time(generation)) : obeyed_time(generation);
 }
 
 std::optional<ReleasedCapacity> ReturnPlan::released_per_second(PoolUse const& pool, Instant now) const
--- a/Libraries/LibOverload/ReturnPlan.h
+++ b/Libraries/LibOverload/ReturnPlan.h
@@ -25,8 +25,9 @@
     ReturnDemand demand;
     /// Time left until its first event is due by the goal of its route.
     Duration first_event_due_in { 0 };
-    /// Time until its first event once an engine has taken it.
+    /// Time until its first event once an idle engine has taken it, and the time that present backlogs add.
     Duration first_event_takes { 0 };
+    Duration backlog_takes { 0 };
     /// Time left until its deadline.
     Duration time_left { 0 };
 };
@@ -116,6 +117,8 @@
     };
     [[nodiscard]] ReturnTime forecast(ReturnDemand const&, PoolUse const&, Instant now) const;
     /// Sets when the caller returns, by the forecast in `time`.
+    /// The latest time at which the caller should return.
+    static Duration permitted_time(RefusedGeneration const&, Duration in_time);
     void choose(ReturnTime& time, RefusedGeneration const&, double draw, Instant now) const;
     [[nodiscard]] std::optional<ReleasedCapacity> released_per_second(PoolUse const&, Instant now) const;
     [[nodiscard]] std::optional<i64> first_slot(
--- a/Libraries/LibServing/Returns.cpp
+++ b/Libraries/LibServing/Returns.cpp
@@ -13,10 +13,23 @@
 static constexpr size_t max_announced_slots = 8;
 /// Prompt tokens that an engine reads per second while it also decodes other generations.
 static constexpr double shared_reading_tokens_per_second = idle_prefill_tokens_per_second / 2;
+/// Four of five engines have read what is before a prompt in this multiple of the mean time.
+static constexpr double backlog_margin = 1.25;
 
-static Overload::PoolUse pool_use(ServingContext const& context, ServiceName const& service, ChoiceInputs const& inputs)
-{
+static Duration reading_time(double tokens) { return AK::from_seconds(tokens / shared_reading_tokens_per_second); }
+
+struct Pool {
     Overload::PoolUse use;
+    /// Time until an engine has read the prompts that it has accepted already.
+    Duration backlog_takes { 0 };
+};
+
+static Pool observe_pool(ServingContext const& context, ServiceName const& service, ChoiceInputs const& inputs)
+{
+    Pool pool;
+    auto& use = pool.use;
+    i64 unread_tokens = 0;
+    u32 engines = 0;
     i64 domain_tokens = 0;
     for (auto const& backend : context.backends.of_service(service)) {
         if (!is_eligible(*backend, inputs))
@@ -24,15 +37,19 @@
         auto const& engine = backend->engine;
         use.tokens += engine.tokens();
         use.generations += engine.generations();
+        unread_tokens += engine.unread_tokens();
+        ++engines;
         domain_tokens += engine.own_tokens + engine.domain_peer_work.tokens;
     }
     if (use.tokens > 0)
         use.domain_share = static_cast<double>(domain_tokens) / static_cast<double>(use.tokens);
-    return use;
+    if (engines > 0)
+        pool.backlog_takes = reading_time(backlog_margin * static_cast<double>(unread_tokens) / engines);
+    return pool;
 }
 
-static void log_return(
-    ServingContext& context, GenerationWithoutCapacity const& generation, Overload::ReturnTime const& time)
+static void log_return(ServingContext& context, GenerationWithoutCapacity const& generation,
+    Overload::ReturnTime const& time, Duration backlog_takes)
 {
     auto const capacity = time.capacity.value_or(Overload::ReleasedCapacity {});
     context.log.event(Core::EventNumber::ReturnRequested, generation.attempt)
@@ -47,6 +64,7 @@
         .with("due_generations", time.due_before.generations)
         .with("due_tokens", time.due_before.tokens)
         .with("wanted", generation.need.prompt.value() + generation.need.expected_output.value())
+        .with("backlog_ms", backlog_takes)
         .with("left_ms", generation.time_left);
 }
 
@@ -55,15 +73,16 @@
     auto const now = context.now();
     auto const prompt = generation.need.prompt.value();
     Overload::ReturnDemand const demand { 1, prompt + generation.need.expected_output.value(), prompt };
-    auto const first_event_takes = AK::from_seconds(static_cast<double>(prompt) / shared_reading_tokens_per_second);
+    auto const pool = observe_pool(context, generation.service, inputs);
     boost::random::uniform_real_distribution<double> draw(0, 1);
     auto const time = context.return_plans[generation.service].refuse(
-        { demand, generation.first_event_due_in, first_event_takes, generation.time_left },
-        pool_use(context, generation.service, inputs), draw(context.random), now);
+        { demand, generation.first_event_due_in, reading_time(static_cast<double>(prompt)), pool.backlog_takes,
+            generation.time_left },
+        pool.use, draw(context.random), now);
     context.returning_callers.record(
         generation.fingerprint.digest, { generation.service, demand, now + time.after }, now);
     context.metrics.add("returns_requested_total{basis=\"" + std::string(to_string(time.basis)) + "\"}");
-    log_return(context, generation, time);
+    log_return(context, generation, time, pool.backlog_takes);
     context.use_changed();
     return time.after;
 }
--- a/Tests/LibOverload/ReturningPool.h
+++ b/Tests/LibOverload/ReturningPool.h
@@ -226,7 +226,7 @@
     {
         Overload::ReturnDemand const demand { 1, generation.tokens(), generation.prompt };
         Overload::RefusedGeneration const refused { demand, generation.goal,
-            AK::from_seconds(generation.reading_seconds()), generation.deadline - this->now };
+            AK::from_seconds(generation.reading_seconds()), 0s, generation.deadline - this->now };
         auto& host = this->hosts[number];
         auto const decision = host.plan.refuse(refused, this->pool_use(), draw, this->now);
         using Basis = Overload::ReturnTime::Basis;
--- a/Tests/LibOverload/TestReturnPlan.cpp
+++ b/Tests/LibOverload/TestReturnPlan.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr ReturnDemand demand { 1, 3000, 2500 };
-constexpr RefusedGeneration draft { demand, 4s, 500ms, 39s };
-constexpr RefusedGeneration tag { demand, 1500ms, 300ms, 6s };
+constexpr RefusedGeneration draft { demand, 4s, 500ms, 0s, 39s };
+constexpr RefusedGeneration tag { demand, 1500ms, 300ms, 0s, 6s };
 
 /// A plan of a host that has seen generations of 3,000 tokens that run for two seconds.
 struct KnownPlan : ReturnPlan {
@@ -220,7 +220,7 @@
             auto const draw = (i % 100) / 100.0;
             CHECK(plan.refuse(tag, small_pool, draw, at).after <= 2s);
             CHECK(plan.refuse(draft, small_pool, draw, at).after <= 13s);
-            auto const short_one = plan.refuse({ demand, 1h, 0s, 900ms }, large_pool, draw, at);
+            auto const short_one = plan.refuse({ demand, 1h, 0s, 0s, 900ms }, large_pool, draw, at);
             CHECK(short_one.after <= 400ms);
         }
     }
@@ -238,10 +238,19 @@
             CHECK(plan.refuse(tag, small_pool, 0.5, now + 10s).shortage_ends_in == 0s);
         }
     }
+    SECTION("backlogs leave no time before the goal: the caller returns soon, since a late answer is of less use")
+    {
+        KnownPlan plan(now);
+        for (int i = 0; i < 20; ++i) {
+            auto const time = plan.refuse({ demand, 1500ms, 300ms, 1s, 6s }, small_pool, i / 20.0, now + i * 100ms);
+            CHECK(time.after >= 200ms);
+            CHECK((time.after <= 400ms || time.basis == Basis::PromisedLate));
+        }
+    }
     SECTION("a route without a goal gets what a third of the time left allows")
     {
         KnownPlan plan(now);
-        auto const time = plan.refuse({ demand, 0s, 0s, 39s }, large_pool, 0.5, now);
+        auto const time = plan.refuse({ demand, 0s, 0s, 0s, 39s }, large_pool, 0.5, now);
         CHECK(time.basis == Basis::PromisedLate);
         CHECK(time.after <= 13s);
     }
