--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -10,6 +10,7 @@
 #include <LibServing/Refusal.h>
 #include <LibServing/Relays.h>
 #include <LibServing/RequestTerminations.h>
+#include <LibServing/Returns.h>
 #include <LibServing/ServerPace.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
@@ -337,7 +338,8 @@
             return;
         auto delta = this->own_use.delta(this->context.backends).value_or(wire::HostUse());
         put_unsent_server_paces(delta, this->context, Overload::PaceScope::Host);
-        if (has_changes(delta))
+        bool const has_returns = put_changed_returns(delta, this->context);
+        if (has_changes(delta) || has_returns)
             this->broadcast(delta);
     }));
 }
@@ -568,6 +570,7 @@
     bool const is_local = this->context.reachability.is_local(sender);
     if (is_local && apply_doubts(this->context, MemberId(name), Overload::DoubtReporter::LocalHost, message))
         this->announce_domain_doubts();
+    apply_returns(this->context, MemberId(name), message);
     this->handle_lost_hosts(message);
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -10,6 +10,8 @@
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
 #include <LibOverload/PaceTable.h>
+#include <LibOverload/ReturnPlan.h>
+#include <LibOverload/ReturningCallers.h>
 #include <LibOverload/ServicePace.h>
 #include <LibOverload/DomainDoubt.h>
 #include <LibOverload/SlownessDistribution.h>
@@ -66,6 +68,9 @@
     /// How engines of a service work, for the same services.
     std::unordered_map<ServiceName, Overload::ServicePace> pace_of_services;
     LogRateLimiter pace_log { 1s };
+    /// When callers return that were refused for lack of capacity, for each service that has refused some.
+    std::unordered_map<ServiceName, Overload::ReturnPlan> return_plans;
+    Overload::ReturningCallers returning_callers;
     ProcessCheck processes;
     Overload::DomainDoubt domain_doubt;
     /// The services of which this host can reach no backend server, as of the last tick.
