--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -83,6 +83,10 @@
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
     { OrderWithheld, "order_withheld", Warning },
+    { ShortageBegan, "shortage_began", Warning },
+    { ShortageEnded, "shortage_ended", Information },
+    { GenerationWaits, "generation_waits", Information },
+    { GenerationWaited, "generation_waited", Information },
 });
 
 std::span<EventDescription const> event_catalogue() { return catalogue; }
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -83,6 +83,10 @@
     LeaseLapsed = 2502,
     OrderSent = 2503,
     OrderWithheld = 2504,
+    ShortageBegan = 2601,
+    ShortageEnded = 2602,
+    GenerationWaits = 2603,
+    GenerationWaited = 2604,
 };
 
 enum class Severity : u8 {
--- a/Libraries/LibOverload/OrganisationShares.cpp
+++ b/Libraries/LibOverload/OrganisationShares.cpp
@@ -118,8 +118,8 @@
     std::erase_if(this->own, [&](auto const& entry) {
         return entry.second.placed.at(now) + entry.second.lacking.at(now) < negligible_tokens;
     });
-    std::erase_if(this->reporters,
-        [&](auto const& entry) { return now - entry.second.at > 2 * DecayingTokens::time_constant; });
+    std::erase_if(
+        this->reporters, [&](auto const& entry) { return now - entry.second.at > 2 * DecayingTokens::time_constant; });
     this->use = this->use_of_all(now, true);
     double total = 0;
     std::vector<double> requested;
--- a/Libraries/LibOverload/Shortage.cpp
+++ b/Libraries/LibOverload/Shortage.cpp
@@ -12,10 +12,7 @@
 /// Bounds the memory for reports of hosts that come and go.
 static constexpr size_t max_reporters = 512;
 
-Instant Shortage::last_sign_at() const
-{
-    return std::max({ this->own_sign, this->local_sign, this->remote_sign });
-}
+Instant Shortage::last_sign_at() const { return std::max({ this->own_sign, this->local_sign, this->remote_sign }); }
 
 Shortage::Change Shortage::sign_at(Instant& scope_sign, Instant at, u32 priority, Instant began, Instant now)
 {
@@ -38,8 +35,7 @@
     return this->sign_at(this->own_sign, now, priority, now, now);
 }
 
-Shortage::Change Shortage::apply(
-    MemberId const& reporter, SignScope scope, ShortageReport const& report, Instant now)
+Shortage::Change Shortage::apply(MemberId const& reporter, SignScope scope, ShortageReport const& report, Instant now)
 {
     auto const at = now - report.age;
     auto const began = std::min(at, now - report.began_ago);
--- a/Libraries/LibOverload/WaitingList.cpp
+++ b/Libraries/LibOverload/WaitingList.cpp
@@ -10,12 +10,9 @@
 
 namespace Overload {
 
-/// A caller that is refused after this share of its goal can still come back, and be served within the goal.
-static constexpr double share_of_goal = 0.25;
-/// Callers whose deadline is this many times as long as their goal prefer a late result to none.
-static constexpr i64 min_deadline_in_goals = 6;
-/// Share of the time until the deadline that they wait. The rest is left for the generation itself.
-static constexpr double share_of_long_deadline = 0.25;
+/// A caller that is refused after this share of its goal still has time to come back and be served within the goal.
+/// Generations that wait for longer and then run are late, and hold capacity that others could use in time.
+static constexpr i64 goal_to_wait_ratio = 8;
 
 /// A placement is known in the whole domain after 3 ms. Twice that for each host with waiting generations lets fewer
 /// than one other host look for capacity before it knows of a placement.
@@ -26,11 +23,8 @@
 WaitBounds wait_bounds(Instant received_at, Duration goal, Instant deadline, Duration reading_time)
 {
     auto const in_time_until = received_at + std::max<Duration>(0s, goal - reading_time);
-    auto const until_deadline = deadline - received_at;
-    if (until_deadline >= min_deadline_in_goals * goal)
-        return { in_time_until, received_at + AK::from_seconds(AK::to_seconds(until_deadline) * share_of_long_deadline) };
-    auto const share = received_at + AK::from_seconds(AK::to_seconds(goal) * share_of_goal);
-    return { in_time_until, std::min({ in_time_until, share, deadline }) };
+    auto const share_until = received_at + goal / goal_to_wait_ratio;
+    return { in_time_until, std::min({ in_time_until, share_until, deadline }) };
 }
 
 bool WaitingList::goes_before(Waiter const& left, Waiter const& right, Instant now)
--- a/Libraries/LibOverload/WaitingList.h
+++ b/Libraries/LibOverload/WaitingList.h
@@ -23,7 +23,8 @@
     Instant useful_until {};
 };
 
-/// `received_at`, `goal` and `deadline` are those of the request, `reading_time` is what an engine needs for its prompt.
+/// `received_at`, `goal` and `deadline` are those of the request, `reading_time` is what an engine needs for its
+/// prompt.
 WaitBounds wait_bounds(Instant received_at, Duration goal, Instant deadline, Duration reading_time);
 
 /// A generation that waits at this host until an engine has capacity for it.
--- a/Libraries/LibOverloadModel/Experiment.cpp
+++ b/Libraries/LibOverloadModel/Experiment.cpp
@@ -20,9 +20,11 @@
 using Policy = ModelPool::Policy;
 
 static constexpr std::array known_policies { std::pair { "take-all", Policy::TakeAll },
-    std::pair { "admission", Policy::Admission } };
+    std::pair { "admission", Policy::Admission }, std::pair { "priorities", Policy::Priorities },
+    std::pair { "waiting", Policy::Waiting }, std::pair { "shares", Policy::Shares } };
 static constexpr std::array known_patterns { std::pair { "steady", Pattern::Steady },
-    std::pair { "after-burst", Pattern::AfterBurst }, std::pair { "engines-leave", Pattern::EnginesReplaced } };
+    std::pair { "after-burst", Pattern::AfterBurst }, std::pair { "engines-leave", Pattern::EnginesReplaced },
+    std::pair { "large-organisation", Pattern::LargeOrganisation } };
 
 static constexpr i64 max_hosts = 10'000;
 static constexpr double max_load = 10;
@@ -113,7 +115,7 @@
 {
     pool.run(std::min(load, 0.8), warm_up);
     auto const outcome = pool.run(load, 20s);
-    pool.run(load, ModelPool::max_settling_time);
+    pool.run(load, pool.settling_time());
     return *outcome;
 }
 
@@ -124,7 +126,7 @@
     pool.run(load, 7s);
     pool.run(ordinary_load, 2s);
     auto const outcome = pool.run(ordinary_load, 5s);
-    pool.run(ordinary_load, ModelPool::max_settling_time);
+    pool.run(ordinary_load, pool.settling_time());
     return *outcome;
 }
 
@@ -136,7 +138,7 @@
         pool.replace_engines(6);
         outcomes.push_back(pool.run(load, 3300ms));
     }
-    pool.run(load, ModelPool::max_settling_time);
+    pool.run(load, pool.settling_time());
     ModelPool::Outcome sum;
     for (auto const& outcome : outcomes)
         sum += *outcome;
@@ -153,6 +155,9 @@
         return { cell, run_after_burst(pool, cell.load) };
     case Pattern::EnginesReplaced:
         return { cell, run_engines_replaced(pool, cell.load) };
+    case Pattern::LargeOrganisation:
+        pool.set_large_organisation(9);
+        return { cell, run_steady(pool, cell.load) };
     }
     VERIFY(false);
 }
@@ -184,6 +189,11 @@
     object.set("in_time", outcome.in_time);
     object.set("late", outcome.late);
     object.set("refused", outcome.refused);
+    object.set("urgent_asked", outcome.urgent.requests);
+    object.set("urgent_in_time", outcome.urgent.in_time);
+    object.set("urgent_refused", outcome.urgent.refused);
+    object.set("refused_while_half_free", outcome.refused_while_half_free);
+    object.set("worst_organisation", outcome.worst_organisation());
     std::ostringstream out;
     object.stringify(out);
     return out.str();
@@ -236,6 +246,24 @@
     return out.str();
 }
 
+std::string claims_to_markdown(std::vector<CellResult> const& results)
+{
+    std::ostringstream out;
+    out << "| pattern | hosts | way | load | urgent in time | urgent refused | less urgent in time | less urgent "
+           "refused "
+           "| refused while half free | worst organisation |\n|---|---|---|---|---|---|---|---|---|---|\n";
+    for (auto const& row : sum_over_seeds(results)) {
+        auto const& outcome = row.outcome;
+        out << "| " << to_string(row.cell.pattern) << " | " << row.cell.shape.hosts << " | "
+            << to_string(row.cell.shape.policy) << " | " << row.cell.load << std::fixed << std::setprecision(3);
+        for (auto const* tally : { &outcome.urgent, &outcome.less_urgent })
+            out << " | " << tally->share_in_time() << " | " << tally->share_refused();
+        out << " | " << row.share(outcome.refused_while_half_free) << " | " << outcome.worst_organisation() << " |\n"
+            << std::defaultfloat << std::setprecision(6);
+    }
+    return out.str();
+}
+
 std::string to_plot_data(std::vector<CellResult> const& results)
 {
     std::ostringstream out;
--- a/Libraries/LibOverloadModel/Experiment.h
+++ b/Libraries/LibOverloadModel/Experiment.h
@@ -27,6 +27,8 @@
     AfterBurst,
     /// Four times, 3.3 s apart, a sixth of the engines terminates and empty ones replace them.
     EnginesReplaced,
+    /// Constant load. One of ten organisations requests nine times as much as each other one.
+    LargeOrganisation,
 };
 
 /// One run: a pattern with one policy, one number of hosts, one load and one seed.
@@ -67,6 +69,9 @@
 
 /// Shares of all requests, over all seeds, with a row for each policy, pattern, number of hosts and load.
 std::string to_markdown(std::vector<CellResult> const&);
+/// The shares of the more and the less urgent requests, of the requests refused while less than half of the slots were
+/// taken, and the share in time of the worst-served organisation relative to that of all. Rows as above.
+std::string claims_to_markdown(std::vector<CellResult> const&);
 /// Titled blocks for gnuplot, one for each policy, pattern and number of hosts. Columns: load, in time, refused.
 std::string to_plot_data(std::vector<CellResult> const&);
 
--- a/Libraries/LibOverloadModel/ModelPool.h
+++ b/Libraries/LibOverloadModel/ModelPool.h
@@ -6,6 +6,9 @@
 
 #pragma once
 
+#include <LibOverload/OrganisationShares.h>
+#include <LibOverload/WaitingList.h>
+#include <LibOverloadModel/Outcome.h>
 #include <LibServing/Admission.h>
 #include <array>
 #include <deque>
@@ -28,8 +31,14 @@
     enum class Policy : u8 {
         /// Places each generation on the cheapest engine, however full that is.
         TakeAll,
-        /// Refuses generations as the admission of LibServing decides.
+        /// Refuses generations as the admission of LibServing decides without a belief about a shortage.
         Admission,
+        /// The same; in a shortage, capacity is left free for more urgent generations.
+        Priorities,
+        /// The same; generations also wait at their host.
+        Waiting,
+        /// The same; organisations above their fair share also leave capacity for those below it.
+        Shares,
     };
     struct Shape {
         Policy policy { Policy::Admission };
@@ -38,36 +47,32 @@
         Duration extra_update_delay { 0 };
         u32 seed { 1 };
     };
-    struct Outcome {
-        u32 requests { 0 };
-        u32 in_time { 0 };
-        /// The first event came too late, or a pause followed it: a generation that has to be prefilled again always
-        /// pauses for longer than a stream may. A generation without an event is neither late nor in time.
-        u32 late { 0 };
-        u32 refused { 0 };
-        Outcome& operator+=(Outcome const& other)
-        {
-            this->requests += other.requests;
-            this->in_time += other.in_time;
-            this->late += other.late;
-            this->refused += other.refused;
-            return *this;
-        }
-        [[nodiscard]] double share_in_time() const { return this->in_time / std::max(1.0, double(this->requests)); }
-    };
+    using Outcome = OverloadModel::Outcome;
 
     /// Time after which all requests are settled: the longest goal, the longest wait before a retry, and a reserve.
     static constexpr Duration max_settling_time = 3s;
+    /// The same, for generations that wait twice.
+    static constexpr Duration max_settling_time_with_waits = 9s;
     static constexpr u32 engine_count = 60;
     static constexpr u32 domain_count = 3;
+    static constexpr u32 slots = 24;
     /// Memory of one engine, in tokens.
     static constexpr i64 memory = 21'878;
 
+    /// One organisation requests so many times as much as each other one.
+    void set_large_organisation(double times) { this->large_organisation = times; }
+    [[nodiscard]] Duration settling_time() const
+    {
+        return this->has_waiting() ? max_settling_time_with_waits : max_settling_time;
+    }
+
     explicit ModelPool(Shape shape)
         : shape(shape)
         , random(shape.seed)
         , choice_random(shape.seed)
+        , look_random(shape.seed)
         , engines(engine_count)
+        , hosts(std::max(shape.hosts, domain_count))
     {
         for (u32 i = 0; i < engine_count; ++i) {
             Serving::BackendServer server;
@@ -75,7 +80,7 @@
             server.service = ServiceName("models");
             server.address = Address("127.0.0.1:1000");
             server.failure_domain = domain_name(i % domain_count);
-            server.slots = 24;
+            server.slots = slots;
             for (auto& table : this->backend_tables)
                 table.update(server, this->now);
         }
@@ -120,7 +125,15 @@
         i64 output { 0 };
         i64 estimated_output { 0 };
         Duration goal { 1s };
+        Duration deadline { 6s };
+        /// 0 is the more urgent kind.
+        u32 priority { 0 };
+        u32 organisation { 0 };
         Instant arrived_at {};
+        /// Arrival of the current attempt.
+        Instant received_at {};
+        u32 host { 0 };
+        bool has_waited { false };
         bool is_retry { false };
         std::shared_ptr<Outcome> outcome;
     };
@@ -178,6 +191,8 @@
             generation.estimated_output
                 = std::clamp<i64>(static_cast<i64>(double(generation.output) * error(this->random)), 4, 1756);
             generation.goal = 1800ms;
+            generation.deadline = 11s;
+            generation.priority = 2;
         } else {
             generation.prompt = static_cast<i64>(2200 * (0.4 + 1.2 * uniform(this->random)));
             generation.output = generation.estimated_output = 10;
@@ -209,24 +224,191 @@
         auto generation = this->draw_generation();
         generation.arrived_at = this->now;
         generation.outcome = std::move(outcome);
-        ++generation.outcome->requests;
+        generation.organisation = this->draw_organisation();
+        count(generation, &Tally::requests);
         this->submit(std::move(generation));
     }
 
+    /// Does not use the generator of the requests, so that these are the same with and without organisations.
+    u32 draw_organisation()
+    {
+        std::uniform_real_distribution<double> uniform(0, this->large_organisation + organisation_count - 1);
+        auto const drawn = uniform(this->look_random) - this->large_organisation;
+        return drawn < 0 ? 0 : 1 + static_cast<u32>(drawn) % (organisation_count - 1);
+    }
+
+    /// Adds to a counter of all tallies that the generation belongs to.
+    static void count(Generation const& generation, u32 Tally::*counter, int change = 1)
+    {
+        auto& outcome = *generation.outcome;
+        auto add = [&](Tally& tally) { tally.*counter += static_cast<u32>(change); };
+        add(outcome);
+        add(generation.priority == 0 ? outcome.urgent : outcome.less_urgent);
+        add(outcome.organisations[generation.organisation]);
+    }
+
+    [[nodiscard]] bool has_waiting() const { return this->shape.policy >= Policy::Waiting; }
+
     void submit(Generation generation)
     {
         auto const domain = std::uniform_int_distribution<u32>(0, domain_count - 1)(this->random);
+        // The hosts of a domain are those whose number has the same remainder.
+        auto const hosts_of_domain = static_cast<u32>(this->hosts.size()) / domain_count;
+        generation.host = domain + domain_count * (this->look_random() % hosts_of_domain);
+        generation.received_at = this->now;
+        generation.has_waited = false;
+        if (this->shape.policy >= Policy::Priorities)
+            this->domains[domain].kinds.record(generation.priority, generation.goal, TokenCount(generation.prompt),
+                TokenCount(generation.estimated_output), this->now);
+        this->try_to_place(std::move(generation), false);
+    }
+
+    /// Returns whether the generation was placed, or is no longer to wait.
+    bool try_to_place(Generation generation, bool is_look)
+    {
+        auto const domain = generation.host % domain_count;
         auto const decision = this->decide(domain, generation);
-        if (decision.engine) {
-            auto const number = std::stoul(decision.engine->server.id.value().substr(1));
-            return this->place(static_cast<u32>(number), { std::move(generation), domain });
+        this->record_signs(generation, decision);
+        bool const is_behind = !is_look && !generation.has_waited
+            && this->hosts[generation.host].list.has_before(generation.priority, this->now);
+        if ((is_behind || !decision.engine) && (is_look || this->wait(generation)))
+            return false;
+        if (!decision.engine) {
+            this->refuse(std::move(generation), decision.retry_after);
+            return true;
         }
+        auto const number = std::stoul(decision.engine->server.id.value().substr(1));
+        this->domains[domain].shares.record_placed(
+            organisation_of(generation), TokenCount(generation.prompt + generation.estimated_output), this->now);
+        this->place(static_cast<u32>(number), { std::move(generation), domain });
+        return true;
+    }
+
+    void refuse(Generation generation, Duration retry_after)
+    {
         if (generation.is_retry) {
-            ++generation.outcome->refused;
+            count(generation, &Tally::refused);
+            size_t taken = 0;
+            for (auto const& engine : this->engines)
+                taken += engine.running.size() + engine.waiting.size();
+            if (2 * taken < size_t(engine_count) * slots)
+                ++generation.outcome->refused_while_half_free;
             return;
         }
         generation.is_retry = true;
-        this->schedule(this->now + decision.retry_after, [this, generation] { this->submit(generation); });
+        this->schedule(this->now + retry_after, [this, generation] { this->submit(generation); });
+    }
+
+    static OrganisationId organisation_of(Generation const& generation)
+    {
+        return OrganisationId("o" + std::to_string(generation.organisation));
+    }
+
+    /// Hosts of other domains know of a sign after the delay of updates.
+    void record_signs(Generation const& generation, Serving::Admission const& decision)
+    {
+        if (this->shape.policy < Policy::Priorities || (decision.engine && decision.has_capacity_for_most_urgent))
+            return;
+        auto const domain = generation.host % domain_count;
+        this->domains[domain].shortage.record_sign(generation.priority, this->now);
+        if (!decision.engine)
+            this->domains[domain].shares.record_lacking(
+                organisation_of(generation), TokenCount(generation.prompt + generation.estimated_output), this->now);
+        this->share_reports(domain);
+    }
+
+    void share_reports(u32 domain)
+    {
+        constexpr Duration report_period = 500ms;
+        auto& from = this->domains[domain];
+        if (this->now - from.reported_at < report_period)
+            return;
+        from.reported_at = this->now;
+        auto const report = from.shortage.report(Overload::SignScope::Domain, this->now);
+        auto const use = from.shares.report(Overload::SignScope::Domain, this->now);
+        MemberId const name(domain_name(domain).value());
+        for (u32 i = 0; i < domain_count; ++i) {
+            if (i == domain || !report)
+                continue;
+            this->schedule(this->now + this->remote_delay(), [this, i, name, report, use] {
+                this->domains[i].shortage.apply(name, Overload::SignScope::Domain, *report, this->now);
+                this->domains[i].shares.apply(name, Overload::SignScope::Domain, use, this->now);
+            });
+        }
+    }
+
+    /// Lets the generation wait at its host. Returns false if it may not.
+    bool wait(Generation generation)
+    {
+        auto const domain = generation.host % domain_count;
+        auto& host = this->hosts[generation.host];
+        if (!this->has_waiting() || generation.has_waited || !this->domains[domain].shortage.is_present(this->now))
+            return false;
+        generation.has_waited = true;
+        auto const reading_time = AK::from_seconds(double(generation.prompt) / (prefill_tokens_per_second / 2));
+        auto const bounds = Overload::wait_bounds(
+            generation.received_at, generation.goal, generation.received_at + generation.deadline, reading_time);
+        auto const use = this->shape.policy >= Policy::Shares
+            ? this->domains[domain].shares.use_of_share(organisation_of(generation), this->now)
+            : 0;
+        auto const added = host.list.add({ generation.priority, generation.is_retry, use, bounds, 8000 }, this->now);
+        if (!added.id)
+            return false;
+        for (auto const displaced : added.displaced)
+            this->give_up_waiting(host, displaced);
+        host.waiting.emplace(*added.id, std::move(generation));
+        this->schedule_look(domain, host);
+        return true;
+    }
+
+    struct Host {
+        Overload::WaitingList list;
+        std::map<Overload::WaiterId, Generation> waiting;
+        bool is_scheduled { false };
+    };
+    struct Domain {
+        Overload::GenerationKinds kinds;
+        Overload::Shortage shortage;
+        Overload::OrganisationShares shares;
+        Instant reported_at {};
+    };
+
+    void schedule_look(u32 domain, Host& host)
+    {
+        if (host.waiting.empty() || std::exchange(host.is_scheduled, true))
+            return;
+        u32 count = 0;
+        for (size_t i = domain; i < this->hosts.size(); i += domain_count)
+            count += this->hosts[i].waiting.empty() ? 0 : 1;
+        std::uniform_real_distribution<double> seconds(0, 2 * AK::to_seconds(Overload::mean_time_between_looks(count)));
+        this->schedule(this->now + AK::from_seconds(seconds(this->look_random)), [this, domain, &host] {
+            host.is_scheduled = false;
+            this->look(host);
+            this->schedule_look(domain, host);
+        });
+    }
+
+    void look(Host& host)
+    {
+        constexpr int max_failed_looks = 3;
+        for (auto const id : host.list.expired(this->now))
+            this->give_up_waiting(host, id);
+        int failed = 0;
+        for (auto const id : host.list.in_order(this->now)) {
+            if (this->try_to_place(host.waiting.at(id), true)) {
+                host.waiting.erase(id);
+                host.list.remove(id);
+            } else if (++failed >= max_failed_looks) {
+                return;
+            }
+        }
+    }
+
+    void give_up_waiting(Host& host, Overload::WaiterId id)
+    {
+        auto generation = host.waiting.extract(id).mapped();
+        host.list.remove(id);
+        this->try_to_place(std::move(generation), false);
     }
 
     Serving::Admission decide(u32 domain, Generation const& generation)
@@ -235,13 +417,38 @@
         Serving::ChoiceInputs const inputs { name, {}, this->now, 0.3, {}, name, this->unseen_placements() };
         Serving::GenerationNeed const need { TokenCount(generation.prompt), TokenCount(generation.estimated_output) };
         auto const& candidates = this->backend_tables[domain].of_service(ServiceName("models"));
-        if (this->shape.policy == Policy::Admission)
-            return Serving::admit(
-                candidates, {}, { need, generation.goal }, TokenCount(memory), inputs, this->choice_random);
-        Serving::Admission admission;
-        admission.engine
-            = Serving::choose_for_generation(candidates, {}, need, TokenCount(memory), inputs, this->choice_random);
-        return admission;
+        if (this->shape.policy == Policy::TakeAll) {
+            Serving::Admission admission;
+            admission.engine
+                = Serving::choose_for_generation(candidates, {}, need, TokenCount(memory), inputs, this->choice_random);
+            return admission;
+        }
+        auto const limits = this->limits(this->domains[domain], generation);
+        auto const due_in = generation.goal - (this->now - generation.received_at);
+        Serving::AdmissionDemand const demand { need, due_in, limits.keep_free_for, limits.most_urgent };
+        return Serving::admit(candidates, {}, demand, TokenCount(memory), inputs, this->choice_random);
+    }
+
+    struct Limits {
+        std::vector<Overload::GenerationKind> keep_free_for;
+        std::vector<Overload::GenerationKind> most_urgent;
+    };
+    Limits limits(Domain& domain, Generation const& generation)
+    {
+        Limits limits;
+        if (this->shape.policy < Policy::Priorities)
+            return limits;
+        limits.most_urgent = domain.kinds.with_priority(0, this->now);
+        if (!domain.shortage.is_present(this->now))
+            return limits;
+        limits.keep_free_for = domain.kinds.more_urgent_than(generation.priority, this->now);
+        bool const yields
+            = this->shape.policy >= Policy::Shares && domain.shares.must_yield(organisation_of(generation), this->now);
+        if (yields) {
+            auto const own = domain.kinds.with_priority(generation.priority, this->now);
+            limits.keep_free_for.insert(limits.keep_free_for.end(), own.begin(), own.end());
+        }
+        return limits;
     }
 
     void place(u32 number, Placement placement)
@@ -291,7 +498,7 @@
     {
         auto const& generation = placement.generation;
         bool const is_late = this->now - generation.arrived_at > generation.goal;
-        ++(is_late ? generation.outcome->late : generation.outcome->in_time);
+        count(generation, is_late ? &Tally::late : &Tally::in_time);
         this->broadcast_change(number, placement.from_domain,
             [prompt = generation.prompt](Serving::EngineLoad& load) { load.peer_unread_tokens -= prompt; });
         return !is_late;
@@ -338,8 +545,8 @@
     {
         if (!std::exchange(paused.is_in_time, false))
             return;
-        --paused.placement.generation.outcome->in_time;
-        ++paused.placement.generation.outcome->late;
+        count(paused.placement.generation, &Tally::in_time, -1);
+        count(paused.placement.generation, &Tally::late);
     }
 
     void finish(u32 number, u64 id)
@@ -403,7 +610,13 @@
     Shape shape;
     std::mt19937 random;
     boost::random::mt19937 choice_random;
+    /// For what the former policies do not draw, so that their requests stay the same.
+    std::mt19937 look_random;
     std::vector<Engine> engines;
+    /// Host i is in domain i modulo the number of domains.
+    std::vector<Host> hosts;
+    std::array<Domain, domain_count> domains;
+    double large_organisation { 1 };
     std::array<Serving::BackendTable, domain_count> backend_tables;
     std::priority_queue<Event> events;
     u64 scheduled { 0 };
--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -39,14 +39,21 @@
     VERIFY(false);
 }
 
-static bool fits_in_memory(
-    Backend const& backend, GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs)
+/// Work that is assumed to be at an engine in addition to what is known.
+struct FurtherWork {
+    u32 generations { 0 };
+    i64 tokens { 0 };
+    i64 unread_tokens { 0 };
+};
+
+static bool fits_in_memory(Backend const& backend, GenerationNeed const& need, TokenCount memory,
+    ChoiceInputs const& inputs, FurtherWork const& further)
 {
     if (memory.value() <= 0)
         return true;
     auto const wanted = need.prompt.value() + need.expected_output.value();
     bool const is_remote = backend.server.failure_domain != inputs.host_failure_domain;
-    auto const held = estimated_tokens(backend, inputs.now);
+    auto const held = estimated_tokens(backend, inputs.now) + further.tokens;
     // An empty engine accepts the same generations from local and remote hosts.
     auto const reserve = is_remote && held > 0 ? remote_reserve_generations * wanted : 0;
     return held + wanted + reserve <= memory.value();
@@ -59,19 +66,45 @@
 
 /// An idle engine reads a prompt as early as possible, so it always qualifies. If the prompt alone takes longer than
 /// the goal of the route, the backlog ahead of it may be as large as the prompt itself.
-static bool prefills_in_time(Backend const& backend, AdmissionDemand const& demand)
+static bool prefills_in_time(Backend const& backend, AdmissionDemand const& demand, FurtherWork const& further)
 {
-    auto const before = backend.engine.unread_tokens();
+    auto const before = backend.engine.unread_tokens() + further.unread_tokens;
     auto const prompt = demand.need.prompt.value();
     auto const max_prefill_time = std::max(demand.first_event_due_in, prefill_time(2 * prompt));
     return before <= 0 || prefill_time(before + prompt) <= max_prefill_time;
 }
 
-static bool has_capacity(
+static bool has_capacity(Backend const& backend, AdmissionDemand const& demand, TokenCount memory,
+    ChoiceInputs const& inputs, FurtherWork const& further = {})
+{
+    return backend.engine.generations() + further.generations < backend.server.slots
+        && fits_in_memory(backend, demand.need, memory, inputs, further) && prefills_in_time(backend, demand, further);
+}
+
+static bool has_capacity_for(Backend const& backend, Overload::GenerationKind const& kind, TokenCount memory,
+    ChoiceInputs const& inputs, FurtherWork const& further = {})
+{
+    auto need = GenerationNeed { kind.prompt, kind.expected_output };
+    if (memory.value() > 0)
+        need.expected_output = std::min(need.expected_output, TokenCount(memory.value() - need.prompt.value()));
+    return has_capacity(backend, { need, kind.first_event_goal }, memory, inputs, further);
+}
+
+/// Whether the engine would still have capacity for the kinds of generations that go first if it ran this one as well.
+/// What an engine without prompts to read, or without generations, accepts is not limited: otherwise a large generation
+/// would be refused by every engine for as long as the shortage lasts.
+static bool keeps_capacity(
     Backend const& backend, AdmissionDemand const& demand, TokenCount memory, ChoiceInputs const& inputs)
 {
-    return backend.engine.generations() < backend.server.slots && fits_in_memory(backend, demand.need, memory, inputs)
-        && prefills_in_time(backend, demand);
+    bool const is_empty = backend.engine.generations() == 0 && backend.engine.unread_tokens() <= 0
+        && estimated_tokens(backend, inputs.now) <= 0;
+    if (is_empty)
+        return true;
+    FurtherWork own { 1, demand.need.prompt.value() + demand.need.expected_output.value(), 0 };
+    if (backend.engine.unread_tokens() > 0)
+        own.unread_tokens = demand.need.prompt.value();
+    return std::ranges::all_of(
+        demand.keep_free_for, [&](auto const& kind) { return has_capacity_for(backend, kind, memory, inputs, own); });
 }
 
 static Duration draw_retry_after(boost::random::mt19937& random)
@@ -97,11 +130,15 @@
             = std::min(demand.need.expected_output, TokenCount(memory.value() - demand.need.prompt.value()));
     GenerationCost const cost(bounded.need, memory, inputs, random);
     Cheapest chosen;
+    decision.has_capacity_for_most_urgent = demand.most_urgent.empty();
     for (auto const& candidate : candidates) {
         if (!is_eligible(*candidate, inputs))
             continue;
         ++decision.serving;
-        if (!has_capacity(*candidate, bounded, memory, inputs))
+        if (!decision.has_capacity_for_most_urgent)
+            decision.has_capacity_for_most_urgent
+                = has_capacity_for(*candidate, demand.most_urgent.front(), memory, inputs);
+        if (!has_capacity(*candidate, bounded, memory, inputs) || !keeps_capacity(*candidate, bounded, memory, inputs))
             continue;
         ++decision.with_capacity;
         if (is_candidate(*candidate, tried, inputs))
--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <LibOverload/GenerationKinds.h>
 #include <LibServing/BackendChooser.h>
 
 /// Admission control: chooses the engine of a service that runs a generation, or rejects the generation while no engine
@@ -17,6 +18,12 @@
     GenerationNeed need;
     /// Time left until the first event is due by the latency goal of the route.
     Duration first_event_due_in { 0 };
+    /// An engine has capacity for this generation only if each of these would still have it there afterwards. Empty
+    /// outside of a shortage.
+    std::span<Overload::GenerationKind const> keep_free_for {};
+    /// The most urgent kind of generation of the service, to notice when no engine has capacity for it; empty if all
+    /// kinds are equally urgent.
+    std::span<Overload::GenerationKind const> most_urgent {};
 };
 
 enum class AdmissionVerdict : u8 {
@@ -45,6 +52,8 @@
     /// Number of engines that accept work, and number of those with free capacity.
     u32 serving { 0 };
     u32 with_capacity { 0 };
+    /// False if no engine has capacity for the most urgent kind of generation.
+    bool has_capacity_for_most_urgent { true };
 };
 
 /// Decides whether one of the engines runs the generation, and which one. Skips the engines in `tried`. `memory` is the
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -8,6 +8,7 @@
 
 #include <LibDelivery/EventStream.h>
 #include <LibServing/GenerationMove.h>
+#include <LibServing/ShortageMessages.h>
 
 namespace Serving {
 
@@ -60,7 +61,11 @@
             return this->respond_quarantined(*left);
         }
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
-        AdmissionDemand const demand { this->need(), this->call.route->latency_goal - this->elapsed() };
+        auto& service_demand = this->context.demands.of(this->call.service->name);
+        this->record_request(service_demand);
+        auto const limits = this->limits(service_demand);
+        AdmissionDemand const demand { this->need(), this->call.route->latency_goal - this->elapsed(),
+            limits.keep_free_for, limits.most_urgent };
         auto admit_at = [&](std::optional<Rollout::Side> side) {
             return admit(candidates, this->tried, demand, this->traits().memory,
                 this->choice_inputs(other_domain_cost, side), this->context.random);
@@ -69,8 +74,16 @@
         auto decision = admit_at(choice.side);
         if (decision.verdict != AdmissionVerdict::Admit && choice.may_fall_back)
             decision = admit_at(Rollout::Side::Former);
+        this->record_signs(decision);
+        bool const is_behind = !this->waiting_as && this->tried.empty()
+            && service_demand.has_waiting_before(this->rank()) && decision.serving > 0;
+        bool const lacks_capacity = is_behind || decision.verdict == AdmissionVerdict::NoCapacity;
+        if (lacks_capacity && this->wait(service_demand))
+            return;
         if (decision.verdict != AdmissionVerdict::Admit)
             return this->refuse(decision);
+        this->stop_waiting("placed");
+        this->record_placed(service_demand);
         auto const& chosen = decision.engine;
         this->tried.push_back(chosen->server.id);
         this->context.placements.record(this->context.now());
@@ -81,6 +94,120 @@
         this->dispatch_to(chosen, {});
     }
 
+    // --- shortage of capacity
+
+    /// Records the generation when it is received, before its first attempt to place it.
+    void record_request(ServiceDemand& demand)
+    {
+        if (std::exchange(this->is_recorded, true))
+            return;
+        auto const need = this->need();
+        demand.kinds.record(
+            this->rank(), this->call.route->latency_goal, need.prompt, need.expected_output, this->context.now());
+    }
+
+    /// The order in which generations get capacity in a shortage: the priority that applies to the call, which may be
+    /// that of its organisation, and among equal ones the priority of its route.
+    [[nodiscard]] u32 rank() const
+    {
+        constexpr u32 priorities = 10;
+        return this->call.priority * priorities + std::min(this->call.route->priority, priorities - 1);
+    }
+
+    [[nodiscard]] CapacityLimits limits(ServiceDemand& demand) const
+    {
+        return capacity_limits(demand, this->rank(), this->call.organisation, this->context.now());
+    }
+
+    [[nodiscard]] TokenCount needed_tokens() const
+    {
+        auto const need = this->need();
+        return TokenCount(need.prompt.value() + need.expected_output.value());
+    }
+
+    void record_placed(ServiceDemand& demand)
+    {
+        if (!this->call.organisation.value().empty() && this->tried.empty())
+            demand.shares.record_placed(this->call.organisation, this->needed_tokens(), this->context.now());
+    }
+
+    void record_signs(Admission const& decision)
+    {
+        auto const& service = this->call.service->name;
+        if (decision.verdict == AdmissionVerdict::NoCapacity)
+            record_shortage_sign(this->context, service, this->call.priority);
+        else if (decision.verdict == AdmissionVerdict::Admit && !decision.has_capacity_for_most_urgent)
+            record_shortage_sign(this->context, service, this->call.priority);
+        if (decision.verdict == AdmissionVerdict::NoCapacity && !std::exchange(this->has_lacked, true)
+            && !this->call.organisation.value().empty())
+            this->context.demands.of(service).shares.record_lacking(
+                this->call.organisation, this->needed_tokens(), this->context.now());
+    }
+
+    /// Waits until an engine has capacity. Returns false if waiting is of no use to the caller, or too many wait.
+    bool wait(ServiceDemand& demand)
+    {
+        if (this->waiting_as)
+            return true;
+        auto const now = this->context.now();
+        if (this->has_waited || !this->tried.empty() || this->context.leaving || !may_wait(demand, now))
+            return false;
+        auto const reading_time = AK::from_seconds(
+            static_cast<double>(this->demand().prompt.value()) / (idle_prefill_tokens_per_second / 2));
+        auto const bounds = Overload::wait_bounds(
+            this->exchange().received_at(), this->call.route->latency_goal, this->call.deadline, reading_time);
+        if (bounds.useful_until <= now)
+            return false;
+        auto const use_of_share = demand.shares.use_of_share(this->call.organisation, now);
+        this->has_waited = true;
+        auto const id = demand.add_waiting(
+            { this->rank(), false, use_of_share, bounds, this->exchange().request().body().size() },
+            [weak = this->weak_from_this()](bool is_last) {
+                if (auto self = weak.lock())
+                    self->look_for_capacity(is_last);
+            });
+        if (!id)
+            return false;
+        this->waiting_as = id;
+        this->waits_since = now;
+        this->context.log.event(Core::EventNumber::GenerationWaits, this->attempt())
+            .with("priority", this->call.priority)
+            .with("route_priority", this->call.route->priority)
+            .with("use_of_share", use_of_share)
+            .with("waiting", demand.waiting())
+            .with("shortage_age_ms", demand.shortage.age(now))
+            .with("longest_ms", bounds.useful_until - now);
+        return true;
+    }
+
+    void look_for_capacity(bool is_last)
+    {
+        if (this->is_over)
+            return;
+        if (is_last)
+            this->leave_waiting_list();
+        this->place();
+    }
+
+    void leave_waiting_list()
+    {
+        if (auto const id = std::exchange(this->waiting_as, {}))
+            this->context.demands.of(this->call.service->name).remove_waiting(*id);
+    }
+
+    void stop_waiting(std::string_view how)
+    {
+        this->leave_waiting_list();
+        if (this->waits_since == Instant {})
+            return;
+        auto const waited = this->context.now() - std::exchange(this->waits_since, Instant {});
+        this->context.metrics.add("generations_waited_total{how=\"" + std::string(how) + "\"}");
+        this->context.metrics.observe("generation_wait_seconds", waited);
+        this->context.log.event(Core::EventNumber::GenerationWaited, this->attempt())
+            .with("how", how)
+            .with("waited_ms", waited);
+    }
+
     void log_placement(Backend const& chosen)
     {
         this->context.log.event(Core::EventNumber::GenerationPlaced, this->attempt())
@@ -321,6 +448,8 @@
 
     void refuse(Admission const& decision)
     {
+        this->stop_waiting("refused");
+        auto& service_demand = this->context.demands.of(this->call.service->name);
         auto const verdict = std::string(to_string(decision.verdict));
         this->context.metrics.add("generations_refused_total{ground=\"" + verdict + "\"}");
         this->context.log.event(Core::EventNumber::GenerationRefused, this->attempt())
@@ -330,7 +459,11 @@
             .with("tries", this->tried.size())
             .with("prompt", this->demand().prompt)
             .with("expected_output", this->need().expected_output)
-            .with("retry_after_ms", decision.retry_after);
+            .with("retry_after_ms", decision.retry_after)
+            .with("priority", this->call.priority)
+            .with("route_priority", this->call.route->priority)
+            .with("use_of_share", service_demand.shares.use_of_share(this->call.organisation, this->context.now()))
+            .with("shortage_age_ms", service_demand.shortage.age(this->context.now()));
         if (decision.verdict == AdmissionVerdict::TooLarge)
             return this->refuse_as_too_large();
         this->refuse(reason_of(decision.verdict), decision.retry_after);
@@ -501,6 +634,8 @@
 
     void deadline_passed()
     {
+        if (this->waiting_as)
+            return this->look_for_capacity(true);
         this->log_end("deadline");
         bool const has_begun = this->exchange().is_streaming();
         if (!has_begun && this->connection)
@@ -546,6 +681,7 @@
     void finish()
     {
         this->end();
+        this->stop_waiting("over");
         if (this->move)
             this->move->cancel();
         this->move = nullptr;
@@ -567,6 +703,12 @@
     std::shared_ptr<Move> move;
     Instant next_move_at {};
     bool continuing { false };
+    bool is_recorded { false };
+    bool has_lacked { false };
+    /// Set while this generation waits for capacity at this host.
+    std::optional<Overload::WaiterId> waiting_as;
+    Instant waits_since {};
+    bool has_waited { false };
 };
 
 }
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -446,6 +446,7 @@
         this->update_reachability();
         this->update_allowance_share();
         this->quarantine_table.tick();
+        update_shortages(this->context);
         this->rollouts.tick();
         this->context.connections.drop_unusable();
         this->log.flush();
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -9,6 +9,7 @@
 #include <LibServing/Refusal.h>
 #include <LibServing/Relays.h>
 #include <LibServing/RequestTerminations.h>
+#include <LibServing/ShortageMessages.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
 
@@ -67,6 +68,7 @@
         = [this](Backend const& backend, Duration avoided) { this->announce_unreachable(backend, avoided); };
     this->context.backend_refuses = [this](Backend const& backend) { this->announce_refusals(backend); };
     this->context.limit_changed = [this](Backend const& backend) { this->announce_limit(backend); };
+    this->context.shortage_began = [this](ServiceName const&) { this->announce_shortage(); };
     this->context.quarantine_changed
         = [this](RequestFingerprint const& request) { this->announce_request_termination(request); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->handle_message(envelope); });
@@ -138,6 +140,16 @@
     this->send_to_remote_domains(std::move(message));
 }
 
+void PeerLink::announce_shortage()
+{
+    wire::HostUse message;
+    put_shortages(message, this->context, Overload::SignScope::Host);
+    this->broadcast(message);
+    message.clear_shortages();
+    put_shortages(message, this->context, Overload::SignScope::Domain);
+    this->send_to_remote_domains(std::move(message));
+}
+
 void PeerLink::announce_unreachable(Backend const& backend, Duration avoided)
 {
     auto now = this->context.now();
@@ -282,6 +294,8 @@
             auto message = this->domain_use.full_state(this->context.backends);
             this->complete_full_state(message, period);
             put_recent_rate_limits(message, this->context, LimitScope::All);
+            put_shortages(message, this->context, Overload::SignScope::Domain);
+            put_organisation_use(message, this->context, Overload::SignScope::Domain);
             this->send_to_remote_domains(std::move(message));
         }
         this->schedule_digest();
@@ -307,8 +321,10 @@
         this->delta_pending = false;
         if (error)
             return;
-        if (auto delta = this->own_use.delta(this->context.backends))
+        if (auto delta = this->own_use.delta(this->context.backends)) {
+            put_shortages(*delta, this->context, Overload::SignScope::Host);
             this->broadcast(*delta);
+        }
     }));
 }
 
@@ -323,8 +339,10 @@
         this->domain_delta_pending = false;
         if (error || this->own_representative_rank() > 0)
             return;
-        if (auto delta = this->domain_use.delta(this->context.backends))
+        if (auto delta = this->domain_use.delta(this->context.backends)) {
+            put_shortages(*delta, this->context, Overload::SignScope::Domain);
             this->send_to_remote_domains(std::move(*delta));
+        }
     }));
 }
 
@@ -360,6 +378,8 @@
         auto message = state;
         this->complete_full_state(message, next_in);
         put_recent_rate_limits(message, this->context, limit_scope);
+        put_shortages(message, this->context, Overload::SignScope::Host);
+        put_organisation_use(message, this->context, Overload::SignScope::Host);
         this->send(receivers, std::move(message));
     };
     if (!is_large || is_frequent)
@@ -462,6 +482,7 @@
     message.clear_ending();
     put_all_request_terminations(message, this->context);
     put_recent_rate_limits(message, this->context, LimitScope::All);
+    put_shortages(message, this->context, Overload::SignScope::Host);
     this->send(std::span(&peer, 1), std::move(message));
 }
 
@@ -535,6 +556,7 @@
     apply_refusals(this->context, message);
     apply_request_terminations(this->context, message);
     apply_rate_limits(this->context, message);
+    apply_shortages(this->context, MemberId(name), Overload::SignScope::Host, message);
     this->handle_progress(sender, message);
     if (message.wants_answer())
         this->send_full_state(sender, false);
@@ -563,6 +585,7 @@
     apply_refusals(this->context, message);
     apply_request_terminations(this->context, message);
     apply_rate_limits(this->context, message);
+    apply_shortages(this->context, MemberId(domain.value()), Overload::SignScope::Domain, message);
     this->handle_progress(sender, message);
 }
 
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -75,6 +75,8 @@
     void announce_limit(Backend const&);
     /// Announces what this host knows of a request during which servers have terminated.
     void announce_request_termination(RequestFingerprint const&);
+    /// Announces the shortages that this host has observed.
+    void announce_shortage();
     /// Announces, to the hosts of this domain only, a backend server to which no connection can be established.
     void announce_unreachable(Backend const&, Duration avoided);
     /// Sends an update of a table that this host has read to the hosts of this domain and to one host of each other
--- /dev/null
+++ b/Libraries/LibServing/ServiceDemand.cpp
@@ -0,0 +1,98 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibServing/ServiceDemand.h>
+#include <algorithm>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <limits>
+
+namespace Serving {
+
+std::optional<Overload::WaiterId> ServiceDemand::add_waiting(Overload::Waiter const& waiter, Look look)
+{
+    auto const added = this->list.add(waiter, this->clock());
+    if (added.id)
+        this->looks.emplace(*added.id, std::move(look));
+    for (auto const displaced : added.displaced)
+        this->look_for(displaced, true);
+    this->shortage.set_waiting(static_cast<u32>(this->list.size()));
+    if (added.id)
+        this->schedule_look();
+    return added.id;
+}
+
+void ServiceDemand::remove_waiting(Overload::WaiterId id)
+{
+    this->list.remove(id);
+    this->looks.erase(id);
+    this->shortage.set_waiting(static_cast<u32>(this->list.size()));
+}
+
+void ServiceDemand::schedule_look()
+{
+    if (this->list.size() == 0 || std::exchange(this->is_scheduled, true))
+        return;
+    auto const mean
+        = AK::to_seconds(Overload::mean_time_between_looks(this->shortage.hosts_with_waiting(this->clock())));
+    boost::random::uniform_real_distribution<double> seconds(0, 2 * mean);
+    this->timer.expires_after(AK::from_seconds(seconds(this->random)));
+    this->timer.async_wait(this->guard.wrap([this](boost::system::error_code error) {
+        this->is_scheduled = false;
+        if (error)
+            return;
+        this->look_for_all();
+        this->schedule_look();
+    }));
+}
+
+void ServiceDemand::look_for_all()
+{
+    for (auto const id : this->list.expired(this->clock()))
+        this->look_for(id, true);
+    int failed = 0;
+    for (auto const id : this->list.in_order(this->clock())) {
+        if (!this->look_for(id, false) && ++failed >= max_failed_looks)
+            return;
+    }
+}
+
+bool ServiceDemand::look_for(Overload::WaiterId id, bool is_last)
+{
+    auto const found = this->looks.find(id);
+    if (found == this->looks.end())
+        return true;
+    // The look removes itself from the map.
+    auto const look = found->second;
+    look(is_last);
+    if (is_last)
+        this->remove_waiting(id);
+    return !this->looks.contains(id);
+}
+
+CapacityLimits capacity_limits(ServiceDemand& demand, u32 priority, OrganisationId const& organisation, Instant now)
+{
+    CapacityLimits limits;
+    auto const all = demand.kinds.more_urgent_than(std::numeric_limits<u32>::max(), now);
+    if (all.size() > 1)
+        limits.most_urgent = { all.front() };
+    if (!demand.shortage.is_present(now))
+        return limits;
+    limits.keep_free_for = demand.kinds.more_urgent_than(priority, now);
+    limits.use_of_share = demand.shares.use_of_share(organisation, now);
+    if (!demand.shares.must_yield(organisation, now))
+        return limits;
+    auto const equally_urgent = demand.kinds.with_priority(priority, now);
+    limits.keep_free_for.insert(limits.keep_free_for.end(), equally_urgent.begin(), equally_urgent.end());
+    return limits;
+}
+
+bool may_wait(ServiceDemand const& demand, Instant now)
+{
+    bool const has_priorities = demand.kinds.more_urgent_than(std::numeric_limits<u32>::max(), now).size() > 1;
+    return has_priorities && demand.shortage.is_present(now);
+}
+
+}
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -20,6 +20,7 @@
 #include <LibServing/RetryBudget.h>
 #include <LibServing/RoutingTable.h>
 #include <LibServing/ServerLimits.h>
+#include <LibServing/ServiceDemand.h>
 
 namespace Serving {
 
@@ -42,6 +43,7 @@
               },
               [this](Rollout::KnownRollout const& rollout) { this->rollout_advanced(rollout); })
         , random(settings.random_seed)
+        , demands(loop, this->random, [this] { return this->now(); })
     {
     }
 
@@ -67,6 +69,7 @@
     /// Maximum age of the estimates of remote failure domains while their hosts are reachable.
     Duration remote_estimate_age { 0 };
     boost::random::mt19937 random;
+    ServiceDemands demands;
     /// Null until a configuration is known.
     std::shared_ptr<RoutingTable const> routing;
     bool leaving { false };
@@ -81,6 +84,8 @@
     /// To be called when another process has responded at a backend server's address.
     std::function<void(Backend const&)> backend_terminated { [](Backend const&) {} };
 
+    /// To be called when this host has observed the first sign of a shortage of capacity.
+    std::function<void(ServiceName const&)> shortage_began { [](ServiceName const&) {} };
     /// To be called when a record of a roll-out has come into force.
     std::function<void(Rollout::KnownRollout const&)> rollout_advanced { [](Rollout::KnownRollout const&) {} };
     /// To be called when a backend server has reported a different limit, or no longer reports one.
--- a/Tests/Fleet/TestOverload.cpp
+++ b/Tests/Fleet/TestOverload.cpp
@@ -66,3 +66,45 @@
             > 1.5 * under_load(Policy::TakeAll, 62, load, 3s).in_time);
     }
 }
+
+SCENARIO("more generations are requested than the engines can run, and some are more urgent")
+{
+    auto const hosts = GENERATE(6U, 62U, 300U);
+    auto const load = GENERATE(1.3, 2.0, 3.0);
+    INFO(hosts << " hosts, load " << load);
+    auto const before = under_load(Policy::Admission, hosts, load);
+    for (auto const policy : { Policy::Priorities, Policy::Waiting }) {
+        auto const outcome = under_load(policy, hosts, load);
+        // An urgent one is refused no more often than a less urgent one.
+        CHECK(outcome.urgent.share_refused() <= outcome.less_urgent.share_refused());
+        CHECK(outcome.urgent.share_in_time() >= 0.95);
+        // No fewer are in time than without the belief that there is a shortage.
+        CHECK(outcome.share_in_time() >= before.share_in_time());
+    }
+}
+
+SCENARIO("while there is capacity for all, priorities change nothing")
+{
+    auto const before = under_load(Policy::Admission, 62, 0.5);
+    auto const outcome = under_load(Policy::Waiting, 62, 0.5);
+    CHECK(outcome.requests == before.requests);
+    CHECK(outcome.in_time == before.in_time);
+    CHECK(outcome.refused == 0);
+}
+
+SCENARIO("one of ten organisations requests nine times as much as each other one")
+{
+    for (u32 const hosts : { 6U, 62U }) {
+        ModelPool pool({ Policy::Shares, hosts, 0s, 7 });
+        pool.set_large_organisation(9);
+        pool.run(0.8, 10s);
+        auto const outcome = pool.run(2.0, 20s);
+        pool.run(2.0, pool.settling_time());
+        INFO(hosts << " hosts");
+        THEN("the others are served at least as well as all together")
+        {
+            CHECK(outcome->worst_organisation() >= 0.9);
+            CHECK(outcome->organisations[0].share_in_time() < outcome->share_in_time());
+        }
+    }
+}
--- a/Tests/LibServing/TestAdmission.cpp
+++ b/Tests/LibServing/TestAdmission.cpp
@@ -171,3 +171,85 @@
         RC_ASSERT(pool.decide(prompt, expected, due_in).verdict == AdmissionVerdict::Admit);
     }));
 }
+
+SCENARIO("long drafts and urgent tags ask for the same engines in a burst")
+{
+    Pool pool;
+    auto& engine = pool.add("a1");
+    std::vector<Overload::GenerationKind> const tags { { 0, 1500ms, TokenCount(2200), TokenCount(10) } };
+    ChoiceInputs const inputs { FailureDomainId("hall-a"), {}, pool.now, 0.3, {}, FailureDomainId("hall-a") };
+    auto decide_with = [&](AdmissionDemand const& demand) {
+        return admit(pool.table.of_service(ServiceName("models")), {}, demand, memory, inputs, pool.random);
+    };
+    auto draft = [&] { return decide_with({ { TokenCount(3000), TokenCount(400) }, 4s, tags, tags }); };
+    auto tag = [&] { return decide_with({ { TokenCount(2200), TokenCount(10) }, 1500ms, {}, tags }); };
+    engine.engine.own_generations = 1;
+
+    WHEN("the prompts that are not read yet leave time for a tag, but not for a draft and a tag")
+    {
+        engine.engine.own_unread_tokens = 6000;
+        CHECK(tag().verdict == AdmissionVerdict::Admit);
+        CHECK(draft().verdict == AdmissionVerdict::NoCapacity);
+        THEN("the draft is admitted outside of a shortage, when nothing is kept free")
+        {
+            CHECK(decide_with({ { TokenCount(3000), TokenCount(400) }, 4s }).verdict == AdmissionVerdict::Admit);
+        }
+    }
+    WHEN("the memory is sufficient for a draft alone")
+    {
+        engine.engine.own_tokens = memory.value() - 3400 - 2209;
+        CHECK(draft().verdict == AdmissionVerdict::NoCapacity);
+        CHECK(tag().verdict == AdmissionVerdict::Admit);
+        engine.engine.own_tokens -= 1;
+        CHECK(draft().verdict == AdmissionVerdict::Admit);
+    }
+    WHEN("one slot is free")
+    {
+        engine.engine.own_generations = slots - 1;
+        CHECK(draft().verdict == AdmissionVerdict::NoCapacity);
+        CHECK(tag().verdict == AdmissionVerdict::Admit);
+    }
+    WHEN("no engine has capacity for a tag")
+    {
+        engine.engine.own_unread_tokens = 9000;
+        CHECK_FALSE(draft().has_capacity_for_most_urgent);
+        CHECK_FALSE(tag().has_capacity_for_most_urgent);
+        engine.engine.own_unread_tokens = 1000;
+        CHECK(draft().has_capacity_for_most_urgent);
+    }
+    WHEN("the engine has nothing to run")
+    {
+        engine.engine.own_generations = 0;
+        THEN("even the largest draft is admitted")
+        {
+            AdmissionDemand const largest { { TokenCount(21'000), TokenCount(5000) }, 4s, tags, tags };
+            CHECK(decide_with(largest).verdict == AdmissionVerdict::Admit);
+        }
+    }
+}
+
+SCENARIO("in a shortage, an urgent generation is never refused while a less urgent one is admitted")
+{
+    CHECK(rc::check([] {
+        Pool pool;
+        auto const engines = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < engines; ++i) {
+            auto& backend = pool.add("e" + std::to_string(i), *rc::gen::arbitrary<bool>() ? "hall-a" : "hall-b");
+            backend.engine.own_generations = *rc::gen::inRange<u32>(0, 25);
+            backend.engine.own_tokens = *rc::gen::inRange<i64>(0, 25'000);
+            backend.engine.peer_unread_tokens = *rc::gen::inRange<i64>(0, 15'000);
+        }
+        std::vector<Overload::GenerationKind> const urgent { { 0, Duration(*rc::gen::inRange<i64>(200, 2000) * 1ms),
+            TokenCount(*rc::gen::inRange<i64>(1, 3000)), TokenCount(*rc::gen::inRange<i64>(1, 100)) } };
+        ChoiceInputs const inputs { FailureDomainId("hall-a"), {}, pool.now, 0.3, {}, FailureDomainId("hall-a") };
+        auto const& all = pool.table.of_service(ServiceName("models"));
+        GenerationNeed const larger { TokenCount(*rc::gen::inRange<i64>(3000, 6000)),
+            TokenCount(*rc::gen::inRange<i64>(100, 2000)) };
+        auto const less_urgent = admit(all, {}, { larger, 4s, urgent, urgent }, memory, inputs, pool.random);
+        GenerationNeed const usual { urgent.front().prompt, urgent.front().expected_output };
+        AdmissionDemand const demand { usual, urgent.front().first_event_goal, {}, urgent };
+        auto const most_urgent = admit(all, {}, demand, memory, inputs, pool.random);
+        if (less_urgent.verdict == AdmissionVerdict::Admit)
+            RC_ASSERT(most_urgent.verdict == AdmissionVerdict::Admit);
+    }));
+}
--- a/Utilities/overloadbench.cpp
+++ b/Utilities/overloadbench.cpp
@@ -40,7 +40,7 @@
     }
     auto const cells = experiment.value().cells();
     auto const results = run_cells(cells, [&](size_t done) { show_progress(done, cells.size()); });
-    auto const table = to_markdown(results);
+    auto const table = to_markdown(results) + "\n" + claims_to_markdown(results);
     std::cout << table;
     if (FLAGS_output.empty())
         return 0;
