LibOverload: Bound waits so that a second one after a refusal still ends within the goal

Cause: a host does not know when its caller asked first, so a wait of half the goal, a refusal and another wait end late. Change: an eighth, and a quarter where the deadline is many times the goal.

--- a/Tests/LibOverload/TestWaitingList.cpp
+++ b/Tests/LibOverload/TestWaitingList.cpp
@@ -100,6 +100,14 @@
         CHECK(wait_bounds(now, 1600ms, now + 6s, 1500ms).useful_until == now + 100ms);
         CHECK(wait_bounds(now, 1600ms, now + 6s, 2s).useful_until == now);
     }
+    WHEN("the deadline is many times the goal, so that a late result is of use")
+    {
+        CHECK(wait_bounds(now, 4s, now + 40s, 1s).useful_until == now + 1s);
+        THEN("the wait still ends while the first event can be in time")
+        {
+            CHECK(wait_bounds(now, 4s, now + 40s, 3500ms).useful_until == now + 500ms);
+        }
+    }
     WHEN("the deadline comes first") { CHECK(wait_bounds(now, 1600ms, now + 50ms, 300ms).useful_until == now + 50ms); }
 }
 
