--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -88,6 +88,10 @@
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
     { OrderWithheld, "order_withheld", Warning },
+    { ShortageBegan, "shortage_began", Warning },
+    { ShortageEnded, "shortage_ended", Information },
+    { GenerationWaits, "generation_waits", Information },
+    { GenerationWaited, "generation_waited", Information },
     { ReturnRequested, "return_requested", Information },
     { CallerReturned, "caller_returned", Information },
 });
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -88,6 +88,10 @@
     LeaseLapsed = 2502,
     OrderSent = 2503,
     OrderWithheld = 2504,
+    ShortageBegan = 2601,
+    ShortageEnded = 2602,
+    GenerationWaits = 2603,
+    GenerationWaited = 2604,
     ReturnRequested = 2611,
     CallerReturned = 2612,
 };
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -457,6 +457,7 @@
         this->probes.tick();
         this->update_allowance_share();
         this->quarantine_table.tick();
+        update_shortages(this->context);
         this->rollouts.tick();
         this->context.connections.drop_unusable();
         this->log.flush();
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -12,6 +12,7 @@
 #include <LibServing/RequestTerminations.h>
 #include <LibServing/Returns.h>
 #include <LibServing/ServerPace.h>
+#include <LibServing/ShortageMessages.h>
 #include <LibServing/Suspicion.h>
 #include <algorithm>
 
@@ -72,6 +73,7 @@
     this->context.backend_refuses = [this](Backend const& backend) { this->announce_refusals(backend); };
     this->context.limit_changed = [this](Backend const& backend) { this->announce_limit(backend); };
     this->context.paces_changed = [this] { this->schedule_delta(); };
+    this->context.shortage_began = [this](ServiceName const&) { this->announce_shortage(); };
     this->context.quarantine_changed
         = [this](RequestFingerprint const& request) { this->announce_request_termination(request); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->handle_message(envelope); });
@@ -143,6 +145,16 @@
     this->send_to_remote_domains(std::move(message));
 }
 
+void PeerLink::announce_shortage()
+{
+    wire::HostUse message;
+    put_shortages(message, this->context, Overload::SignScope::Host);
+    this->broadcast(message);
+    message.clear_shortages();
+    put_shortages(message, this->context, Overload::SignScope::Domain);
+    this->send_to_remote_domains(std::move(message));
+}
+
 void PeerLink::announce_unreachable(Backend const& backend, Duration avoided)
 {
     auto now = this->context.now();
@@ -309,6 +321,8 @@
             put_recent_rate_limits(message, this->context, LimitScope::All);
             put_recent_server_paces(message, this->context, Overload::PaceScope::Domain);
             put_doubts(message, this->context.domain_doubt.domain_reports(this->context.now()));
+            put_shortages(message, this->context, Overload::SignScope::Domain);
+            put_organisation_use(message, this->context, Overload::SignScope::Domain);
             this->send_to_remote_domains(std::move(message));
         }
         this->schedule_digest();
@@ -339,8 +353,10 @@
         auto delta = this->own_use.delta(this->context.backends).value_or(wire::HostUse());
         put_unsent_server_paces(delta, this->context, Overload::PaceScope::Host);
         bool const has_returns = put_changed_returns(delta, this->context);
-        if (has_changes(delta) || has_returns)
-            this->broadcast(delta);
+        if (!has_changes(delta) && !has_returns)
+            return;
+        put_shortages(delta, this->context, Overload::SignScope::Host);
+        this->broadcast(delta);
     }));
 }
 
@@ -357,8 +373,10 @@
             return;
         auto delta = this->domain_use.delta(this->context.backends).value_or(wire::HostUse());
         put_unsent_server_paces(delta, this->context, Overload::PaceScope::Domain);
-        if (has_changes(delta))
-            this->send_to_remote_domains(std::move(delta));
+        if (!has_changes(delta))
+            return;
+        put_shortages(delta, this->context, Overload::SignScope::Domain);
+        this->send_to_remote_domains(std::move(delta));
     }));
 }
 
@@ -396,6 +414,8 @@
         put_recent_rate_limits(message, this->context, limit_scope);
         put_recent_server_paces(message, this->context, Overload::PaceScope::Host);
         put_doubts(message, this->context.domain_doubt.own_reports(now));
+        put_shortages(message, this->context, Overload::SignScope::Host);
+        put_organisation_use(message, this->context, Overload::SignScope::Host);
         this->send(receivers, std::move(message));
     };
     if (!is_large || is_frequent)
@@ -500,6 +520,7 @@
     put_recent_rate_limits(message, this->context, LimitScope::All);
     put_all_server_paces(message, this->context);
     put_doubts(message, this->context.domain_doubt.own_reports(this->context.now()));
+    put_shortages(message, this->context, Overload::SignScope::Host);
     this->send(std::span(&peer, 1), std::move(message));
 }
 
@@ -578,6 +599,7 @@
     apply_request_terminations(this->context, message);
     apply_rate_limits(this->context, message);
     apply_server_paces(this->context, message);
+    apply_shortages(this->context, MemberId(name), Overload::SignScope::Host, message);
     this->handle_progress(sender, message);
     if (message.wants_answer())
         this->send_full_state(sender, false);
@@ -608,6 +630,7 @@
     apply_request_terminations(this->context, message);
     apply_rate_limits(this->context, message);
     apply_server_paces(this->context, message);
+    apply_shortages(this->context, MemberId(domain.value()), Overload::SignScope::Domain, message);
     this->handle_progress(sender, message);
 }
 
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -75,6 +75,8 @@
     void announce_limit(Backend const&);
     /// Announces what this host knows of a request during which servers have terminated.
     void announce_request_termination(RequestFingerprint const&);
+    /// Announces the shortages that this host has observed.
+    void announce_shortage();
     /// Announces, to the hosts of this domain only, a backend server to which no connection can be established.
     void announce_unreachable(Backend const&, Duration avoided);
     /// Announces the failure domains that seem to have failed, or have responded again, by this host's own connections.
