LibOverload: Weigh the pauses that a placement causes and suffers

Cause: the choice of an engine weighs memory and unread prompts only. On machines that are slowed down now and then, a prompt beside a stream makes its pauses exceed the goal on the slower engines of a pool, and the choice knows of neither.

Change: the expected number of late streams (PauseForecast), the wait for the first event at the engine's own speed and the growth of the running streams are part of the cost of a placement and of the choice of a move's target. Hosts tell each other how many long generations run at an engine.

--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -128,7 +128,7 @@
     if (memory.value() > 0)
         bounded.need.expected_output
             = std::min(demand.need.expected_output, TokenCount(memory.value() - demand.need.prompt.value()));
-    GenerationCost const cost(bounded.need, memory, inputs, random);
+    GenerationCost const cost(candidates, bounded.need, memory, inputs, random);
     Cheapest chosen;
     decision.has_capacity_for_most_urgent = demand.most_urgent.empty();
     for (auto const& candidate : candidates) {
@@ -147,6 +147,7 @@
     decision.engine = chosen.backend();
     if (decision.engine) {
         decision.verdict = AdmissionVerdict::Admit;
+        decision.pauses = cost.pauses_at(*decision.engine);
         return decision;
     }
     decision.retry_after = draw_retry_after(random);
--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -54,6 +54,8 @@
     u32 with_capacity { 0 };
     /// False if no engine has capacity for the most urgent kind of generation.
     bool has_capacity_for_most_urgent { true };
+    /// What the placement on `engine` is expected to do to the pauses of streams; empty if that is not considered.
+    std::optional<Overload::PauseEstimate> pauses {};
 };
 
 /// Decides whether one of the engines runs the generation, and which one. Skips the engines in `tried`. `memory` is the
--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/BackendChooser.h>
+#include <LibServing/PoolForecast.h>
 #include <algorithm>
 #include <boost/random/uniform_real_distribution.hpp>
 
@@ -35,6 +36,12 @@
 static constexpr double crowded_share = 0.9;
 /// Cost per unit of memory share above that threshold, and the flat cost of an engine whose slots are all taken.
 static constexpr double crowded_cost = 10;
+/// Cost of one expected late stream.
+static constexpr double late_stream_cost = 1;
+/// Cost per second until the first event, if the speed of the engine is known. Half a second at one engine rather than
+/// another costs as much as a late stream, so that prompts are read where that is fast, and engines without streams do
+/// not build up a backlog.
+static constexpr double first_event_wait_cost = 2;
 
 /// Servers that have become available during the doubt are not part of it.
 static bool is_in_doubt(Backend const& backend, ChoiceInputs const& inputs)
@@ -106,20 +113,48 @@
     return std::max(known, engine.report->used.value());
 }
 
-GenerationCost::GenerationCost(
-    GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
+GenerationCost::GenerationCost(std::span<BackendPointer const> candidates, GenerationNeed const& need,
+    TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
     : capacity(static_cast<double>(std::max<i64>(1, memory.value())))
     , wanted(need.prompt.value() + need.expected_output.value())
+    , expected_output(need.expected_output.value())
     , unseen(inputs.unseen_placements * static_cast<double>(this->wanted) / this->capacity)
+    , forecast(PoolForecast::create(candidates, inputs))
     , inputs(inputs)
     , random(random)
 {
 }
 
+GenerationCost::~GenerationCost() = default;
+
+std::optional<Overload::PauseEstimate> GenerationCost::pauses_at(Backend const& backend) const
+{
+    if (!this->forecast)
+        return {};
+    return this->forecast->estimate(backend);
+}
+
+double GenerationCost::cost_of_pauses(
+    Backend const& backend, Overload::PauseEstimate const& estimate, double share) const
+{
+    auto const grown = share + static_cast<double>(backend.engine.streams() * this->expected_output) / this->capacity;
+    auto cost = first_event_wait_cost * AK::to_seconds(estimate.first_event_wait);
+    cost += crowded_cost * (std::max(grown, crowded_share) - std::max(share, crowded_share));
+    // A copy has to arrive before its source terminates, so a busy link or a nearly full engine is no better a target
+    // for being fast.
+    bool const is_copy = this->inputs.stream->unread_tokens == 0;
+    bool const may_delay_copy = backend.engine.incoming_tokens() > 0 || share > crowded_share;
+    return cost + late_stream_cost * (is_copy && may_delay_copy ? 1 : estimate.late_streams());
+}
+
 double GenerationCost::operator()(Backend const& backend) const
 {
     auto share = static_cast<double>(estimated_tokens(backend, this->inputs.now) + this->wanted) / this->capacity;
-    auto cost = share + static_cast<double>(backend.engine.unread_tokens()) / unread_tokens_scale;
+    auto cost = share;
+    if (auto const estimate = this->pauses_at(backend))
+        cost += this->cost_of_pauses(backend, *estimate, share);
+    else
+        cost += static_cast<double>(backend.engine.unread_tokens()) / unread_tokens_scale;
     if (this->inputs.copied_tokens_per_second)
         cost += copy_wait_cost * static_cast<double>(backend.engine.incoming_tokens())
             / *this->inputs.copied_tokens_per_second;
@@ -137,7 +172,7 @@
 BackendPointer choose_for_generation(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     GenerationNeed const& need, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random)
 {
-    GenerationCost const cost(need, memory, inputs, random);
+    GenerationCost const cost(candidates, need, memory, inputs, random);
     return cheapest(candidates, tried, inputs, cost);
 }
 
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <LibOverload/DomainDoubt.h>
+#include <LibOverload/PauseForecast.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibServing/BackendTable.h>
 #include <LibServing/Regions.h>
@@ -49,6 +50,8 @@
     Overload::SlownessDistribution const* slowness { nullptr };
     /// Failure domains whose servers of the service seem to have failed together.
     std::vector<Overload::DomainDoubt::DoubtfulDomain> doubtful_domains {};
+    /// The stream that the placement starts or resumes; empty if the pauses of streams are not considered.
+    std::optional<Overload::StreamDemand> stream {};
 };
 
 /// Whether the backend server accepts new work now, and may get this request at all.
@@ -88,21 +91,31 @@
 };
 
 /// The cost of placing a generation on an engine, as a fraction of the engine's capacity: the backlog of unread
-/// prompts, the memory in use, and the costs common to all backend servers.
+/// prompts, the memory in use, the expected pauses of streams, and the costs common to all backend servers.
 class GenerationCost {
 public:
     /// Keeps references to `inputs` and `random`.
-    GenerationCost(
-        GenerationNeed const&, TokenCount memory, ChoiceInputs const& inputs, boost::random::mt19937& random);
+    GenerationCost(std::span<BackendPointer const> candidates, GenerationNeed const&, TokenCount memory,
+        ChoiceInputs const& inputs, boost::random::mt19937& random);
+    ~GenerationCost();
     double operator()(Backend const&) const;
+    /// Empty if the pauses of streams are not considered, or nothing is known of them.
+    [[nodiscard]] std::optional<Overload::PauseEstimate> pauses_at(Backend const&) const;
 
 private:
+    /// The cost of the wait for the first event, of late streams, and of the memory into which the running streams will
+    /// grow. `share` is the share of the memory in use.
+    [[nodiscard]] double cost_of_pauses(Backend const&, Overload::PauseEstimate const&, double share) const;
+
     double capacity;
     i64 wanted;
+    i64 expected_output;
     /// As a fraction of the capacity. Hosts with the same view would all choose the same engine. The placements that
     /// this host does not know of yet are therefore drawn at random for each engine, which spreads the hosts over
     /// engines of similar cost (TestStaleEstimates).
     double unseen;
+    /// Null if the pauses of streams are not considered.
+    std::unique_ptr<class PoolForecast const> forecast;
     ChoiceInputs const& inputs;
     boost::random::mt19937& random;
 };
--- a/Libraries/LibServing/EngineLoad.h
+++ b/Libraries/LibServing/EngineLoad.h
@@ -34,6 +34,7 @@
     i64 unread_tokens { 0 };
     i64 uncopied_tokens { 0 };
     i64 incoming_tokens { 0 };
+    i64 streams { 0 };
     bool operator==(EngineWork const&) const = default;
 };
 
@@ -56,6 +57,10 @@
     /// Tokens of generations whose first copy is in transit to this engine, which its link still has to receive.
     i64 own_incoming_tokens { 0 };
     i64 peer_incoming_tokens { 0 };
+    /// Generations that will stream events for some time, from their dispatch to this engine on: the prompts that it
+    /// reads after theirs lengthen their pauses.
+    i64 own_streams { 0 };
+    i64 peer_streams { 0 };
     /// Memory reserved at this engine for copies in transit.
     i64 expected_copy_tokens { 0 };
     std::optional<EngineReport> report;
@@ -66,6 +71,7 @@
     [[nodiscard]] i64 unread_tokens() const { return this->own_unread_tokens + this->peer_unread_tokens; }
     [[nodiscard]] i64 uncopied_tokens() const { return this->own_uncopied_tokens + this->peer_uncopied_tokens; }
     [[nodiscard]] i64 incoming_tokens() const { return this->own_incoming_tokens + this->peer_incoming_tokens; }
+    [[nodiscard]] i64 streams() const { return this->own_streams + this->peer_streams; }
     [[nodiscard]] u32 generations() const { return this->own_generations + this->peer_generations; }
 };
 
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -10,6 +10,7 @@
 #include <LibServing/GenerationMove.h>
 #include <LibServing/Returns.h>
 #include <LibServing/ShortageMessages.h>
+#include <cmath>
 
 namespace Serving {
 
@@ -37,6 +38,9 @@
     /// Other engines may free capacity before the source engine terminates, so a failed move is repeated.
     static constexpr Duration move_retry_delay = 150ms;
     static constexpr u32 events_per_gap_sample = 8;
+    /// A generation that is expected to stream at least this many events counts as long. Shorter ones end before the
+    /// next prompt is read beside them.
+    static constexpr double min_long_stream_events = 10;
 
     struct GapSample {
         /// Events of the sample so far; the first one only starts it.
@@ -56,6 +60,44 @@
         return { this->demand().prompt, std::min(max_output, expected) };
     }
 
+    [[nodiscard]] double expected_events() const
+    {
+        auto const tokens_per_event = std::max(1U, this->traits().tokens_per_event);
+        return static_cast<double>(this->need().expected_output.value()) / tokens_per_event;
+    }
+
+    [[nodiscard]] StreamLength stream_length() const
+    {
+        return this->expected_events() < min_long_stream_events ? StreamLength::Short : StreamLength::Long;
+    }
+
+    [[nodiscard]] Overload::StreamDemand stream_demand() const
+    {
+        auto const goal = this->call.route->event_gap_goal;
+        auto const goal_of_others = this->call.routing->min_event_gap_goal(this->call.service->name).value_or(goal);
+        auto const due_in = this->call.route->latency_goal - this->elapsed();
+        return { static_cast<double>(this->demand().prompt.value()), this->expected_events(), goal, goal_of_others,
+            due_in };
+    }
+
+    /// A generation that has outrun its estimate is expected to stream a few more events.
+    [[nodiscard]] Overload::StreamDemand rest_of_stream() const
+    {
+        auto rest = this->stream_demand();
+        rest.unread_tokens = 0;
+        rest.first_event_due_in.reset();
+        rest.expected_events
+            = std::max(min_long_stream_events, rest.expected_events - static_cast<double>(this->order.count()));
+        return rest;
+    }
+
+    [[nodiscard]] ChoiceInputs placement_inputs(std::optional<Rollout::Side> side) const
+    {
+        auto inputs = this->choice_inputs(other_domain_cost, side);
+        inputs.stream = this->stream_demand();
+        return inputs;
+    }
+
     void place()
     {
         if (auto left = this->quarantined_for()) {
@@ -73,8 +115,8 @@
         AdmissionDemand const demand { this->need(), this->call.route->latency_goal - this->elapsed(),
             limits.keep_free_for, limits.most_urgent };
         auto admit_at = [&](std::optional<Rollout::Side> side) {
-            return admit(candidates, this->tried, demand, this->traits().memory,
-                this->choice_inputs(other_domain_cost, side), this->context.random);
+            return admit(candidates, this->tried, demand, this->traits().memory, this->placement_inputs(side),
+                this->context.random);
         };
         auto const choice = this->side_choice(this->tried.empty());
         auto decision = admit_at(choice.side);
@@ -93,10 +135,11 @@
         auto const& chosen = decision.engine;
         this->tried.push_back(chosen->server.id);
         this->context.placements.record(this->context.now());
-        this->log_placement(*chosen);
         this->record_placement();
+        this->log_placement(*chosen, decision.pauses);
+        this->count_expected_late_streams(decision.pauses);
         auto prompt = this->demand().prompt.value();
-        this->claim.emplace(chosen, prompt, prompt);
+        this->claim.emplace(chosen, prompt, prompt, this->stream_length());
         this->context.use_changed();
         this->dispatch_to(chosen, {});
     }
@@ -225,22 +268,40 @@
             .with("waited_ms", waited);
     }
 
-    void log_placement(Backend const& chosen)
+    /// In thousandths, because counters are whole numbers.
+    void count_expected_late_streams(std::optional<Overload::PauseEstimate> const& pauses)
     {
-        this->context.log.event(Core::EventNumber::GenerationPlaced, this->attempt())
-            .with("engine", chosen.server.id)
-            .with("try", this->tried.size())
-            .with("engine_tokens", estimated_tokens(chosen, this->context.now()))
-            .with("engine_unread", chosen.engine.unread_tokens())
-            .with("report_age_ms", this->report_age(chosen))
-            .with("belief_age_ms", this->estimate_age(chosen))
-            .with("cold_left_ms", chosen.cold_left(this->context.now()))
-            .with("back_off_left_ms", chosen.back_off_left(this->context.now()))
-            .with("avoided", static_cast<int>(chosen.is_avoided(this->context.now())))
-            .with("prompt", this->demand().prompt)
-            .with("expected_output", this->need().expected_output)
-            .with("revision", this->call.routing->revision())
-            .with("left_ms", this->time_left());
+        if (!pauses)
+            return;
+        constexpr double thousandths = 1000;
+        this->context.metrics.add(
+            "expected_late_streams_thousandths_total{service=\"" + this->call.service->name.value() + "\"}",
+            static_cast<u64>(std::llround(pauses->late_streams() * thousandths)));
+    }
+
+    void log_placement(Backend const& chosen, std::optional<Overload::PauseEstimate> const& pauses)
+    {
+        auto event = this->context.log.event(Core::EventNumber::GenerationPlaced, this->attempt())
+                         .with("engine", chosen.server.id)
+                         .with("try", this->tried.size())
+                         .with("engine_tokens", estimated_tokens(chosen, this->context.now()))
+                         .with("engine_unread", chosen.engine.unread_tokens())
+                         .with("report_age_ms", this->report_age(chosen))
+                         .with("belief_age_ms", this->estimate_age(chosen))
+                         .with("cold_left_ms", chosen.cold_left(this->context.now()))
+                         .with("back_off_left_ms", chosen.back_off_left(this->context.now()))
+                         .with("avoided", static_cast<int>(chosen.is_avoided(this->context.now())))
+                         .with("prompt", this->demand().prompt)
+                         .with("expected_output", this->need().expected_output)
+                         .with("revision", this->call.routing->revision())
+                         .with("left_ms", this->time_left());
+        if (!pauses)
+            return;
+        std::move(event)
+            .with("streams", chosen.engine.streams())
+            .with("pause_ms", pauses->pause)
+            .with("late_streams_caused", pauses->caused)
+            .with("own_lateness", pauses->own);
     }
 
     /// Age of the last report from the hosts of the engine's failure domain. It is 0 for the local domain, whose hosts
@@ -374,6 +435,8 @@
     void further_event(Duration gap)
     {
         this->context.metrics.observe("event_gap_seconds", gap);
+        if (gap > this->call.route->event_gap_goal)
+            this->context.metrics.add("pauses_over_goal_total{route=\"" + this->call.route->name.value() + "\"}");
         observe_event_gap(this->context, *this->backend, this->gaps, gap);
     }
 
@@ -573,7 +636,7 @@
         if (!this->traits().can_move || this->context.now() < this->next_move_at)
             return;
         typename Move::Inputs inputs { this->attempt(), this->backend, TokenCount(this->claim->held_tokens()),
-            this->traits(), this->call.regions };
+            this->traits(), this->rest_of_stream(), this->stream_length(), this->call.regions };
         std::weak_ptr<Generation> weak = this->weak_from_this();
         this->move = std::make_shared<Move>(this->context, std::move(inputs), [weak] {
             if (auto self = weak.lock())
@@ -621,7 +684,7 @@
         this->move->finish();
         auto target = this->move->target();
         auto held = this->claim->held_tokens();
-        this->claim.emplace(target, held, 0);
+        this->claim.emplace(target, held, 0, this->stream_length());
         this->context.use_changed();
         this->continue_after_back_off(target, { this->move->copy_name(), this->order.last() });
     }
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -35,6 +35,9 @@
         /// Tokens of the generation when its move begins.
         TokenCount held;
         EngineTraits traits;
+        /// The rest of its stream.
+        Overload::StreamDemand stream {};
+        StreamLength length { StreamLength::Short };
         /// Where the copy may be stored.
         AllowedRegions regions {};
     };
@@ -76,7 +79,7 @@
     {
         this->phase_changed = nullptr;
         this->timer.cancel();
-        this->reservation.reset();
+        this->drop_reservation();
         this->drop_link_claims();
         this->drop_connection();
         this->is_finished = true;
@@ -124,6 +127,8 @@
         inputs.server_limits = nullptr;
         inputs.regions = this->inputs.regions;
         inputs.side = this->context.rollouts.side_for_moves(this->inputs.source->server.service);
+        inputs.slowness = this->context.slowness_of(this->inputs.source->server.service);
+        inputs.stream = this->inputs.stream;
         inputs.copied_tokens_per_second = this->copied_tokens_per_second();
         inputs.doubtful_domains
             = this->context.domain_doubt.doubtful_domains(this->inputs.source->server.service, inputs.now);
@@ -149,6 +154,8 @@
             return this->fail("no engine has free capacity");
         this->tried.push_back(this->chosen->server.id);
         this->reservation.emplace(this->chosen, &EngineLoad::expected_copy_tokens, this->inputs.held.value());
+        if (this->inputs.length == StreamLength::Long)
+            this->stream.emplace(this->chosen, &EngineLoad::own_streams, 1);
         this->incoming.emplace(this->chosen, &EngineLoad::own_incoming_tokens, this->inputs.held.value());
         this->context.use_changed();
         this->request_copy(false);
@@ -222,11 +229,17 @@
         this->context.use_changed();
     }
 
+    void drop_reservation()
+    {
+        this->reservation.reset();
+        this->stream.reset();
+    }
+
     void run_has_ended()
     {
         this->drop_link_claims();
         this->log_failure("the generation no longer runs at the source");
-        this->reservation.reset();
+        this->drop_reservation();
         this->enter(Phase::Failed);
     }
 
@@ -326,7 +339,7 @@
         // The generation can resume from the first copy; the target reads again the few tokens that it lacks.
         if (this->current == Phase::HandingOver && this->copy)
             return this->enter(Phase::HandedOver);
-        this->reservation.reset();
+        this->drop_reservation();
         this->drop_link_claims();
         this->enter(Phase::Failed);
     }
@@ -376,6 +389,8 @@
     BackendPointer chosen;
     std::vector<EngineId> tried;
     std::optional<TokenClaim> reservation;
+    /// The stream that will run at the target.
+    std::optional<TokenClaim> stream;
     std::shared_ptr<Http::BackendConnection> connection;
     unsigned response_status { 0 };
     std::string response_body;
--- a/Libraries/LibServing/PeerUse.cpp
+++ b/Libraries/LibServing/PeerUse.cpp
@@ -12,6 +12,13 @@
 /// this many.
 static constexpr i64 min_token_change = 1000;
 
+/// Hosts report one more than the number, because an older host that reports nothing sends 0. Any of its generations
+/// may be a long one.
+static i64 streams_of(wire::EngineUse const& use)
+{
+    return use.streams() > 0 ? static_cast<i64>(use.streams()) - 1 : static_cast<i64>(use.generations());
+}
+
 static void add_to(EngineWork& work, EngineWork const& use, int sign)
 {
     work.generations += static_cast<u32>(sign) * use.generations;
@@ -19,6 +26,7 @@
     work.unread_tokens += sign * use.unread_tokens;
     work.uncopied_tokens += sign * use.uncopied_tokens;
     work.incoming_tokens += sign * use.incoming_tokens;
+    work.streams += sign * use.streams;
 }
 
 void PeerUse::add(Backend& backend, Use const& use, bool is_local, int sign)
@@ -29,6 +37,7 @@
     engine.peer_unread_tokens += sign * use.unread_tokens;
     engine.peer_uncopied_tokens += sign * use.uncopied_tokens;
     engine.peer_incoming_tokens += sign * use.incoming_tokens;
+    engine.peer_streams += sign * use.streams;
     if (is_local)
         add_to(engine.domain_peer_work, use, sign);
 }
@@ -68,7 +77,7 @@
         replace(host, id,
             { ServerStart(engine.start()),
                 { engine.generations(), engine.tokens(), engine.unread_tokens(), engine.uncopied_tokens(),
-                    engine.incoming_tokens() } },
+                    engine.incoming_tokens(), streams_of(engine) } },
             table);
     }
     if (!message.is_whole())
@@ -114,7 +123,7 @@
 {
     auto const& engine = backend.engine;
     PeerUse::Use use { engine.own_generations, engine.own_tokens + engine.expected_copy_tokens,
-        engine.own_unread_tokens, engine.own_uncopied_tokens, engine.own_incoming_tokens };
+        engine.own_unread_tokens, engine.own_uncopied_tokens, engine.own_incoming_tokens, engine.own_streams };
     if (this->scope == UseScope::Domain)
         add_to(use, engine.domain_peer_work, 1);
     return use;
@@ -130,6 +139,7 @@
     engine.set_unread_tokens(use.unread_tokens);
     engine.set_uncopied_tokens(use.uncopied_tokens);
     engine.set_incoming_tokens(use.incoming_tokens);
+    engine.set_streams(static_cast<u32>(use.streams + 1));
 }
 
 wire::HostUse OwnUse::full_state(BackendTable const& table)
@@ -157,7 +167,8 @@
             return;
         auto& before = this->last_sent[id];
         bool const has_changed = use.generations != before.generations || use.unread_tokens != before.unread_tokens
-            || use.uncopied_tokens != before.uncopied_tokens || use.incoming_tokens != before.incoming_tokens
+            || use.streams != before.streams || use.uncopied_tokens != before.uncopied_tokens
+            || use.incoming_tokens != before.incoming_tokens
             || std::abs(use.tokens - before.tokens) >= min_token_change;
         if (!has_changed)
             return;
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -99,10 +99,8 @@
         auto inputs = this->context.choice_inputs(other_domain_cost);
         inputs.side = side;
         inputs.regions = this->call.regions;
-        auto const& slowness = this->context.slowness_of_services;
-        auto const known = slowness.find(this->call.service->name);
-        inputs.slowness = known == slowness.end() ? nullptr : &known->second;
         inputs.doubtful_domains = this->context.domain_doubt.doubtful_domains(this->call.service->name, inputs.now);
+        inputs.slowness = this->context.slowness_of(this->call.service->name);
         return inputs;
     }
 
--- a/Libraries/LibServing/RoutingTable.cpp
+++ b/Libraries/LibServing/RoutingTable.cpp
@@ -25,6 +25,23 @@
     }
     for (auto const& service : this->configuration.services)
         this->services_by_name[service.name] = &service;
+    for (auto const& route : this->configuration.routes) {
+        if (route.kind != CallKind::Generation)
+            continue;
+        for (auto const& weighted : route.services) {
+            auto const [goal, is_new] = this->min_event_gap_goals.try_emplace(weighted.service, route.event_gap_goal);
+            if (!is_new)
+                goal->second = std::min(goal->second, route.event_gap_goal);
+        }
+    }
+}
+
+std::optional<Duration> RoutingTable::min_event_gap_goal(ServiceName const& service) const
+{
+    auto found = this->min_event_gap_goals.find(service);
+    if (found == this->min_event_gap_goals.end())
+        return {};
+    return found->second;
 }
 
 Route const* RoutingTable::find_route(std::string_view host, std::string_view path) const
--- a/Libraries/LibServing/RoutingTable.h
+++ b/Libraries/LibServing/RoutingTable.h
@@ -26,6 +26,9 @@
     [[nodiscard]] Organisation const* find_organisation(std::string const& key) const;
     [[nodiscard]] bool requires_keys() const { return !this->configuration.organisations.empty(); }
     [[nodiscard]] Service const* find_service(ServiceName const&) const;
+    /// The strictest goal for the time between two events among the routes to this service; empty if no route sends
+    /// generations to it.
+    [[nodiscard]] std::optional<Duration> min_event_gap_goal(ServiceName const&) const;
 
 private:
     Configuration configuration;
@@ -33,6 +36,7 @@
     std::unordered_map<std::string, std::vector<Route const*>> routes_by_host;
     std::unordered_map<std::string, Organisation const*> organisations_by_key;
     std::unordered_map<ServiceName, Service const*> services_by_name;
+    std::unordered_map<ServiceName, Duration> min_event_gap_goals;
 };
 
 /// Chooses the service for an attempt of a caller by weight. The same attempt always gets the same service.
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -9,11 +9,11 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
+#include <LibOverload/DomainDoubt.h>
 #include <LibOverload/PaceTable.h>
 #include <LibOverload/ReturnPlan.h>
 #include <LibOverload/ReturningCallers.h>
 #include <LibOverload/ServicePace.h>
-#include <LibOverload/DomainDoubt.h>
 #include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
 #include <LibServing/Admission.h>
@@ -73,6 +73,12 @@
     /// When callers return that were refused for lack of capacity, for each service that has refused some.
     std::unordered_map<ServiceName, Overload::ReturnPlan> return_plans;
     Overload::ReturningCallers returning_callers;
+    /// Null if the servers of the service don't report their slowness.
+    [[nodiscard]] Overload::SlownessDistribution const* slowness_of(ServiceName const& service) const
+    {
+        auto found = this->slowness_of_services.find(service);
+        return found == this->slowness_of_services.end() ? nullptr : &found->second;
+    }
     ProcessCheck processes;
     Overload::DomainDoubt domain_doubt;
     /// The services of which this host can reach no backend server, as of the last tick.
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -94,6 +94,25 @@
             CHECK(engine->engine.incoming_tokens() == 0);
         }
     }
+    WHEN("a generation will stream for some time")
+    {
+        own_engine->engine.own_streams = 1;
+        use.apply(host, *own.delta(own_table), other_table, now);
+        CHECK(engine->engine.streams() == 1);
+        THEN("the count is dropped with the host")
+        {
+            use.forget(host, other_table);
+            CHECK(engine->engine.streams() == 0);
+        }
+    }
+    WHEN("an older host, which does not count its streams, reports its generations")
+    {
+        CHECK(engine->engine.peer_streams == 0);
+        auto message = own.full_state(own_table);
+        message.mutable_engines(0)->clear_streams();
+        use.apply(host, message, other_table, now);
+        THEN("all of them may be streams") { CHECK(engine->engine.peer_streams == 2); }
+    }
     WHEN("a second host reports its own use")
     {
         use.apply(MemberId("host-2"), own.full_state(own_table), other_table, now);
