LibOverload: Expect slow machines before a host has seen any

Change: a host with few reports mixes them with an assumed distribution, in which slower work is rarer.

--- a/Libraries/LibOverload/PauseForecast.cpp
+++ b/Libraries/LibOverload/PauseForecast.cpp
@@ -13,9 +13,13 @@
 /// How long a machine usually keeps one slowness. Other programs on a machine start and stop several times per second
 /// or two.
 static constexpr double phase_seconds = 0.5;
-/// Paces are the quicker ones of what was observed. A single pause may be longer by this share, since the time of a step
-/// also depends on the number of streams and on their length.
+/// Paces are the quicker ones of what was observed. A single pause may be longer by this share, since the time of a
+/// step also depends on the number of streams and on their length.
 static constexpr double pause_variation = 0.2;
+/// A host with few requests gets few reports, and may have seen none of a slow machine yet. Until it has, it expects
+/// work to be slower than by a factor f in 1 / f^assumed_decline of the cases, which counts as this many reports.
+static constexpr double assumed_reports = 10;
+static constexpr double assumed_decline = 2.5;
 
 /// Probability that something that applies for `share` of the time applies at least once within `duration`, if it
 /// changes with each phase.
@@ -37,8 +41,12 @@
     constexpr double max_limit = 1000;
     auto const key = static_cast<int>(std::min(limit, max_limit) * hundredths);
     auto const [known, is_new] = this->known_shares.try_emplace(key, 0);
-    if (is_new)
-        known->second = this->slowness.share_above(Slowness(key / hundredths));
+    if (is_new) {
+        auto const reports = static_cast<double>(this->slowness.count());
+        auto const observed = reports * this->slowness.share_above(Slowness(key / hundredths));
+        auto const assumed = assumed_reports * std::pow(std::max(1.0, limit), -assumed_decline);
+        known->second = (observed + assumed) / (reports + assumed_reports);
+    }
     return known->second;
 }
 
--- a/Libraries/LibOverload/SlownessDistribution.h
+++ b/Libraries/LibOverload/SlownessDistribution.h
@@ -18,6 +18,8 @@
     void record(Slowness, Instant now);
     /// Whether the servers of the service report their slowness at all.
     [[nodiscard]] bool is_known() const { return !this->readings.empty(); }
+    /// Number of recent reports.
+    [[nodiscard]] size_t count() const { return this->readings.size(); }
     /// The share of the recent reports that exceed `limit`; 0 without reports.
     [[nodiscard]] double share_above(Slowness limit) const;
 
