LibServing: Send calls to the server where they are expected to end first

Cause: calls to plain services went to the least loaded server, also if its machine was slow at the moment and it had just said so. Ruled out: two choices by expected time.

--- a/Libraries/LibServing/BackendChooser.cpp
+++ b/Libraries/LibServing/BackendChooser.cpp
@@ -93,6 +93,15 @@
     return chosen.backend();
 }
 
+/// The time that a call is expected to take, as a multiple of the usual time at a server without other calls.
+static double expected_time(Backend const& backend, double busy_slots, Instant now)
+{
+    auto const slowness
+        = backend.lasting_slowness().value() * Overload::expected_slowness(backend.slowness, now).value();
+    auto const slots = std::max(1U, backend.server.slots);
+    return slowness * (busy_slots + 1) / slots;
+}
+
 BackendPointer choose_for_call(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     ChoiceInputs const& inputs, boost::random::mt19937& random)
 {
@@ -100,7 +109,10 @@
         auto busy = static_cast<double>(backend.in_flight);
         if (backend.load && inputs.now - backend.load_received_at < load_report_lifetime)
             busy = std::max(busy, static_cast<double>(backend.load->running + backend.load->waiting));
-        return busy / std::max(1U, backend.server.slots) + common_cost(backend, inputs, random);
+        auto const common = common_cost(backend, inputs, random);
+        if (inputs.slowness)
+            return expected_time(backend, busy, inputs.now) + common;
+        return busy / std::max(1U, backend.server.slots) + common;
     });
 }
 
--- a/Libraries/LibServing/BackendChooser.h
+++ b/Libraries/LibServing/BackendChooser.h
@@ -79,7 +79,8 @@
 };
 
 /// Chooses a backend server for a call to a plain service: the least loaded one by this host's requests in flight there
-/// and by the server's last load report. Failing servers and servers of other failure domains count as more loaded.
+/// and by the server's last load report. If the servers of the service report their slowness, it is the one with the
+/// shortest expected time. Failing servers and servers of other failure domains count as more loaded.
 /// Skips the servers in `tried`. Returns null if no other one is in service.
 BackendPointer choose_for_call(std::span<BackendPointer const> candidates, std::span<EngineId const> tried,
     ChoiceInputs const& inputs, boost::random::mt19937& random);
