LibOverload: Know an engine's whole pace from its first report to any host

Cause: a host serves few requests, so it knew the relation of an engine's report and its speed only after ten seconds, and of a new engine only what the first streams showed. Values that were derived from a report were told like observed ones, and the quicker value wins, so a wrong one stayed. Change: entries between hosts carry what the engine last reported, and its age. Receivers use it for the relation until they have five observations of their own, for the engine's usual report and for its present slowness. Derived values fill only what nobody has observed, and are not told. Entries are repeated once instead of three times. A repeated report counts once. Ruled out: telling present slowness by itself, and asking the health path for it (docs/design/slowness.md: 18 KB/s a host). TestLibOverload, TestLibServing and TestPlatform pass.

--- a/Libraries/LibOverload/EventGaps.cpp
+++ b/Libraries/LibOverload/EventGaps.cpp
@@ -7,6 +7,7 @@
 #include <LibOverload/EventGaps.h>
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace Overload {
 
@@ -15,7 +16,7 @@
     EventInterval const interval { gap, is_reading };
     this->before_last = std::exchange(this->last, interval);
     if (this->count == gaps_per_interval) {
-        std::ranges::rotate(this->gaps, this->gaps.begin() + 1);
+        std::rotate(this->gaps.begin(), this->gaps.begin() + 1, this->gaps.end());
         --this->count;
     }
     this->gaps[this->count++] = interval;
--- a/Libraries/LibOverload/KnownPace.cpp
+++ b/Libraries/LibOverload/KnownPace.cpp
@@ -11,6 +11,9 @@
 /// Engines of different speed differ by more than this; repeated estimates of one engine's speed by less.
 static constexpr double noticeable_ratio = 1.15;
 
+/// Messages tell the age of a report with less precision than this.
+static constexpr Duration min_report_distance = 100ms;
+
 static std::optional<Duration> credible(std::optional<Duration> const& interval)
 {
     if (!interval || *interval < min_event_interval || *interval > max_event_interval)
@@ -73,12 +76,21 @@
     return is_news;
 }
 
+bool KnownPace::merge_report(SlownessReading const& reading)
+{
+    if (this->report && reading.observed_at < this->report->observed_at + min_report_distance)
+        return false;
+    this->report = reading;
+    return true;
+}
+
 template<typename T>
 static std::optional<T> first_of(std::optional<T> const& settled, std::optional<T> const& other)
 {
     return settled ? settled : other;
 }
 
+/// The values of `settled`, and those of `other` where it has none.
 static EnginePace first_of(EnginePace const& settled, EnginePace const& other)
 {
     return { first_of(settled.event_interval, other.event_interval),
@@ -88,12 +100,9 @@
 
 EnginePace KnownPace::observed() const
 {
-    return first_of(this->own.settled_pace(), quicker(this->own.pace(), this->derived));
+    return first_of(this->own.settled_pace(), quicker(this->own.pace(), this->reported));
 }
 
-EnginePace KnownPace::value() const
-{
-    return first_of(this->own.settled_pace(), quicker(this->observed(), this->reported));
-}
+EnginePace KnownPace::value() const { return first_of(this->observed(), this->derived); }
 
 }
--- a/Libraries/LibOverload/KnownPace.h
+++ b/Libraries/LibOverload/KnownPace.h
@@ -29,19 +29,24 @@
 public:
     /// This host's observations.
     PaceEstimator own;
-    /// What this host concludes from the slowness that the engine usually reports.
+    /// What this host concludes from the slowness that the engine usually reports. It counts only for values that no
+    /// host has observed, and other hosts are not told.
     EnginePace derived;
+    /// The slowness that the engine last reported to any host.
+    std::optional<SlownessReading> report;
 
     /// Applies an observation of another host. Returns whether it is noticeably quicker than what the hosts knew.
     bool merge(EnginePace const& observed);
+    /// Applies a report of the engine to any host. Returns false for one that is known already.
+    bool merge_report(SlownessReading const&);
     /// This host's own observation of a value counts alone if it has several samples.
     [[nodiscard]] EnginePace value() const;
+    /// The same without what is derived.
+    [[nodiscard]] EnginePace observed() const;
     /// Whether this host has observed something that the other hosts don't know.
-    [[nodiscard]] bool has_news() const { return is_noticeably_quicker(this->observed(), this->told); }
+    [[nodiscard]] bool has_news() const { return is_noticeably_quicker(this->own.pace(), this->told); }
     /// The other hosts have been told what this host observed.
-    void record_announcement() { this->told = quicker(this->told, this->observed()); }
-    /// What this host knows without the others.
-    [[nodiscard]] EnginePace observed() const;
+    void record_announcement() { this->told = quicker(this->told, this->own.pace()); }
 
 private:
     EnginePace reported;
--- a/Libraries/LibOverload/PaceTable.cpp
+++ b/Libraries/LibOverload/PaceTable.cpp
@@ -9,11 +9,11 @@
 
 namespace Overload {
 
-/// Three full state messages at their slowest rate.
-static constexpr Duration host_repetition = 3s;
-/// Two full state messages of the representative of a domain. Each of them reaches all hosts of the other domains, so
-/// they cost more.
-static constexpr Duration domain_repetition = 1200ms;
+/// One full state message at their slowest rate, which is one a second. A host that misses all of them still learns the
+/// speed from its own requests.
+static constexpr Duration host_repetition = 1200ms;
+/// One full state message of the representative of a domain, which sends them every half second.
+static constexpr Duration domain_repetition = 600ms;
 
 PaceTable::News const& PaceTable::Entry::news(PaceScope scope) const
 {
@@ -22,7 +22,7 @@
 
 EnginePace PaceTable::Entry::pace_for(PaceScope scope) const
 {
-    return scope == PaceScope::Host ? this->pace.observed() : this->pace.value();
+    return scope == PaceScope::Host ? this->pace.own.pace() : this->pace.observed();
 }
 
 void PaceTable::begin(News& news, Instant now) { news = { now, true }; }
@@ -69,7 +69,7 @@
     for (auto& [id, entry] : this->entries) {
         auto& news = scope == PaceScope::Host ? entry.host : entry.domain;
         if (std::exchange(news.is_unsent, false))
-            reports.push_back({ id, entry.start, entry.pace_for(scope) });
+            reports.push_back({ id, entry.start, entry.pace_for(scope), entry.pace.report });
     }
     return reports;
 }
@@ -81,7 +81,7 @@
     for (auto const& [id, entry] : this->entries) {
         auto const& since = entry.news(scope).since;
         if (since && now - *since < repetition)
-            reports.push_back({ id, entry.start, entry.pace_for(scope) });
+            reports.push_back({ id, entry.start, entry.pace_for(scope), entry.pace.report });
     }
     return reports;
 }
@@ -90,9 +90,9 @@
 {
     std::vector<PaceReport> reports;
     for (auto const& [id, entry] : this->entries) {
-        auto const pace = entry.pace.observed();
+        auto const pace = entry.pace.own.pace();
         if (pace != EnginePace {})
-            reports.push_back({ id, entry.start, pace });
+            reports.push_back({ id, entry.start, pace, entry.pace.report });
     }
     return reports;
 }
--- a/Libraries/LibOverload/PaceTable.h
+++ b/Libraries/LibOverload/PaceTable.h
@@ -26,6 +26,8 @@
     EngineId engine;
     ServerStart start;
     EnginePace pace;
+    /// What the engine last reported.
+    std::optional<SlownessReading> slowness {};
 };
 
 /// What this host knows of the lasting speeds of engines, and what it still has to tell other hosts. Each value is sent
--- a/Libraries/LibOverload/ServicePace.cpp
+++ b/Libraries/LibOverload/ServicePace.cpp
@@ -9,8 +9,8 @@
 
 namespace Overload {
 
-/// The median of three is right if one of them is wrong.
-static constexpr size_t min_samples = 3;
+/// The median of five is right if two of them are wrong.
+static constexpr size_t min_samples = 5;
 
 void ServicePace::record_interval(EventInterval const& interval, Slowness slowness)
 {
@@ -24,6 +24,17 @@
         this->seconds_per_prompt_token.record(*seconds / slowness.value());
 }
 
+void ServicePace::record_reported(EnginePace const& pace, Slowness slowness)
+{
+    auto const known = this->pace_at(slowness);
+    if (pace.event_interval && !known.event_interval)
+        this->record_interval({ *pace.event_interval, false }, slowness);
+    if (pace.event_interval_while_reading && !known.event_interval_while_reading)
+        this->record_interval({ *pace.event_interval_while_reading, true }, slowness);
+    if (pace.prompt_tokens_per_second && !known.prompt_tokens_per_second)
+        this->seconds_per_prompt_token.record(1 / *pace.prompt_tokens_per_second / slowness.value());
+}
+
 EnginePace ServicePace::pace_at(Slowness slowness) const
 {
     EnginePace pace;
--- a/Libraries/LibOverload/ServicePace.h
+++ b/Libraries/LibOverload/ServicePace.h
@@ -22,6 +22,9 @@
     void record_interval(EventInterval const&, Slowness slowness);
     /// Records the time from a dispatch to the first event, for a prompt that the engine could read at once and alone.
     void record_prompt(TokenCount prompt, Duration time, Slowness slowness);
+    /// Applies what another host has observed of an engine that reported `slowness`. It counts only for values of which
+    /// this host has too few observations of its own.
+    void record_reported(EnginePace const&, Slowness slowness);
     /// The pace of an engine that usually reports `slowness`. A value is empty until it has been observed a few times.
     [[nodiscard]] EnginePace pace_at(Slowness) const;
 
--- a/Libraries/LibServing/ServerPace.cpp
+++ b/Libraries/LibServing/ServerPace.cpp
@@ -5,12 +5,15 @@
  */
 
 #include <LibServing/ServerPace.h>
+#include <algorithm>
 #include <cmath>
 
 namespace Serving {
 
 /// Each takes about 40 bytes. A message with this many still fits into one datagram.
 static constexpr size_t max_paces_per_message = 24;
+static constexpr double percent = 100;
+static constexpr i64 max_age_milliseconds = 60'000;
 /// A report counts for what is observed within this time. It is long enough for a few events, and short beside the
 /// bursts of other programs.
 static constexpr Duration report_lifetime = 200ms;
@@ -56,31 +59,30 @@
     context.paces_changed();
 }
 
-/// Concludes the engine's speed from the slowness that it usually reports.
-static void derive_pace(ServingContext& context, Backend& backend)
+/// Applies what the server has reported to this or to another host.
+static void apply_report(ServingContext& context, Backend& backend, Overload::Slowness reported, Instant at)
 {
-    auto const service_pace = context.pace_of_services[backend.server.service].pace_at(backend.lasting_slowness());
-    if (service_pace == Overload::EnginePace {})
-        return;
+    backend.reported_slowness.record(reported.value());
     auto& known = context.paces.pace_of(backend.server.id, backend.server.start);
-    known.derived = service_pace;
-    update_pace(context, backend, known);
+    known.derived = context.pace_of_services[backend.server.service].pace_at(backend.lasting_slowness());
+    backend.pace = known.value();
+    if (backend.slowness && backend.slowness->observed_at > at)
+        return;
+    backend.slowness
+        = Overload::SlownessReading { Overload::Slowness(reported.value() / backend.lasting_slowness().value()), at };
 }
 
 static void record_slowness(ServingContext& context, Backend& backend, Overload::Slowness reported)
 {
     auto const now = context.now();
-    backend.reported_slowness.record(reported.value());
-    Overload::Slowness const slowness(reported.value() / backend.lasting_slowness().value());
-    backend.slowness = Overload::SlownessReading { slowness, now };
+    apply_report(context, backend, reported, now);
+    context.paces.pace_of(backend.server.id, backend.server.start).report = { reported, now };
     auto const [known, is_first] = context.slowness_of_services.try_emplace(backend.server.service);
-    known->second.record(slowness, now);
+    known->second.record(backend.slowness->slowness, now);
     context.metrics.add("slowness_reports_total");
     if (is_first)
         context.log.event(Core::EventNumber::ServiceReportsSlowness, backend.server.service.value())
             .with("server", backend.server.id);
-    if (is_observed(context, backend))
-        derive_pace(context, backend);
 }
 
 void record_load(ServingContext& context, Backend& backend, std::optional<LoadReport> const& load)
@@ -130,7 +132,16 @@
 
 // --- messages
 
-static void put(wire::HostUse& message, std::vector<Overload::PaceReport> const& reports)
+/// Adds what the server last reported. Together with the pace, it tells other hosts the speed of all servers of the
+/// service.
+static void put_slowness(wire::ServerPace& entry, Overload::SlownessReading const& report, Instant now)
+{
+    entry.set_slowness_percent(static_cast<u32>(std::lround(report.slowness.value() * percent)));
+    auto const age = AK::to_milliseconds(now - report.observed_at);
+    entry.set_slowness_age_milliseconds(static_cast<u32>(std::clamp<i64>(age, 0, max_age_milliseconds)));
+}
+
+static void put(wire::HostUse& message, ServingContext const& context, std::vector<Overload::PaceReport> const& reports)
 {
     for (auto const& report : reports) {
         if (static_cast<size_t>(message.paces_size()) >= max_paces_per_message)
@@ -141,22 +152,24 @@
         entry.set_event_interval_microseconds(to_wire(report.pace.event_interval));
         entry.set_event_interval_while_reading_microseconds(to_wire(report.pace.event_interval_while_reading));
         entry.set_prompt_tokens_per_second(to_wire(report.pace.prompt_tokens_per_second));
+        if (report.slowness)
+            put_slowness(entry, *report.slowness, context.now());
     }
 }
 
 void put_unsent_server_paces(wire::HostUse& message, ServingContext& context, Overload::PaceScope scope)
 {
-    put(message, context.paces.take_unsent(scope));
+    put(message, context, context.paces.take_unsent(scope));
 }
 
 void put_recent_server_paces(wire::HostUse& message, ServingContext const& context, Overload::PaceScope scope)
 {
-    put(message, context.paces.recent(scope, context.now()));
+    put(message, context, context.paces.recent(scope, context.now()));
 }
 
 void put_all_server_paces(wire::HostUse& message, ServingContext const& context)
 {
-    put(message, context.paces.all_own());
+    put(message, context, context.paces.all_own());
 }
 
 static std::optional<Duration> interval_from_wire(u32 microseconds)
@@ -175,6 +188,26 @@
     return pace;
 }
 
+/// Applies the slowness that the server reported to another host.
+static void apply_slowness(
+    ServingContext& context, Backend& backend, wire::ServerPace const& entry, Overload::EnginePace const& pace)
+{
+    if (entry.slowness_percent() == 0)
+        return;
+    Overload::Slowness const reported(entry.slowness_percent() / percent);
+    if (!Overload::is_credible(reported)) {
+        context.metrics.add("server_paces_rejected_total");
+        return;
+    }
+    Duration const age = std::chrono::milliseconds(entry.slowness_age_milliseconds());
+    auto& known = context.paces.pace_of(backend.server.id, backend.server.start);
+    if (!known.merge_report({ reported, context.now() - age }))
+        return;
+    if (age < report_lifetime)
+        context.pace_of_services[backend.server.service].record_reported(Overload::credible_part(pace), reported);
+    apply_report(context, backend, reported, context.now() - age);
+}
+
 void apply_server_paces(ServingContext& context, wire::HostUse const& message)
 {
     bool const is_local = message.domain_speaker().empty();
@@ -187,6 +220,7 @@
         auto const pace = pace_from_wire(entry);
         if (Overload::credible_part(pace) != pace)
             context.metrics.add("server_paces_rejected_total");
+        apply_slowness(context, *backend, entry, pace);
         context.paces.merge({ backend->server.id, backend->server.start, pace }, is_local, context.now());
         auto const before
             = std::exchange(backend->pace, context.paces.pace_of(backend->server.id, backend->server.start).value());
--- a/Tests/LibServing/TestServerPace.cpp
+++ b/Tests/LibServing/TestServerPace.cpp
@@ -181,6 +181,36 @@
             CHECK(other.unsent(Overload::PaceScope::Domain).paces_size() == 1);
         }
     }
+    GIVEN("a message that has the server's last report")
+    {
+        other.receive_load(1);
+        other.now += 1s;
+        auto slow = message_with(36'000);
+        slow.mutable_paces(0)->set_slowness_percent(250);
+        slow.mutable_paces(0)->set_slowness_age_milliseconds(50);
+        other.receive(slow);
+        CHECK(other.backend->slowness->slowness == Overload::Slowness(2.5));
+        CHECK(other.backend->slowness->observed_at == other.now - 50ms);
+        WHEN("a later report is known")
+        {
+            other.receive_load(1);
+            other.receive(slow);
+            THEN("the message changes nothing")
+            {
+                CHECK(other.backend->slowness->slowness == Overload::usual_slowness);
+            }
+        }
+        WHEN("an impossible value arrives")
+        {
+            slow.mutable_paces(0)->set_slowness_percent(1);
+            other.receive(slow);
+            THEN("it is dropped and counted")
+            {
+                CHECK(other.backend->slowness->slowness == Overload::Slowness(2.5));
+                CHECK(other.counter("server_paces_rejected_total") == 1);
+            }
+        }
+    }
     GIVEN("a host of another domain")
     {
         auto domain_message = message;
