--- a/Tests/LibOverloadModel/TestEngineSteps.cpp
+++ b/Tests/LibOverloadModel/TestEngineSteps.cpp
@@ -14,9 +14,14 @@
 
 using Policy = EngineStepModel::Policy;
 
-static EngineStepModel::Outcome run(Policy policy, Duration update_delay, double load = 1, u32 seed = 1)
+/// The sum over three seeds. The share of one seed's 700 short generations varies by a hundredth between seeds.
+static EngineStepModel::Outcome run(Policy policy, Duration update_delay, double load = 1)
 {
-    return EngineStepModel({ policy, update_delay, load, seed }).run(30s);
+    constexpr u32 seeds = 3;
+    EngineStepModel::Outcome sum;
+    for (u32 seed = 1; seed <= seeds; ++seed)
+        sum += EngineStepModel({ policy, update_delay, load, seed }).run(30s);
+    return sum;
 }
 
 SCENARIO("half of the streams on slow engines pause too long unless the choice of engines considers pauses")
@@ -26,7 +31,7 @@
     CAPTURE(AK::to_milliseconds(update_delay));
     auto const by_memory = run(Policy::ByMemory, update_delay);
     auto const by_pauses = run(Policy::ByPauses, update_delay);
-    REQUIRE(by_memory.long_generations > 500);
+    REQUIRE(by_memory.long_generations > 1500);
 
     THEN("more long streams keep their goals, and not at the cost of short generations")
     {
@@ -45,16 +50,13 @@
     constexpr std::array policies { std::pair { Policy::ByMemory, "by memory" },
         std::pair { Policy::FastFirst, "fast first" }, std::pair { Policy::ByPauses, "by pauses" },
         std::pair { Policy::KeptForShort, "kept for short" }, std::pair { Policy::HandedOver, "handed over" } };
-    constexpr u32 seeds = 3;
     std::cout << "| load | update delay | policy | long in goal | short in goal | late first events | preemptions |\n"
               << "|---|---|---|---|---|---|---|\n"
               << std::fixed << std::setprecision(3);
     for (auto const load : { 1.0, 1.2 })
         for (auto const update_delay : { Duration(20ms), Duration(200ms), Duration(1s), Duration(3s) })
             for (auto const& [policy, name] : policies) {
-                EngineStepModel::Outcome sum;
-                for (u32 seed = 1; seed <= seeds; ++seed)
-                    sum += run(policy, update_delay, load, seed);
+                auto const sum = run(policy, update_delay, load);
                 std::cout << "| " << load << " | " << AK::to_milliseconds(update_delay) << " ms | " << name << " | "
                           << sum.long_share() << " | " << sum.short_share() << " | " << sum.late_first_events << " | "
                           << sum.preemptions << " |\n";
