LibServing: End waits on time, and bound them by an eighth of the goal for all kinds

Change: the timer runs to the next look or to the first end of a wait; an eighth of the goal for all kinds.

--- a/Libraries/LibOverload/WaitingList.cpp
+++ b/Libraries/LibOverload/WaitingList.cpp
@@ -13,10 +13,6 @@
 /// A caller that is refused after this share of its goal still has time to come back and be served within the goal.
 /// Generations that wait for longer and then run are late, and hold capacity that others could use in time.
 static constexpr i64 goal_to_wait_ratio = 8;
-/// Callers whose deadline is this many times as long as their goal prefer a late result to none. They wait for longer,
-/// but a second wait after a refusal still ends within the goal.
-static constexpr i64 min_deadline_in_goals = 6;
-static constexpr i64 goal_to_long_wait_ratio = 4;
 
 /// A placement is known in the whole domain after 3 ms. Twice that for each host with waiting generations lets fewer
 /// than one other host look for capacity before it knows of a placement.
@@ -27,8 +23,7 @@
 WaitBounds wait_bounds(Instant received_at, Duration goal, Instant deadline, Duration reading_time)
 {
     auto const in_time_until = received_at + std::max<Duration>(0s, goal - reading_time);
-    bool const has_long_deadline = deadline - received_at >= min_deadline_in_goals * goal;
-    auto const share_until = received_at + goal / (has_long_deadline ? goal_to_long_wait_ratio : goal_to_wait_ratio);
+    auto const share_until = received_at + goal / goal_to_wait_ratio;
     return { in_time_until, std::min({ in_time_until, share_until, deadline }) };
 }
 
@@ -93,6 +88,14 @@
     return ids;
 }
 
+std::optional<Instant> WaitingList::next_end() const
+{
+    std::optional<Instant> earliest;
+    for (auto const& [id, waiter] : this->waiters)
+        earliest = std::min(earliest.value_or(waiter.bounds.useful_until), waiter.bounds.useful_until);
+    return earliest;
+}
+
 bool WaitingList::has_before(u32 priority, Instant now) const
 {
     return std::ranges::any_of(this->waiters, [&](auto const& entry) {
--- a/Libraries/LibOverload/WaitingList.h
+++ b/Libraries/LibOverload/WaitingList.h
@@ -67,6 +67,8 @@
     [[nodiscard]] std::vector<WaiterId> in_order(Instant now) const;
     /// Those for which capacity would come too late.
     [[nodiscard]] std::vector<WaiterId> expired(Instant now) const;
+    /// When capacity comes too late for the next one; empty if none waits.
+    [[nodiscard]] std::optional<Instant> next_end() const;
     /// Whether a generation waits that gets capacity before a new one with this priority.
     [[nodiscard]] bool has_before(u32 priority, Instant now) const;
     [[nodiscard]] size_t size() const { return this->waiters.size(); }
--- a/Libraries/LibServing/ServiceDemand.cpp
+++ b/Libraries/LibServing/ServiceDemand.cpp
@@ -31,27 +31,42 @@
     this->shortage.set_waiting(static_cast<u32>(this->list.size()));
 }
 
+/// The timer runs to the next look or to the end of the first wait, whichever comes first.
 void ServiceDemand::schedule_look()
 {
-    if (this->list.size() == 0 || std::exchange(this->is_scheduled, true))
+    if (this->list.size() == 0)
         return;
-    auto const mean
-        = AK::to_seconds(Overload::mean_time_between_looks(this->shortage.hosts_with_waiting(this->clock())));
-    boost::random::uniform_real_distribution<double> seconds(0, 2 * mean);
-    this->timer.expires_after(AK::from_seconds(seconds(this->random)));
+    auto const now = this->clock();
+    if (this->next_look_at <= now) {
+        auto const mean = AK::to_seconds(Overload::mean_time_between_looks(this->shortage.hosts_with_waiting(now)));
+        boost::random::uniform_real_distribution<double> seconds(0, 2 * mean);
+        this->next_look_at = now + AK::from_seconds(seconds(this->random));
+    }
+    auto const next = std::min(this->next_look_at, *this->list.next_end());
+    if (this->scheduled_at && *this->scheduled_at <= next)
+        return;
+    this->scheduled_at = next;
+    this->timer.expires_after(std::max<Duration>(Duration(0), next - now));
     this->timer.async_wait(this->guard.wrap([this](boost::system::error_code error) {
-        this->is_scheduled = false;
+        // A timer that was set anew runs again.
         if (error)
             return;
-        this->look_for_all();
+        this->scheduled_at.reset();
+        this->refuse_expired();
+        if (this->clock() >= this->next_look_at)
+            this->look_for_all();
         this->schedule_look();
     }));
 }
 
-void ServiceDemand::look_for_all()
+void ServiceDemand::refuse_expired()
 {
     for (auto const id : this->list.expired(this->clock()))
         this->look_for(id, true);
+}
+
+void ServiceDemand::look_for_all()
+{
     int failed = 0;
     for (auto const id : this->list.in_order(this->clock())) {
         if (!this->look_for(id, false) && ++failed >= max_failed_looks)
--- a/Libraries/LibServing/ServiceDemand.h
+++ b/Libraries/LibServing/ServiceDemand.h
@@ -49,6 +49,7 @@
     static constexpr int max_failed_looks = 3;
 
     void schedule_look();
+    void refuse_expired();
     void look_for_all();
     /// Returns whether the generation has left the list.
     bool look_for(Overload::WaiterId, bool is_last);
@@ -56,7 +57,9 @@
     boost::random::mt19937& random;
     Clock clock;
     AK::Timer timer;
-    bool is_scheduled { false };
+    /// When the timer runs out; empty if it does not run.
+    std::optional<Instant> scheduled_at;
+    Instant next_look_at {};
     Overload::WaitingList list;
     std::map<Overload::WaiterId, Look> looks;
     Core::HandlerGuard guard;
