LibHttp: Disconnect callers with little unread last

The design promised that a response of up to 64 KiB is delivered at any load, but the search for the slowest reader took any caller with unsent bytes, also one with a few bytes, whose disconnection frees next to nothing. Callers with more than OutputBudget::min_per_caller are now disconnected before others. The new section of TestSlowReaders failed before (two connections closed instead of one).

--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -38,12 +38,16 @@
 
 std::shared_ptr<CallerConnection> CallerServer::slowest_reader() const
 {
+    auto const key = [](CallerConnection const& connection) {
+        bool const is_above_minimum = Overload::OutputBudget::is_above_minimum(connection.unsent_bytes());
+        return std::pair(is_above_minimum, connection.unread_for());
+    };
     std::shared_ptr<CallerConnection> slowest;
     for (auto const& known : this->connections) {
         auto connection = known.lock();
         if (!connection || !connection->is_open() || connection->unsent_bytes() == 0)
             continue;
-        if (!slowest || connection->unread_for() > slowest->unread_for())
+        if (!slowest || key(*connection) > key(*slowest))
             slowest = connection;
     }
     return slowest;
--- a/Libraries/LibOverload/OutputBudget.h
+++ b/Libraries/LibOverload/OutputBudget.h
@@ -41,6 +41,8 @@
     [[nodiscard]] bool may_resume(size_t unsent) const { return unsent <= this->threshold() / 2; }
     /// Whether more is held than may be. Callers have to be disconnected, the slowest first.
     [[nodiscard]] bool is_exceeded() const { return this->used_bytes > this->total; }
+    /// Whether a caller has more unsent bytes than each may always have. Such callers are disconnected before others.
+    [[nodiscard]] static bool is_above_minimum(size_t unsent) { return unsent > min_per_caller; }
 
 private:
     [[nodiscard]] size_t threshold() const
--- a/Tests/LibHttp/TestSlowReaders.cpp
+++ b/Tests/LibHttp/TestSlowReaders.cpp
@@ -90,6 +90,35 @@
             return !budget.is_exceeded();
         });
     }
+
+    SECTION("a caller with little unread keeps its response, even if it reads nothing")
+    {
+        std::string const small_piece(16 << 10, 's');
+        // The sockets may still take what they did not take at first.
+        auto const stays_unread = [&] {
+            constexpr int rounds = 20;
+            for (int i = 0; i < rounds && budget.used() > 0; ++i) {
+                fixture.loop.restart();
+                fixture.loop.run_one_for(10ms);
+            }
+            return budget.used() > 0;
+        };
+        while (!stays_unread())
+            exchange.send_chunk(small_piece);
+        REQUIRE(budget.used() <= Overload::OutputBudget::min_per_caller);
+        Http::Response response(Http::Status::ok, Http::http_1_1);
+        response.body() = std::string(2 * budget_bytes, 'y');
+        fixture.waiting.back()->respond(std::move(response));
+        ::Test::run_until(fixture.loop, [&] { return !fixture.closes.empty(); });
+        CHECK(exchange.is_streaming());
+        bool has_left = false;
+        exchange.on_caller_disconnected([&] { has_left = true; });
+        fixture.settle();
+        CHECK_FALSE(has_left);
+        CHECK(fixture.closes.size() == 1);
+        exchange.end_stream();
+        ::Test::run_until(fixture.loop, [&] { return fixture.callers.front().bytes().ends_with("0\r\n\r\n"); });
+    }
 }
 
 SCENARIO("a backend server waits while its response is not read")
