LibServing: Refuse a waiting generation at its deadline

At its deadline it looked for capacity once more. If it found some, it was placed with no time left, and its deadline timer had already fired, so nothing ended it. If not, the caller was told to return, and its demand was booked, after its deadline.

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -753,7 +753,7 @@
     void deadline_passed()
     {
         if (this->waiting_as)
-            return this->look_for_capacity(true);
+            return this->refuse_at_deadline();
         this->log_end("deadline");
         bool const has_begun = this->exchange().is_streaming();
         if (!has_begun && this->connection)
@@ -766,6 +766,18 @@
             RequestOutcome::MayHaveRun);
     }
 
+    /// Refuses a generation that still waits for capacity at its deadline. It is not placed even if there is capacity
+    /// by now, since nothing would end it any more, and its caller is not expected to return.
+    void refuse_at_deadline()
+    {
+        this->stop_waiting("deadline");
+        this->finish();
+        this->respond_with_error(
+            { ErrorKind::DeadlineUnreachable,
+                "no engine had capacity for the generation before its deadline; send it again with a later one", {} },
+            RequestOutcome::NotRun);
+    }
+
     void caller_disconnected()
     {
         this->context.log.event(Core::EventNumber::CallerLeft, this->attempt())
