LibServing: Bound the tokens that a message may report

A report of 2^64 - 1 tokens became 2^64 as a floating-point number, which is out of range when this host's domain reports it in turn: undefined behaviour, and 0 was sent. Reported tokens are now limited on receipt. Measured: TestShortageMessages failed before (0 tokens passed on) and passes now.

--- a/Libraries/LibServing/ShortageMessages.cpp
+++ b/Libraries/LibServing/ShortageMessages.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/ShortageMessages.h>
+#include <algorithm>
 #include <cmath>
 
 namespace Serving {
@@ -14,6 +15,8 @@
 
 /// Bounds the memory that a faulty message can take. A host serves some tens of services.
 static constexpr size_t max_services = 256;
+/// More than all engines generate in the time that counts. Sums of reports stay within the range of a message's field.
+static constexpr u64 max_reported_tokens = 1'000'000'000'000;
 
 static void log_change(ServingContext& context, ServiceName const& service, Shortage::Change change,
     MemberId const& reporter, Duration age)
@@ -110,7 +113,8 @@
     std::map<std::string, std::vector<Overload::OrganisationTokens>> by_service;
     for (auto const& entry : message.organisations())
         by_service[entry.service()].push_back({ OrganisationId(entry.organisation()),
-            static_cast<double>(entry.tokens()), std::chrono::milliseconds(entry.age_milliseconds()) });
+            static_cast<double>(std::min<u64>(entry.tokens(), max_reported_tokens)),
+            std::chrono::milliseconds(entry.age_milliseconds()) });
     for (auto const& [service, use] : by_service) {
         if (auto* demand = demand_of(context, service))
             demand->shares.apply(reporter, scope, use, now);
