--- a/Libraries/LibServing/Overload/CapacityRequest.cpp
+++ b/Libraries/LibServing/Overload/CapacityRequest.cpp
@@ -46,8 +46,15 @@
         this->rank(), this->call.route->latency_goal, needed.prompt, needed.expected_output, this->context.now());
 }
 
+bool CapacityRequest::is_limited() const
+{
+    return this->call.routing->has_patient_less_urgent_routes(this->call.service->name);
+}
+
 CapacityLimits CapacityRequest::limits() const
 {
+    if (!this->is_limited())
+        return {};
     return capacity_limits(this->demand(), this->rank(), this->call.organisation, this->context.now());
 }
 
@@ -80,7 +87,7 @@
         return true;
     auto const now = this->context.now();
     auto& service_demand = this->demand();
-    if (this->has_waited || this->context.leaving || !may_wait(service_demand, now))
+    if (!this->is_limited() || this->has_waited || this->context.leaving || !may_wait(service_demand, now))
         return false;
     auto const reading_time
         = AK::from_seconds(static_cast<double>(this->need.prompt.value()) / shared_reading_tokens_per_second);
--- a/Libraries/LibServing/Overload/CapacityRequest.h
+++ b/Libraries/LibServing/Overload/CapacityRequest.h
@@ -52,6 +52,8 @@
     /// The order in which generations get capacity in a shortage: the priority that applies to the call, which may be
     /// that of its organisation, and among equal ones the priority of its route.
     [[nodiscard]] u32 rank() const;
+    /// Whether the priorities of the service's routes call for limits and waits in a shortage.
+    [[nodiscard]] bool is_limited() const;
     [[nodiscard]] ServiceDemand& demand() const;
     [[nodiscard]] TokenCount needed_tokens() const;
     [[nodiscard]] bool has_organisation() const { return !this->call.organisation.value().empty(); }
--- a/Libraries/LibServing/RoutingTable.cpp
+++ b/Libraries/LibServing/RoutingTable.cpp
@@ -6,6 +6,7 @@
 
 #include <LibServing/RoutingTable.h>
 #include <algorithm>
+#include <map>
 #include <xxhash.h>
 
 namespace Serving {
@@ -25,15 +26,39 @@
     }
     for (auto const& service : this->configuration.services)
         this->services_by_name[service.name] = &service;
+    this->collect_generation_routes();
+}
+
+void RoutingTable::collect_generation_routes()
+{
+    std::map<ServiceName, std::vector<Route const*>> routes_by_service;
     for (auto const& route : this->configuration.routes) {
         if (route.kind != CallKind::Generation)
             continue;
-        for (auto const& weighted : route.services) {
-            auto const [goal, is_new] = this->min_event_gap_goals.try_emplace(weighted.service, route.event_gap_goal);
-            if (!is_new)
-                goal->second = std::min(goal->second, route.event_gap_goal);
-        }
+        for (auto const& weighted : route.services)
+            routes_by_service[weighted.service].push_back(&route);
     }
+    for (auto const& [service, routes] : routes_by_service) {
+        auto const strictest = std::ranges::min_element(routes, {}, &Route::event_gap_goal);
+        this->min_event_gap_goals[service] = (*strictest)->event_gap_goal;
+        this->compare_priorities(routes, service);
+    }
+}
+
+void RoutingTable::compare_priorities(std::vector<Route const*> const& routes, ServiceName const& service)
+{
+    for (auto const* urgent : routes) {
+        bool const is_any_patient = std::ranges::any_of(routes, [&](Route const* other) {
+            return other->priority > urgent->priority && other->latency_goal > urgent->latency_goal;
+        });
+        if (is_any_patient)
+            this->services_with_patient_less_urgent_routes.insert(service);
+    }
+}
+
+bool RoutingTable::has_patient_less_urgent_routes(ServiceName const& service) const
+{
+    return this->services_with_patient_less_urgent_routes.contains(service);
 }
 
 std::optional<Duration> RoutingTable::min_event_gap_goal(ServiceName const& service) const
--- a/Libraries/LibServing/RoutingTable.h
+++ b/Libraries/LibServing/RoutingTable.h
@@ -9,6 +9,7 @@
 #include <AK/Error.h>
 #include <LibServing/Configuration.h>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace Serving {
@@ -29,14 +30,22 @@
     /// The strictest goal for the time between two events among the routes to this service; empty if no route sends
     /// generations to it.
     [[nodiscard]] std::optional<Duration> min_event_gap_goal(ServiceName const&) const;
+    /// Whether a less urgent route to this service has a longer goal for the first event than a more urgent one. Its
+    /// generations are then admitted behind backlogs that the more urgent ones cannot wait for, and would take all
+    /// capacity in a shortage. With a shorter goal they are the first to be refused anyway.
+    [[nodiscard]] bool has_patient_less_urgent_routes(ServiceName const&) const;
 
 private:
+    void collect_generation_routes();
+    void compare_priorities(std::vector<Route const*> const& routes, ServiceName const&);
+
     Configuration configuration;
     /// Longest prefix first.
     std::unordered_map<std::string, std::vector<Route const*>> routes_by_host;
     std::unordered_map<std::string, Organisation const*> organisations_by_key;
     std::unordered_map<ServiceName, Service const*> services_by_name;
     std::unordered_map<ServiceName, Duration> min_event_gap_goals;
+    std::set<ServiceName> services_with_patient_less_urgent_routes;
 };
 
 /// Chooses the service for an attempt of a caller by weight. The same attempt always gets the same service.
