--- a/Tests/LibServing/TestSlowServers.cpp
+++ b/Tests/LibServing/TestSlowServers.cpp
@@ -159,7 +159,7 @@
     std::mt19937 machines;
     std::mt19937 arrivals;
     boost::random::mt19937 choice_random;
-    Reachability reachability { FailureDomainId("zone"), 1 };
+    Reachability reachability { FailureDomainId("hall-a"), 1 };
     ServerLimits limits { this->reachability, Address("10.0.0.1:1") };
     Instant now { 100s };
     std::vector<Server> servers;
@@ -223,7 +223,7 @@
     busy->server.slots = 6;
     busy->in_flight = 3;
     std::vector<BackendPointer> const candidates { slow, busy };
-    Reachability reachability { FailureDomainId("zone"), 1 };
+    Reachability reachability { FailureDomainId("hall-a"), 1 };
     ServerLimits limits { reachability, Address("10.0.0.1:1") };
     boost::random::mt19937 random(1);
     ChoiceInputs inputs;
