LibServing: Log when contact to all servers of a service is lost

The logs of hosts that were cut off from all backend servers could not tell the hypotheses apart: calls whose connections all failed were refused as if the servers were full, and no line said that a host reached no server of a service. E2320 marks the beginning and the end of such a loss, by the host's own connections; compared between hosts it tells a partition from failed servers. The refusal of a call whose connections all failed says so. No decision changes.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -75,6 +75,7 @@
     { RolloutRolledBack, "rollout_rolled_back", Warning },
     { ServiceReportsSlowness, "service_reports_slowness", Information },
     { ServerPaceKnown, "server_pace_known", Information },
+    { ServiceContactChanged, "service_contact_changed", Warning },
     { ServiceCallDispatched, "service_call_dispatched", Information },
     { ServiceCallEnded, "service_call_ended", Information },
     { ClaimRefused, "claim_refused", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -75,6 +75,7 @@
     RolloutRolledBack = 2317,
     ServiceReportsSlowness = 2318,
     ServerPaceKnown = 2319,
+    ServiceContactChanged = 2320,
     ServiceCallDispatched = 2401,
     ServiceCallEnded = 2402,
     ClaimRefused = 2403,
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -454,6 +454,7 @@
         this->table_loader.tick();
         this->update_reachability();
         log_doubt_changes(this->context);
+        log_contact_changes(this->context);
         this->probes.tick();
         this->update_allowance_share();
         this->quarantine_table.tick();
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -197,6 +197,8 @@
         bool const last_was_not_run = is_unreachable || (this->response_head && this->is_reported_not_run());
         if (last_was_not_run)
             ++this->dispatches_not_run;
+        if (is_unreachable)
+            ++this->failed_connections;
         bool const allowed = last_was_not_run ? this->dispatches < max_dispatch_attempts : this->may_run_again();
         if (allowed && (is_unreachable || this->consume_retry_budget()))
             return this->retry(reason);
@@ -245,9 +247,7 @@
             = std::ranges::any_of(candidates, [&](auto const& candidate) { return is_eligible(*candidate, inputs); });
         if (some_serve)
             return this->respond_with_error(
-                { ErrorKind::Overloaded, "the backend servers of the service take no more now; send the call again",
-                    limited_retry_after },
-                RequestOutcome::NotRun);
+                { ErrorKind::Overloaded, this->untaken_reason(), limited_retry_after }, RequestOutcome::NotRun);
         if (auto const back_off = min_back_off(candidates, now))
             return this->respond_with_error(
                 { ErrorKind::Overloaded,
@@ -263,6 +263,15 @@
             RequestOutcome::NotRun);
     }
 
+    /// Why no backend server takes the call although some serve.
+    [[nodiscard]] std::string untaken_reason() const
+    {
+        bool const none_connected = this->dispatches > 0 && this->failed_connections == this->dispatches;
+        if (none_connected)
+            return "this host could not connect to any backend server of the service; send the call again";
+        return "the backend servers of the service take no more now; send the call again";
+    }
+
     /// Random delay, so that callers refused until the same time don't all return at once.
     [[nodiscard]] Duration return_jitter()
     {
@@ -319,6 +328,7 @@
     Instant dispatched_at {};
     u32 dispatches { 0 };
     u32 dispatches_not_run { 0 };
+    u32 failed_connections { 0 };
     bool may_have_run { false };
 };
 
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -27,6 +27,7 @@
 #include <LibServing/RetryBudget.h>
 #include <LibServing/RoutingTable.h>
 #include <LibServing/ServerLimits.h>
+#include <LibServing/ServiceContact.h>
 
 namespace Serving {
 
@@ -81,6 +82,7 @@
     }
     ProcessCheck processes;
     Overload::DomainDoubt domain_doubt;
+    ServiceContact service_contact;
     /// The services of which this host can reach no backend server, as of the last tick.
     std::vector<ServiceName> unreachable_services;
     Rollout::Rollouts rollouts;
