Tests: Reproduce hosts that lose the backend servers alone

HostSettings::server_forwarders lets a test partition one host: the list of servers is shared by all hosts, so a link that belongs to one host can't stand in it.

--- a/Libraries/LibServing/BackendTable.cpp
+++ b/Libraries/LibServing/BackendTable.cpp
@@ -44,9 +44,15 @@
     VERIFY(false);
 }
 
+Address const& BackendTable::connected_address(Address const& server) const
+{
+    auto const forwarder = this->forwarders.find(server);
+    return forwarder == this->forwarders.end() ? server : forwarder->second;
+}
+
 BackendPointer BackendTable::update(BackendServer const& entry, Instant now)
 {
-    auto endpoint = Http::parse_endpoint(entry.address.value());
+    auto endpoint = Http::parse_endpoint(this->connected_address(entry.address).value());
     if (!endpoint)
         return nullptr;
     auto server = entry;
--- a/Libraries/LibServing/BackendTable.h
+++ b/Libraries/LibServing/BackendTable.h
@@ -183,8 +183,9 @@
 class BackendTable {
 public:
     BackendTable() = default;
-    explicit BackendTable(std::map<FailureDomainId, RegionId> regions)
+    explicit BackendTable(std::map<FailureDomainId, RegionId> regions, std::map<Address, Address> forwarders = {})
         : regions(std::move(regions))
+        , forwarders(std::move(forwarders))
     {
     }
 
@@ -234,6 +235,8 @@
 
 private:
     [[nodiscard]] ServerStart latest_start_of(EngineId const&) const;
+    /// The address to which this host connects in order to reach a server.
+    [[nodiscard]] Address const& connected_address(Address const& server) const;
 
     struct RemovedBackend {
         BackendPointer backend;
@@ -250,6 +253,7 @@
     [[nodiscard]] std::optional<Rollout::Side> side_of(BackendServer const&) const;
 
     std::map<FailureDomainId, RegionId> regions;
+    std::map<Address, Address> forwarders;
     std::set<FailureDomainId> evacuated;
     std::unordered_map<ServiceName, SoftwareVersion> target_versions;
     std::unordered_map<EngineId, BackendPointer> by_id;
--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -44,6 +44,9 @@
     Rollout::ExposureLimits exposure {};
     /// The region of each failure domain.
     std::map<FailureDomainId, RegionId> regions {};
+    /// Port forwarders through which this host connects to backend servers, by the servers' addresses. Only tests set
+    /// it, to partition a single host.
+    std::map<Address, Address> server_forwarders {};
     /// Reclaimed engines leave in groups. With `delay_after_changes`, one call returns all their changes; it is a
     /// thirtieth of the shortest notice. Updates reach all 59 hosts of a failure domain within about 10 ms, so an
     /// update that has not arrived after `peer_update_timeout` is lost.
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -38,7 +38,7 @@
         , settings(settings)
         , log(log)
         , connections(loop)
-        , backends(settings.regions)
+        , backends(settings.regions, settings.server_forwarders)
         , budget(settings.retry_budget)
         , reachability(settings.failure_domain, strength_of(settings))
         , server_limits(reachability, settings.peer_address)
--- a/Tests/Hosts/HostGroup.h
+++ b/Tests/Hosts/HostGroup.h
@@ -47,6 +47,12 @@
         this->await_ready();
     }
 
+    /// Makes a host connect to a backend server through a forwarder. To be called before start().
+    void forward_server(size_t number, std::string const& server, Http::tcp::endpoint const& forwarder)
+    {
+        this->members.at(number)->settings.server_forwarders[Address(server)] = Address(text_of(forwarder));
+    }
+
     [[nodiscard]] bool is_ready(size_t number) { return this->is_ready(*this->members.at(number)); }
 
     [[nodiscard]] size_t size() const { return this->members.size(); }
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -207,8 +207,34 @@
     }
 }
 
+void FaultProxy::listen_with_queue_of(int connections)
+{
+    this->acceptor = Http::tcp::acceptor(this->loop, this->listen.protocol());
+    this->acceptor.set_option(Http::tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(this->listen);
+    this->acceptor.listen(connections);
+}
+
+void FaultProxy::refuse_connections() { this->acceptor.close(); }
+
+void FaultProxy::ignore_connections()
+{
+    this->acceptor.close();
+    // With a queue of size 0, one connection that is not accepted makes the kernel ignore all others.
+    this->listen_with_queue_of(0);
+    this->filler.emplace(this->loop);
+    this->filler->connect(this->listen);
+}
+
 void FaultProxy::heal()
 {
+    bool const is_accepting = this->acceptor.is_open() && !this->filler;
+    if (!is_accepting) {
+        this->filler.reset();
+        this->acceptor.close();
+        this->listen_with_queue_of(Http::tcp::acceptor::max_listen_connections);
+        this->accept();
+    }
     *this->state = {};
     for (auto const& known : this->links) {
         if (auto link = known.lock())
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -10,6 +10,7 @@
 #include <LibHttp/Types.h>
 #include <array>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Soak {
@@ -38,7 +39,11 @@
     void hold_all();
     /// Resets all open connections; new ones are still accepted.
     void reset_all();
-    /// Ends every fault and delivers the held bytes.
+    /// New connections are refused. Open ones are kept.
+    void refuse_connections();
+    /// New connections get no response. Open ones are kept.
+    void ignore_connections();
+    /// Ends every fault, delivers the held bytes and accepts connections.
     void heal();
 
 private:
@@ -51,11 +56,14 @@
     class Link;
 
     void accept();
+    void listen_with_queue_of(int connections);
 
     Http::asio::io_context& loop;
     Http::tcp::endpoint listen;
     Http::tcp::endpoint target;
     Http::tcp::acceptor acceptor;
+    /// Fills the queue of the acceptor while connections are ignored.
+    std::optional<Http::tcp::socket> filler;
     std::shared_ptr<State> state;
     std::vector<std::weak_ptr<Link>> links;
 };
