LibServing: Forward requests to other hosts while contact to the servers is lost

Such a host did not know that it alone was cut off ("out of reach" asks for silent failure domains), stayed ready, tried three connections of 150 ms for each call and refused. No host could do more: nothing carried a request from one host to another.

A host now knows that it has lost contact to a service: new connections to three of its servers in a row (or to all of fewer) failed, one of its own failure domain among them where there is one. It probes the servers four times a second, asks a few hosts of its own and of the other domains for contact, by datagrams that nobody sends otherwise, and forwards requests that have not run to one that reports it: plain HTTP to the TCP port with the number of the peer port, own domain first, fewest in flight, one hop only. The receiver authenticates and decides as for its own callers. A request earns its repeats at one of both hosts only. The caller's leaving closes the second connection; an answer that breaks off never looks complete. After a refusal of the other host itself up to two more are asked.

HostsCutOff, red before (0 of 20 served), passes: 20 of 20 at each host for hanging, reset and living connections, one host of a domain or all of them. TestHosts, TestPlatform, TestHostRollouts, TestLibServing, TestLibHttp and TestLibCore pass.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -85,6 +85,8 @@
     { RepeatDecided, "repeat_decided", Information },
     { RequestQuarantined, "request_held_back", Warning },
     { RequestReleased, "request_released", Information },
+    { RequestForwarded, "request_forwarded", Information },
+    { ForwardingEnded, "forwarding_ended", Information },
     { LeaseTaken, "lease_taken", Information },
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -85,6 +85,8 @@
     RepeatDecided = 2407,
     RequestQuarantined = 2408,
     RequestReleased = 2409,
+    RequestForwarded = 2410,
+    ForwardingEnded = 2411,
     LeaseTaken = 2501,
     LeaseLapsed = 2502,
     OrderSent = 2503,
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -26,10 +26,11 @@
 /// link.
 static constexpr Duration keep_alive_margin = 1s;
 
-CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context)
+CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context, RequestOrigin origin)
     : socket(std::move(socket))
     , timer(this->socket.get_executor())
     , context(std::move(context))
+    , origin(origin)
     , advertised_idle_timeout(this->context->limits.idle_timeout)
 {
     boost::system::error_code ignored;
@@ -215,7 +216,7 @@
     ++this->requests_accepted;
     this->keep_alive = this->parser->get().keep_alive();
     auto received = AK::BootClock::now();
-    auto accepted = std::make_shared<Exchange>(shared_from_this(), this->parser->release(), received);
+    auto accepted = std::make_shared<Exchange>(shared_from_this(), this->parser->release(), received, this->origin);
     this->exchange = accepted;
     this->watch_socket();
     this->context->on_request(std::move(accepted));
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -51,7 +51,7 @@
 /// A connection from a caller. Reads requests one after another and writes their responses.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-    CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context);
+    CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context, RequestOrigin);
     ~CallerConnection();
 
     void start() { this->await_request(); }
@@ -108,6 +108,7 @@
     tcp::socket socket;
     AK::Timer timer;
     std::shared_ptr<CallerContext> context;
+    RequestOrigin origin;
     /// The idle timeout at the last response, whose Keep-Alive field advertises a shorter time.
     Duration advertised_idle_timeout;
     beast::flat_buffer buffer;
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -12,9 +12,15 @@
 /// Delay before the next attempt when a connection cannot be accepted, for example when file descriptors run out.
 static constexpr Duration accept_retry_delay = 20ms;
 
-CallerServer::CallerServer(asio::io_context& loop, tcp::endpoint endpoint, std::shared_ptr<CallerContext> context)
+CallerServer::Listener::Listener(asio::io_context& loop, tcp::endpoint const& endpoint, RequestOrigin origin)
     : acceptor(loop, endpoint, true)
     , retry_timer(loop)
+    , origin(origin)
+{
+}
+
+CallerServer::CallerServer(asio::io_context& loop, tcp::endpoint endpoint, std::shared_ptr<CallerContext> context)
+    : loop(loop)
     , context(std::move(context))
 {
     this->context->on_budget_exceeded = this->guard.wrap([this, &loop] {
@@ -22,7 +28,12 @@
         if (!std::exchange(this->is_relieving, true))
             asio::post(loop, this->guard.wrap([this] { this->relieve_memory(); }));
     });
-    this->accept();
+    this->accept(this->listeners.emplace_back(loop, endpoint, RequestOrigin::Caller));
+}
+
+void CallerServer::accept_hosts_at(tcp::endpoint endpoint)
+{
+    this->accept(this->listeners.emplace_back(this->loop, endpoint, RequestOrigin::Host));
 }
 
 void CallerServer::relieve_memory()
@@ -53,37 +64,39 @@
     return slowest;
 }
 
-void CallerServer::accept()
+void CallerServer::accept(Listener& listener)
 {
-    this->acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
+    listener.acceptor.async_accept([this, &listener](beast::error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
         // This handler may run after the acceptor was closed, for a connection that was accepted before.
         if (!error)
-            this->serve(std::move(socket));
-        if (!this->is_accepting())
+            this->serve(std::move(socket), listener.origin);
+        if (!listener.acceptor.is_open())
             return;
         if (error)
-            return this->accept_later(error);
-        this->accept();
+            return this->accept_later(listener, error);
+        this->accept(listener);
     });
 }
 
-void CallerServer::accept_later(beast::error_code error)
+void CallerServer::accept_later(Listener& listener, beast::error_code error)
 {
     // A new caller has a request to send, but an idle connection may never carry another.
     bool const is_out_of_descriptors = error == boost::system::errc::too_many_files_open
         || error == boost::system::errc::too_many_files_open_in_system;
     if (is_out_of_descriptors)
         this->close_idle_connections(CloseReason::CapacityNeeded);
-    this->retry_timer.expires_after(accept_retry_delay);
-    this->retry_timer.async_wait([this](beast::error_code timer_error) {
-        if (!timer_error && this->is_accepting())
-            this->accept();
+    listener.retry_timer.expires_after(accept_retry_delay);
+    listener.retry_timer.async_wait([this, &listener](beast::error_code timer_error) {
+        if (!timer_error && listener.acceptor.is_open())
+            this->accept(listener);
     });
 }
 
-void CallerServer::serve(tcp::socket socket)
+void CallerServer::serve(tcp::socket socket, RequestOrigin origin)
 {
-    auto connection = std::make_shared<CallerConnection>(std::move(socket), this->context);
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), this->context, origin);
     std::erase_if(this->connections, [](auto const& known) { return known.expired(); });
     this->connections.push_back(connection);
     connection->start();
@@ -91,17 +104,23 @@
 
 void CallerServer::stop_accepting()
 {
-    if (!this->is_accepting())
+    for (auto& listener : this->listeners)
+        this->stop_accepting(listener);
+}
+
+void CallerServer::stop_accepting(Listener& listener)
+{
+    if (!listener.acceptor.is_open())
         return;
     boost::system::error_code error;
-    this->acceptor.non_blocking(true, error);
+    listener.acceptor.non_blocking(true, error);
     // Closing the acceptor would reset connections that are still in its backlog, together with their requests.
     while (!error) {
-        auto socket = this->acceptor.accept(error);
+        auto socket = listener.acceptor.accept(error);
         if (!error)
-            this->serve(std::move(socket));
+            this->serve(std::move(socket), listener.origin);
     }
-    this->acceptor.close(error);
+    listener.acceptor.close(error);
 }
 
 void CallerServer::close_idle_connections(CloseReason reason)
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -9,18 +9,21 @@
 #include <AK/Timer.h>
 #include <LibCore/HandlerGuard.h>
 #include <LibHttp/CallerConnection.h>
+#include <list>
 #include <vector>
 
 namespace Http {
 
-/// Accepts connections of callers on one address.
+/// Accepts connections of callers on one address, and of other hosts that forward requests on another one.
 class CallerServer {
 public:
     CallerServer(asio::io_context&, tcp::endpoint, std::shared_ptr<CallerContext>);
 
+    /// Also accepts connections of other hosts.
+    void accept_hosts_at(tcp::endpoint);
     /// Accepts the connections that callers have already opened, and no more. Open connections are still served.
     void stop_accepting();
-    [[nodiscard]] bool is_accepting() const { return this->acceptor.is_open(); }
+    [[nodiscard]] bool is_accepting() const { return this->listeners.front().acceptor.is_open(); }
     /// Closes connections without a request in progress. A request that has arrived, even unread, keeps its connection
     /// open.
     void close_idle_connections(CloseReason);
@@ -29,16 +32,26 @@
     [[nodiscard]] size_t open_connections() const;
 
 private:
-    void accept();
+    struct Listener {
+        Listener(asio::io_context&, tcp::endpoint const&, RequestOrigin);
+
+        tcp::acceptor acceptor;
+        AK::Timer retry_timer;
+        RequestOrigin origin;
+    };
+
+    void accept(Listener&);
     /// Accepts again after a delay. Closes idle connections first when file descriptors have run out.
-    void accept_later(beast::error_code);
-    void serve(tcp::socket);
+    void accept_later(Listener&, beast::error_code);
+    void serve(tcp::socket, RequestOrigin);
+    void stop_accepting(Listener&);
     /// Disconnects the slowest readers until the unsent bytes of all callers are within the budget.
     void relieve_memory();
     [[nodiscard]] std::shared_ptr<CallerConnection> slowest_reader() const;
 
-    tcp::acceptor acceptor;
-    AK::Timer retry_timer;
+    asio::io_context& loop;
+    /// That for callers, and that for other hosts if there is one.
+    std::list<Listener> listeners;
     std::shared_ptr<CallerContext> context;
     std::vector<std::weak_ptr<CallerConnection>> connections;
     bool is_relieving { false };
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -9,10 +9,12 @@
 
 namespace Http {
 
-Exchange::Exchange(std::shared_ptr<CallerConnection> connection, Request request, Instant received)
+Exchange::Exchange(
+    std::shared_ptr<CallerConnection> connection, Request request, Instant received, RequestOrigin origin)
     : connection(std::move(connection))
     , received_request(std::move(request))
     , received(received)
+    , sent_by(origin)
 {
 }
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -14,13 +14,21 @@
 
 class CallerConnection;
 
+/// Who sent a request to this host.
+enum class RequestOrigin : u8 {
+    Caller,
+    /// Another host, which forwards the request of its caller.
+    Host,
+};
+
 /// A caller's request and its response. Calls after the response is complete, or after the caller has disconnected, do
 /// nothing.
 class Exchange {
 public:
-    Exchange(std::shared_ptr<CallerConnection> connection, Request request, Instant received);
+    Exchange(std::shared_ptr<CallerConnection> connection, Request request, Instant received, RequestOrigin);
 
     [[nodiscard]] Request const& request() const { return this->received_request; }
+    [[nodiscard]] RequestOrigin origin() const { return this->sent_by; }
     [[nodiscard]] Instant received_at() const { return this->received; }
     /// Whether the caller is still waiting for the response or the rest of it.
     [[nodiscard]] bool is_open() const { return this->connection != nullptr; }
@@ -52,6 +60,7 @@
     std::shared_ptr<CallerConnection> connection;
     Request received_request;
     Instant received;
+    RequestOrigin sent_by;
     bool streaming { false };
     std::function<void()> caller_disconnected;
     std::function<void()> on_read;
--- a/Libraries/LibServing/ConnectionProbes.cpp
+++ b/Libraries/LibServing/ConnectionProbes.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/ConnectionProbes.h>
+#include <LibServing/Contact.h>
 #include <LibServing/Overload/DomainFailures.h>
 #include <algorithm>
 #include <set>
@@ -23,6 +24,8 @@
         [now](auto const& entry) { return !entry.second.is_in_flight && now - entry.second.next_at > period; });
     for (auto const& service : this->context.unreachable_services)
         this->probe_service(service);
+    for (auto const& service : this->context.service_contact.lost_services())
+        this->probe_service(service);
     if (this->context.domain_doubt.is_empty())
         return;
     for (auto const& group : this->context.domain_doubt.doubtful_groups(now))
@@ -34,6 +37,9 @@
     std::set<FailureDomainId> domains;
     for (auto const& backend : this->context.backends.of_service(service))
         domains.insert(backend->server.failure_domain);
+    // Without servers, nothing is left to regain contact to.
+    if (domains.empty())
+        this->context.service_contact.record_contact(service, this->context.now());
     for (auto const& domain : domains)
         this->probe({ domain, service });
 }
@@ -76,9 +82,11 @@
         .with("process", to_string(state));
     if (state == ProcessState::Listening) {
         record_connection(*backend);
+        record_connected(this->context, *backend);
         return record_responding_server(this->context, *backend);
     }
     backend->health.unreachable_at = this->context.now();
+    record_not_connected(this->context, *backend);
     record_failed_connection(this->context, *backend);
 }
 
--- a/Libraries/LibServing/Dialect.h
+++ b/Libraries/LibServing/Dialect.h
@@ -85,6 +85,7 @@
         } -> std::same_as<CallHead>;
     T::prepare_dispatch(fields, dispatch);
     T::remove_server_notice(fields);
+    T::set_time_left(fields, Duration());
     {
         T::decode_response(response)
         } -> std::same_as<BackendResponseHead>;
--- a/Libraries/LibServing/EnginePoller.h
+++ b/Libraries/LibServing/EnginePoller.h
@@ -127,6 +127,7 @@
         if (std::exchange(backend->engine.poll_in_flight, true))
             return;
         auto connection = this->context.connections.acquire(backend->endpoint);
+        bool const is_new = connection->is_new();
         auto body = std::make_shared<std::string>();
         auto timeout = std::make_shared<AK::Timer>(this->context.loop, response_timeout);
         auto has_response = std::make_shared<bool>(false);
@@ -144,12 +145,16 @@
                 return Http::HeadAction::Accept;
             },
             [body](std::string_view piece) { *body += piece; },
-            [this, backend, body, response_head, timeout, has_response, connection](
+            [this, backend, body, response_head, timeout, has_response, connection, is_new](
                 Http::ExchangeEnd end, std::string const& reason) {
                 *has_response = true;
                 timeout->cancel();
                 backend->engine.poll_in_flight = false;
                 this->context.connections.release(connection);
+                if (end == Http::ExchangeEnd::NotConnected)
+                    record_not_connected(this->context, *backend);
+                else if (is_new && end == Http::ExchangeEnd::Complete)
+                    record_connected(this->context, *backend);
                 auto report = D::decode_engine_report(*body);
                 if (!report || is_from(*backend, report.value())) {
                     apply_server_notice(this->context, *backend, *response_head);
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -103,6 +103,8 @@
             this->finish();
             return this->respond_quarantined(*left);
         }
+        if (this->forwards_after_loss())
+            return;
         if (this->is_out_of_reach()) {
             this->finish();
             return this->refuse_out_of_reach();
@@ -138,6 +140,18 @@
         this->dispatch_to(chosen, {});
     }
 
+    /// Forwards the generation to another host if this one has lost contact to the engines since it began.
+    bool forwards_after_loss()
+    {
+        if (!this->context.service_contact.is_lost(this->call.service->name))
+            return false;
+        if (!try_forward<D>(this->context, this->call))
+            return false;
+        this->finish();
+        this->context.budget.withdraw_request(this->call.service->name);
+        return true;
+    }
+
     /// Waits until an engine has capacity. Returns false if the generation has to be placed or refused now.
     bool wait()
     {
@@ -376,6 +390,8 @@
         if (end == Http::ExchangeEnd::Complete)
             return this->non_stream_response();
         bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
+        if (is_unreachable)
+            record_not_connected(this->context, *this->backend);
         this->suspect(*this->backend, is_unreachable, reason);
         auto text = Http::describe(end, reason);
         if (!is_unreachable) {
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -11,6 +11,7 @@
 #include <LibServing/AllowanceShare.h>
 #include <LibServing/BackendList.h>
 #include <LibServing/ConnectionProbes.h>
+#include <LibServing/Contact.h>
 #include <LibServing/EnginePoller.h>
 #include <LibServing/HostDirectory.h>
 #include <LibServing/HostPlatform.h>
@@ -107,6 +108,7 @@
         this->callers_context->on_closed
             = [this](Http::ConnectionClose const& close) { this->log_caller_connection_closed(close); };
         this->callers.emplace(this->loop, this->endpoint(this->settings.callers_listen), this->callers_context);
+        this->callers->accept_hosts_at(this->endpoint(this->settings.peer_listen));
         this->readiness.emplace(this->loop, this->endpoint(this->settings.readiness_listen),
             make_page([this](Http::Request const&) { return this->readiness_response(); }));
         if (this->settings.metrics_listen)
@@ -147,6 +149,8 @@
     static constexpr Duration min_logged_stall = 20ms;
     /// A joining host has no share of the allowance for its first ten seconds, so the shares need no faster update.
     static constexpr Duration share_period = 500ms;
+    /// A few queries fit into the lifetime of a report, in case datagrams are lost.
+    static constexpr Duration contact_query_period = 300ms;
     /// Known hosts that are checked in each tick.
     static constexpr size_t hosts_per_tick = 128;
     /// After its start, a host waits for the other hosts to report which of them read the platform's tables. That takes
@@ -455,6 +459,7 @@
         this->update_reachability();
         log_doubt_changes(this->context);
         log_contact_changes(this->context);
+        this->update_forwarding_hosts();
         this->probes.tick();
         this->update_allowance_share();
         this->quarantine_table.tick();
@@ -471,6 +476,17 @@
         });
     }
 
+    /// Looks for hosts that serve this host's callers while it has lost contact to backend servers.
+    void update_forwarding_hosts()
+    {
+        auto const now = this->context.now();
+        this->context.forwarding_hosts.forget_expired(now);
+        if (!this->context.service_contact.has_lost_any() || now < this->next_contact_query_at)
+            return;
+        this->next_contact_query_at = now + contact_query_period;
+        this->peers.query_contact();
+    }
+
     /// Updates this host's share of the allowance. It walks all known hosts, and the result changes only when hosts are
     /// added or removed, so it runs once per `share_period`.
     void update_allowance_share()
@@ -560,6 +576,7 @@
     Instant started_at {};
     Instant next_share_at {};
     Instant next_reachability_update_at {};
+    Instant next_contact_query_at {};
     std::optional<PlannedStop> stop;
     bool backends_known { false };
     /// An invalid entry is reported again with each heartbeat of its writer.
--- a/Libraries/LibServing/Overload/DomainFailures.cpp
+++ b/Libraries/LibServing/Overload/DomainFailures.cpp
@@ -29,9 +29,6 @@
     if (context.backends.find(backend.server.id).get() != &backend || !backend.takes_work())
         return;
     auto const group = group_of(backend);
-    auto const& servers = context.backends.of_service(group.service);
-    auto const count = std::ranges::count_if(servers, [](auto const& server) { return server->takes_work(); });
-    context.service_contact.record_failure(group.service, backend.server.id, static_cast<size_t>(count), now);
     bool const was_doubtful = context.domain_doubt.is_doubtful(group, now);
     bool const begins
         = context.domain_doubt.record_failure(group, backend.server.id, count_servers(context, group), now);
@@ -41,24 +38,12 @@
 
 void record_responding_server(ServingContext& context, Backend const& backend)
 {
-    context.service_contact.record_contact(backend.server.service, context.now());
     if (context.domain_doubt.is_empty())
         return;
     if (context.domain_doubt.record_response(group_of(backend), context.now()))
         context.doubt_changed();
 }
 
-void log_contact_changes(ServingContext& context)
-{
-    for (auto const& change : context.service_contact.take_changes()) {
-        context.metrics.add("service_contact_changes_total");
-        context.log.event(Core::EventNumber::ServiceContactChanged, change.service.value())
-            .with("state", change.is_lost ? "lost" : "regained")
-            .with("failed_servers", change.failed_servers)
-            .with("lasted_ms", change.lasted);
-    }
-}
-
 void put_doubts(wire::HostUse& message, std::vector<Overload::DoubtReport> const& reports)
 {
     for (auto const& report : reports) {
--- a/Libraries/LibServing/Overload/DomainFailures.h
+++ b/Libraries/LibServing/Overload/DomainFailures.h
@@ -11,13 +11,10 @@
 
 namespace Serving {
 
-/// Records that no connection to `backend` could be made, as evidence about its failure domain and about this host's
-/// contact to the service.
+/// Records that no connection to `backend` could be made, as evidence about its failure domain.
 void record_failed_connection(ServingContext&, Backend const&);
 /// Records that `backend` has responded, or at least accepted a connection, which clears its failure domain.
 void record_responding_server(ServingContext&, Backend const&);
-/// Logs the losses of contact to services that have begun or ended since the last call.
-void log_contact_changes(ServingContext&);
 
 void put_doubts(wire::HostUse&, std::vector<Overload::DoubtReport> const&);
 /// Applies the doubts that another host or domain reports. Returns whether the hosts of this domain newly agree on one,
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -4,6 +4,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <LibServing/Contact.h>
 #include <LibServing/Overload/DomainFailures.h>
 #include <LibServing/Overload/Returns.h>
 #include <LibServing/Overload/ServerPace.h>
@@ -47,6 +48,8 @@
 /// Upper bound of unreachable servers that a host announces per second. A host that avoids many backend servers at once
 /// is most likely partitioned itself, or its own link is overloaded.
 static constexpr u32 max_unreachable_announced = 8;
+/// Number of hosts of this domain, and of other domains, that are asked at a time for contact to a service.
+static constexpr std::ptrdiff_t contact_queries_per_group = 8;
 
 static std::vector<Address> addresses_of(google::protobuf::RepeatedPtrField<std::string> const& texts)
 {
@@ -145,6 +148,39 @@
     this->send_to_remote_domains(std::move(message));
 }
 
+void PeerLink::query_contact()
+{
+    wire::Envelope envelope;
+    *envelope.mutable_contact_query() = contact_query(this->context);
+    this->transport.send(this->contact_query_receivers(), std::move(envelope));
+}
+
+/// A few hosts of this domain and a few of the other reachable domains, drawn at random.
+std::vector<Address> PeerLink::contact_query_receivers()
+{
+    auto const now = this->context.now();
+    auto const domains = this->context.reachability.reachable_domains(now);
+    auto local = this->reachable_local_addresses();
+    std::vector<Address> remote;
+    for (auto const& host : this->context.reachability.known_hosts(now)) {
+        if (std::ranges::find(domains, host.domain) != domains.end())
+            remote.push_back(host.address);
+    }
+    std::vector<Address> receivers;
+    for (auto const& candidates : { &local, &remote })
+        std::ranges::sample(
+            *candidates, std::back_inserter(receivers), contact_queries_per_group, this->context.random);
+    return receivers;
+}
+
+void PeerLink::handle_contact_query(Address const& sender, wire::ContactQuery const& query)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_contact_report() = contact_report(this->context, query);
+    if (envelope.contact_report().services_size() > 0)
+        this->transport.send(sender, std::move(envelope));
+}
+
 void PeerLink::announce_shortage()
 {
     wire::HostUse message;
@@ -553,6 +589,10 @@
         return this->observer.snapshot_requested(envelope.snapshot_request(), sender);
     if (envelope.has_snapshot_chunk())
         return this->observer.snapshot_received(envelope.snapshot_chunk(), sender);
+    if (envelope.has_contact_query())
+        return this->handle_contact_query(sender, envelope.contact_query());
+    if (envelope.has_contact_report())
+        return apply_contact_report(this->context, sender, envelope.contact_report());
     if (envelope.has_rollout_tally())
         return this->observer.tally_received(envelope.rollout_tally(), sender);
     if (!envelope.has_platform_news())
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -75,6 +75,8 @@
     void announce_limit(Backend const&);
     /// Announces what this host knows of a request during which servers have terminated.
     void announce_request_termination(RequestFingerprint const&);
+    /// Asks other hosts for contact to the services to which this host has lost it.
+    void query_contact();
     /// Announces the shortages that this host has observed.
     void announce_shortage();
     /// Announces, to the hosts of this domain only, a backend server to which no connection can be established.
@@ -116,7 +118,9 @@
     void send(std::span<Address const> peers, wire::HostUse);
     void send(std::span<Address const> peers, wire::PlatformNews);
     void handle_fetch(Address const& peer, wire::NewsFetch const&);
+    void handle_contact_query(Address const& sender, wire::ContactQuery const&);
     void handle_message(wire::Envelope const&);
+    [[nodiscard]] std::vector<Address> contact_query_receivers();
     /// Applies what another host of this domain reports of its callers' demand.
     void apply_demand(MemberId const& host, wire::HostUse const&);
     void handle_host_message(Address const& sender, std::string const& name, wire::HostUse const&);
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -9,6 +9,7 @@
 #include <AK/Timer.h>
 #include <LibHttp/Exchange.h>
 #include <LibServing/BackendChooser.h>
+#include <LibServing/Contact.h>
 #include <LibServing/Dialect.h>
 #include <LibServing/ErrorResponse.h>
 #include <LibServing/Overload/DomainFailures.h>
@@ -54,16 +55,22 @@
 protected:
     /// Counts the request towards the retry budget, and starts to watch for its caller's disconnect and its deadline.
     void begin(std::function<void()> on_caller_disconnected, std::function<void()> on_deadline)
+    {
+        this->watch(std::move(on_caller_disconnected), std::move(on_deadline), this->call.deadline);
+        this->context.budget.record_request(this->call.service->name, this->context.now());
+    }
+
+    /// Starts to watch for the caller's disconnect and for `deadline`.
+    void watch(std::function<void()> on_caller_disconnected, std::function<void()> on_deadline, Instant deadline)
     {
         this->exchange().on_caller_disconnected(std::move(on_caller_disconnected));
-        this->deadline_timer.expires_at(this->call.deadline);
+        this->deadline_timer.expires_at(deadline);
         this->deadline_timer.async_wait([this, on_deadline = std::move(on_deadline)](boost::system::error_code error) {
             // cancel() doesn't stop a handler whose timer expired in the event loop iteration in which the request
             // ended.
             if (!error && !this->is_over)
                 on_deadline();
         });
-        this->context.budget.record_request(this->call.service->name, this->context.now());
     }
 
     /// Marks the request as ended and cancels its deadline.
@@ -108,6 +115,9 @@
     [[nodiscard]] bool is_out_of_reach() const
     {
         auto const& service = this->call.service->name;
+        // The host that forwarded the request can ask another one.
+        if (this->exchange().origin() == Http::RequestOrigin::Host && this->context.service_contact.is_lost(service))
+            return true;
         auto const& unreachable = this->context.unreachable_services;
         if (std::ranges::find(unreachable, service) == unreachable.end())
             return false;
@@ -213,6 +223,8 @@
         if (decoded.is_misdirected)
             return true;
         record_responding_server(this->context, backend);
+        if (this->is_on_new_connection)
+            record_connected(this->context, backend);
         record_load(this->context, backend, decoded.load);
         record_rate_limit(this->context, backend, decoded.limit);
         return true;
@@ -344,6 +356,8 @@
     /// Response head of the current or last dispatch; empty until it has been received.
     std::optional<Http::ResponseHead> response_head;
     BackendResponseHead decoded_response;
+    /// Whether the current dispatch had to make its connection.
+    bool is_on_new_connection { true };
     /// Received part of a non-stream response; streams are not buffered here.
     std::string response_body;
     bool is_over { false };
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -34,7 +34,11 @@
             .with("fingerprint", to_text(call.value().fingerprint))
             .with("revision", call.value().routing->revision())
             .with("goal_ms", call.value().route->latency_goal)
-            .with("left_ms", call.value().deadline - this->context.now());
+            .with("left_ms", call.value().deadline - this->context.now())
+            .with("forwarded", static_cast<int>(exchange->origin() == Http::RequestOrigin::Host));
+        if (this->context.service_contact.is_lost(call.value().service->name)
+            && try_forward<D>(this->context, call.value()))
+            return;
         if (call.value().route->kind == CallKind::Generation && call.value().service->engine)
             std::make_shared<Generation<D>>(this->context, std::move(call.value()))->start();
         else
--- a/Libraries/LibServing/RetryBudget.cpp
+++ b/Libraries/LibServing/RetryBudget.cpp
@@ -82,6 +82,12 @@
     account.earned = std::min(account.earned + this->limits.ratio, this->share_at(account, now).max_saved);
 }
 
+void RetryBudget::withdraw_request(ServiceName const& service)
+{
+    auto& account = this->accounts[service];
+    account.earned = std::max(0.0, account.earned - this->limits.ratio);
+}
+
 RetryBudget::Decision RetryBudget::take(ServiceName const& service, Instant now)
 {
     auto& account = this->accounts[service];
--- a/Libraries/LibServing/RetryBudget.h
+++ b/Libraries/LibServing/RetryBudget.h
@@ -64,6 +64,8 @@
     [[nodiscard]] u32 whole_allowance() const { return static_cast<u32>(this->limits.allowance); }
     /// Records a request, which earns its fraction of a further dispatch.
     void record_request(ServiceName const&, Instant now);
+    /// Takes back what a recorded request has earned, since another host serves and records it.
+    void withdraw_request(ServiceName const&);
     /// Takes one further dispatch out of the budget, if there is one.
     [[nodiscard]] Decision take(ServiceName const&, Instant now);
 
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -6,7 +6,7 @@
 
 #pragma once
 
-#include <LibServing/RequestFlow.h>
+#include <LibServing/ForwardedRequest.h>
 #include <boost/random/uniform_real_distribution.hpp>
 
 namespace Serving {
@@ -39,6 +39,8 @@
     {
         if (auto left = this->quarantined_for())
             return this->reject_quarantined(*left);
+        if (this->forwards_after_loss())
+            return;
         if (!this->may_have_run && this->is_out_of_reach()) {
             this->end();
             return this->refuse_out_of_reach();
@@ -64,6 +66,17 @@
             this->connect_timeout_for_route(), backend_silence_limit);
     }
 
+    /// Forwards the call to another host if this one has lost contact to the service since the call began.
+    bool forwards_after_loss()
+    {
+        bool const may_forward = !this->may_have_run && this->context.service_contact.is_lost(this->call.service->name);
+        if (!may_forward || !try_forward<D>(this->context, this->call))
+            return false;
+        this->end();
+        this->context.budget.withdraw_request(this->call.service->name);
+        return true;
+    }
+
     void choose_backend()
     {
         auto const& candidates = this->context.backends.of_service(this->call.service->name);
@@ -118,6 +131,8 @@
         if (end == Http::ExchangeEnd::Complete)
             return this->response_received(*used);
         bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
+        if (is_unreachable)
+            record_not_connected(this->context, *used);
         // The server may have closed a persistent connection that was idle. A new connection that ends without a
         // response counts like a failed connect: the backend server is down or has no capacity for connections.
         bool const is_rejected = end == Http::ExchangeEnd::NoResponse && this->is_on_new_connection;
@@ -324,7 +339,6 @@
     BackendPointer backend;
     std::shared_ptr<Http::BackendConnection> connection;
     std::vector<EngineId> tried;
-    bool is_on_new_connection { false };
     Instant dispatched_at {};
     u32 dispatches { 0 };
     u32 dispatches_not_run { 0 };
--- a/Libraries/LibServing/ServiceContact.cpp
+++ b/Libraries/LibServing/ServiceContact.cpp
@@ -21,7 +21,7 @@
     this->changes.push_back({ service, false, ended.servers.size(), now - ended.since });
 }
 
-void ServiceContact::record_failure(ServiceName const& service, EngineId const& server, size_t servers, Instant now)
+void ServiceContact::record_failure(ServiceName const& service, FailedServer const& server, size_t servers, Instant now)
 {
     auto const [known, is_first] = this->failures.try_emplace(service);
     auto& entry = known->second;
@@ -29,8 +29,9 @@
         entry.since = now;
     if (entry.is_lost)
         return;
-    entry.servers.insert(server);
-    if (entry.servers.size() < std::min(conclusive_failures, servers))
+    entry.servers.insert(server.id);
+    entry.has_failed_nearest = entry.has_failed_nearest || server.is_among_nearest;
+    if (!entry.has_failed_nearest || entry.servers.size() < std::min(conclusive_failures, servers))
         return;
     entry.is_lost = true;
     ++this->lost_count;
--- a/Libraries/LibServing/ServiceContact.h
+++ b/Libraries/LibServing/ServiceContact.h
@@ -28,11 +28,18 @@
         Duration lasted { 0 };
     };
 
-    /// Records that a server of the service has responded, or at least accepted a connection.
+    /// A server to which no connection could be made.
+    struct FailedServer {
+        EngineId id;
+        /// No server of the service is nearer to this host. Servers of other failure domains may be unreachable while
+        /// those of the own domain are not.
+        bool is_among_nearest { true };
+    };
+
+    /// Records that a new connection to a server of the service was made.
     void record_contact(ServiceName const&, Instant now);
-    /// Records that no connection to `server` could be made. `servers`: number of servers of the service that accept
-    /// work, including this one.
-    void record_failure(ServiceName const&, EngineId const& server, size_t servers, Instant now);
+    /// `servers`: number of servers of the service that accept work, including the failed one.
+    void record_failure(ServiceName const&, FailedServer const&, size_t servers, Instant now);
     /// Whether this host has lost contact to all servers of the service.
     [[nodiscard]] bool is_lost(ServiceName const& service) const { return this->lost_at(service) != nullptr; }
     [[nodiscard]] std::vector<ServiceName> lost_services() const;
@@ -48,11 +55,12 @@
     struct Failures {
         Instant since {};
         std::set<EngineId> servers;
+        bool has_failed_nearest { false };
         bool is_lost { false };
     };
     [[nodiscard]] Failures const* lost_at(ServiceName const&) const;
 
-    /// The failed connections since the last contact to any server of the service.
+    /// The failed connections since the last new connection to any server of the service.
     std::unordered_map<ServiceName, Failures> failures;
     size_t lost_count { 0 };
     std::vector<Change> changes;
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -17,6 +17,7 @@
 #include <LibOverload/SlownessDistribution.h>
 #include <LibRollout/Rollouts.h>
 #include <LibServing/Admission.h>
+#include <LibServing/ForwardingHosts.h>
 #include <LibServing/HostSettings.h>
 #include <LibServing/LogRateLimiter.h>
 #include <LibServing/Overload/ServiceDemand.h>
@@ -83,6 +84,7 @@
     ProcessCheck processes;
     Overload::DomainDoubt domain_doubt;
     ServiceContact service_contact;
+    ForwardingHosts forwarding_hosts;
     /// The services of which this host can reach no backend server, as of the last tick.
     std::vector<ServiceName> unreachable_services;
     Rollout::Rollouts rollouts;
--- a/Tests/HostsCutOff/CutOffHosts.h
+++ b/Tests/HostsCutOff/CutOffHosts.h
@@ -99,6 +99,33 @@
         return call->status == 200 && call->end == Http::ExchangeEnd::Complete;
     }
 
+    /// Number of requests that all backend servers together have run.
+    [[nodiscard]] size_t run_count() const
+    {
+        size_t count = 0;
+        for (auto const& runner : this->hosts.platform.runners) {
+            for (auto const& [attempt, runs] : runner.runs())
+                count += runs;
+        }
+        return count;
+    }
+    [[nodiscard]] size_t running_generations() const
+    {
+        size_t count = 0;
+        for (auto const& runner : this->hosts.platform.runners)
+            count += runner.running_count();
+        return count;
+    }
+    /// Number of requests that a host has forwarded.
+    [[nodiscard]] size_t forwarded_by(size_t host)
+    {
+        auto const log = this->hosts.log_of(host);
+        size_t count = 0;
+        for (size_t at = log.find("E2410 "); at != std::string::npos; at = log.find("E2410 ", at + 1))
+            ++count;
+        return count;
+    }
+
     static constexpr u64 events_per_generation = 4;
     static constexpr size_t rounds = 10;
 
--- a/Tests/LibServing/TestServiceContact.cpp
+++ b/Tests/LibServing/TestServiceContact.cpp
@@ -16,7 +16,7 @@
     Instant const start { 100s };
     ServiceContact contact;
     auto fail = [&](std::string const& server, size_t servers) {
-        contact.record_failure(service, EngineId(server), servers, start);
+        contact.record_failure(service, { EngineId(server) }, servers, start);
     };
 
     GIVEN("a service of many servers")
@@ -58,6 +58,17 @@
             THEN("contact is not lost") { CHECK_FALSE(contact.is_lost(service)); }
         }
     }
+    GIVEN("a partition from the other failure domains")
+    {
+        for (auto const* server : { "first", "second", "third", "fourth" })
+            contact.record_failure(service, { EngineId(server), false }, 9, start);
+        THEN("contact is not lost before a server of the own domain fails")
+        {
+            CHECK_FALSE(contact.is_lost(service));
+            fail("local", 9);
+            CHECK(contact.is_lost(service));
+        }
+    }
     GIVEN("a service of one server")
     {
         fail("only", 1);
