LibServing: Don't take a partition for the termination of servers

Found while looking for the cause of the cut-off hosts elsewhere. After a cut that resets connections, each broken stream of a host found "connection refused", which counted as the termination of its server (E2312 process=ended): evidence against the request that ran there, which all hosts would hold back after three.

--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -20,6 +20,7 @@
 #include <LibServing/ServerNotice.h>
 #include <LibServing/ServiceReachability.h>
 #include <LibServing/Suspicion.h>
+#include <LibServing/TerminationCheck.h>
 #include <functional>
 #include <optional>
 
@@ -298,7 +299,7 @@
             if (state == ProcessState::Terminated && !is_expected)
                 record_termination_under(context, fingerprint, *backend);
         };
-        this->context.processes.query(*backend, std::move(on_state));
+        check_termination(this->context, backend, std::move(on_state));
     }
 
     /// Records that a backend server has returned a complete response, and so did not terminate while running this
--- a/Tests/HostsCutOff/CutOffHosts.h
+++ b/Tests/HostsCutOff/CutOffHosts.h
@@ -47,6 +47,16 @@
         for (auto& link : this->links_of[host])
             cut(link, kind);
     }
+    /// Terminates the engines that run generations.
+    void terminate_busy_engines()
+    {
+        size_t number = 0;
+        for (auto& runner : this->hosts.platform.runners) {
+            if (runner.running_count() > 0)
+                this->terminate(runner, number);
+            ++number;
+        }
+    }
     void heal(size_t host)
     {
         for (auto& link : this->links_of[host])
@@ -143,6 +153,15 @@
             link.reset_all();
     }
 
+    void terminate(PlatformRunner& runner, size_t number)
+    {
+        for (auto& [host, links] : this->links_of) {
+            auto& link = *std::next(links.begin(), static_cast<std::ptrdiff_t>(number));
+            cut(link, Partition::Resets);
+        }
+        runner.terminate();
+    }
+
     void add_links(PlatformRunner& runner)
     {
         auto const target = *Http::parse_endpoint(runner.address());
--- a/Tests/HostsCutOff/TestHostsCutOff.cpp
+++ b/Tests/HostsCutOff/TestHostsCutOff.cpp
@@ -166,3 +166,37 @@
     CHECK(log.find("other hosts cannot connect to it") == std::string::npos);
     CHECK(log.find("failure_domain_doubtful") == std::string::npos);
 }
+
+// Guards against requests that are blamed for the termination of servers that have not terminated: a partition that
+// resets connections and refuses new ones looks like a crash of each single server.
+SCENARIO("a partition is not taken for the termination of servers")
+{
+    CutOffHosts group;
+    for (auto& runner : group.hosts.platform.runners)
+        runner.planned_events = nullptr;
+    std::vector<std::shared_ptr<Call>> calls;
+    for (int i = 0; i < 4; ++i)
+        calls.push_back(group.send_generation(0));
+    group.hosts.platform.until([&] { return group.running_generations() == calls.size(); });
+    auto const all_over = [&] { return std::ranges::all_of(calls, [](auto const& call) { return call->is_over(); }); };
+
+    WHEN("all connections of the host are reset and new ones refused")
+    {
+        group.cut(0, Partition::Resets);
+        group.hosts.platform.until(all_over);
+        group.run_for(1s);
+        THEN("no server counts as terminated")
+        {
+            auto const log = group.hosts.log_of(0);
+            CHECK(log.find("E2312 ") != std::string::npos);
+            CHECK(log.find("process=ended") == std::string::npos);
+        }
+    }
+    WHEN("the engines terminate")
+    {
+        group.terminate_busy_engines();
+        group.hosts.platform.until(all_over);
+        group.run_for(1s);
+        THEN("they count as terminated") { CHECK(group.hosts.log_of(0).find("process=ended") != std::string::npos); }
+    }
+}
