LibServing: Log the prompt parts and events of a request whose server broke off

The logs could not tell what the requests have in common under which engines ended: no line named the parts of a prompt. E2312 now has digests of the parts that other requests of the organisation may share, and the number of events that the request had received. No decision changes.

--- a/Libraries/LibServing/Dialect.h
+++ b/Libraries/LibServing/Dialect.h
@@ -10,6 +10,9 @@
 #include <LibHttp/Types.h>
 #include <LibServing/BackendTable.h>
 #include <concepts>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace Serving {
 
@@ -30,6 +33,9 @@
     std::optional<Duration> timeout;
     std::string key;
     std::optional<GenerationDemand> demand;
+    /// Ids of the parts of the prompt that other requests may share, in their order; the last part of a prompt is not
+    /// among them.
+    std::vector<std::string> shared_prompt_parts;
 };
 
 /// The state from which a moved generation resumes.
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -396,7 +396,7 @@
         auto text = Http::describe(end, reason);
         if (!is_unreachable) {
             this->record_answer(*this->backend, true, {});
-            this->check_for_termination(this->backend, text);
+            this->check_for_termination(this->backend, text, this->order.count());
         }
         if (this->exchange().is_streaming())
             return this->fail_stream(text);
--- a/Libraries/LibServing/RequestFingerprint.cpp
+++ b/Libraries/LibServing/RequestFingerprint.cpp
@@ -24,6 +24,11 @@
     return { organisation, digest };
 }
 
+RequestFingerprint fingerprint_of_part(std::string_view part, OrganisationId const& organisation)
+{
+    return { organisation, chained(chained(0, organisation.value()), part) };
+}
+
 std::string to_text(RequestFingerprint const& fingerprint)
 {
     constexpr int base = 16;
@@ -32,4 +37,12 @@
     return { digits.data(), written.ptr };
 }
 
+std::string to_text(std::span<RequestFingerprint const> fingerprints)
+{
+    std::string text;
+    for (auto const& fingerprint : fingerprints)
+        text += (text.empty() ? "" : ",") + to_text(fingerprint);
+    return text.empty() ? "none" : text;
+}
+
 }
--- a/Libraries/LibServing/RequestFingerprint.h
+++ b/Libraries/LibServing/RequestFingerprint.h
@@ -8,6 +8,9 @@
 
 #include <AK/Identifiers.h>
 #include <LibHttp/Types.h>
+#include <span>
+#include <string>
+#include <string_view>
 
 namespace Serving {
 
@@ -24,7 +27,12 @@
 
 RequestFingerprint fingerprint_of(Http::Request const&, OrganisationId const&);
 
+/// Identifies a part of a prompt in all requests of one organisation.
+RequestFingerprint fingerprint_of_part(std::string_view part, OrganisationId const&);
+
 /// Returns the digest in hexadecimal, for logs and keys.
 std::string to_text(RequestFingerprint const&);
+/// Returns the digests, separated by commas; "none" if there are none.
+std::string to_text(std::span<RequestFingerprint const>);
 
 }
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -36,6 +36,8 @@
     Service const* service { nullptr };
     OrganisationId organisation;
     RequestFingerprint fingerprint;
+    /// Of the prompt's parts that other requests may share, in their order.
+    std::vector<RequestFingerprint> part_fingerprints;
     /// Where it may be served, by its route and its organisation.
     AllowedRegions regions;
     u32 priority { 5 };
@@ -284,15 +286,18 @@
 
     /// To be called when the connection to `backend` broke during this request. Checks whether its process has
     /// terminated, and records the termination against the request's fingerprint unless the server was known to be
-    /// leaving.
-    void check_for_termination(BackendPointer const& backend, std::string_view reason)
+    /// leaving. `events`: number of events that the request has received from it.
+    void check_for_termination(BackendPointer const& backend, std::string_view reason, u64 events = 0)
     {
         bool const is_expected = backend->availability != Availability::Serving;
         auto on_state = [&context = this->context, backend, is_expected, attempt = this->attempt(),
-                            fingerprint = this->call.fingerprint, reason = std::string(reason)](ProcessState state) {
+                            fingerprint = this->call.fingerprint, parts = this->call.part_fingerprints, events,
+                            reason = std::string(reason)](ProcessState state) {
             context.log.event(Core::EventNumber::BackendServerDisconnected, backend->server.id.value())
                 .with("request", attempt)
                 .with("fingerprint", to_text(fingerprint))
+                .with("prompt_parts", to_text(parts))
+                .with("events", events)
                 .with("process", to_string(state))
                 .with("state", to_string(backend->availability))
                 .with("reason", reason);
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -79,6 +79,8 @@
         call.regions = call.route->allowed_regions;
         TRYV(this->check_organisation(call));
         call.fingerprint = fingerprint_of(request, call.organisation);
+        for (auto const& part : call.head.shared_prompt_parts)
+            call.part_fingerprints.push_back(fingerprint_of_part(part, call.organisation));
         auto const& service = choose_service(*call.route, call.head.attempt);
         call.service = call.routing->find_service(service);
         if (!call.service)
