--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -157,11 +157,21 @@
     return false;
 }
 
+bool PlatformRunner::has_fatal_part(Http::Request const& request) const
+{
+    if (this->fatal_prompt_part.empty())
+        return false;
+    auto const parts = request["Lilactiller-Prompt-Prefix"];
+    std::string_view const list(parts.data(), parts.size());
+    auto const shared = list.substr(0, list.find_last_of(',') + 1);
+    return shared.find(this->fatal_prompt_part + ':') != std::string_view::npos;
+}
+
 void PlatformRunner::run(std::shared_ptr<Http::Exchange> const& exchange)
 {
     auto const& request = exchange->request();
     this->count_run(request);
-    if (this->fatal_body == request.body())
+    if (this->fatal_body == request.body() || this->has_fatal_part(request))
         return this->terminate_during(exchange);
     auto const events_before = this->consume_copy(request);
     if (!events_before)
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -62,6 +62,9 @@
     void set_advertised_address(std::string address) { this->advertised_address = std::move(address); }
     /// Requests with this body terminate the simulated process as soon as they run.
     void set_fatal_body(std::string body) { this->fatal_body = std::move(body); }
+    /// Generations with this part in their prompt, unless it is the last one, terminate the simulated process as soon
+    /// as they run.
+    void set_fatal_prompt_part(std::string part) { this->fatal_prompt_part = std::move(part); }
     /// Sets the limit, in requests per second from all hosts together, that its responses state. Empty for no limit.
     void set_limit(std::optional<std::string> per_second) { this->limit = std::move(per_second); }
     /// While `retry_after` is set, rejects every request as not run and asks the sender to back off, with `retry_after`
@@ -126,6 +129,7 @@
     [[nodiscard]] Http::Response refusal() const;
     /// Sets the header that announces that the runner is leaving, if it is.
     void set_leaving_header(Http::Response&) const;
+    [[nodiscard]] bool has_fatal_part(Http::Request const&) const;
     void run(std::shared_ptr<Http::Exchange> const&);
     /// Removes the copy that the request resumes from. Returns the number of events produced before it (0 without a
     /// copy), or nothing if the copy is not here.
@@ -151,6 +155,7 @@
     bool terminated { false };
     std::string version { "v1" };
     std::optional<std::string> fatal_body;
+    std::string fatal_prompt_part;
     std::optional<std::string> limit;
     std::optional<std::string> back_off;
     bool announces_leaving { false };
