--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -150,7 +150,7 @@
     /// A joining host has no share of the allowance for its first ten seconds, so the shares need no faster update.
     static constexpr Duration share_period = 500ms;
     /// A few queries fit into the lifetime of a report, in case datagrams are lost.
-    static constexpr Duration contact_query_period = 300ms;
+    static constexpr Duration contact_query_period = 400ms;
     /// Known hosts that are checked in each tick.
     static constexpr size_t hosts_per_tick = 128;
     /// After its start, a host waits for the other hosts to report which of them read the platform's tables. That takes
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -49,7 +49,7 @@
 /// is most likely partitioned itself, or its own link is overloaded.
 static constexpr u32 max_unreachable_announced = 8;
 /// Number of hosts of this domain, and of other domains, that are asked at a time for contact to a service.
-static constexpr std::ptrdiff_t contact_queries_per_group = 8;
+static constexpr std::ptrdiff_t contact_queries_per_group = 4;
 
 static std::vector<Address> addresses_of(google::protobuf::RepeatedPtrField<std::string> const& texts)
 {
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -13,8 +13,9 @@
 if grep -nE '\bm_[a-z]|\bstd::shared_mutex\b' "${files[@]}"; then
     echo "members carry no mark" && exit 1
 fi
-# Code that sends to backend servers must first check whether the server accepts work now.
-senders='^Libraries/LibServing/(EnginePoller|Generation|GenerationMove|ServiceCall)\.h$'
+# Code that sends to backend servers must first check whether the server accepts work now. ForwardedRequest sends to other
+# hosts.
+senders='^Libraries/LibServing/(EnginePoller|ForwardedRequest|Generation|GenerationMove|ServiceCall)\.h$'
 others=$(grep -lE 'connections\.(acquire|make_new)\(' "${files[@]}" | grep -E '^(Libraries|platform)/' | grep -vE "$senders" || true)
 if [[ -n $others ]]; then
     echo "$others: sends to backend servers; ask Backend::takes_work_at first, then add it to the senders in Meta/lint.sh"
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -133,10 +133,10 @@
 guard "what was accepted is served" TestLibHttp \
     "Scenario: a server that has stopped accepting serves those that came before" \
     Libraries/LibHttp/CallerServer.cpp "if (!error)
-            this->serve(std::move(socket));
-        if (!this->is_accepting())" "if (!error && this->is_accepting())
-            this->serve(std::move(socket));
-        if (!this->is_accepting())"
+            this->serve(std::move(socket), listener.origin);
+        if (!listener.acceptor.is_open())" "if (!error && listener.acceptor.is_open())
+            this->serve(std::move(socket), listener.origin);
+        if (!listener.acceptor.is_open())"
 guard "what waits to be accepted is served" TestLibHttp \
     "Scenario: a server that has stopped accepting serves those that came before" \
     Libraries/LibHttp/CallerServer.cpp "while (!error) {" "while (false) {"
@@ -263,6 +263,12 @@
 void record_run_survived" "}
 
 void record_run_survived"
+guard "a partition is no termination" TestHostsCutOff \
+    "Scenario: a partition is not taken for the termination of servers" \
+    Libraries/LibServing/TerminationCheck.cpp "query_controls(context, *backend, std::move(on_state));" "on_state(state);"
+guard "requests are forwarded once" TestHostsCutOff \
+    "Scenario: all hosts have lost the backend servers" \
+    Libraries/LibServing/ForwardedRequest.h "call.exchange->origin() == Http::RequestOrigin::Caller && " ""
 guard "requests that end servers: told again" TestFleet \
     "Scenario: a request that ends what runs it reaches few servers more, however many hosts there are" \
     Libraries/LibServing/RequestTerminations.cpp "static constexpr size_t max_quarantined_per_message = 8;" \
