LibServing: Hold back parts of prompts that end engines

Requests that were all different, with one part of their prompts in common, ended one engine after another: 23 in 17 s, 16 of them sent later than the time of contact after the fifth crash.

The one quarantine now keeps prompt parts beside whole requests, by organisation. A termination counts against the parts of requests that had received no event; the first event of any request clears its parts, at all hosts: one that has cleared a part within 10 s replies to one that suspects it, which tells the others. After three terminations the most specific suspect is held back; a part that others share, such as the first one, only if two terminations remain that no held one explains. So the guilty part is found at its third crash, and requests that share the caller and the other parts are served.

HostsFatalParts, red before (10 of 10 late requests reach an engine, 3 allowed; the corrected stand-in, which lets such a generation make no event, gives the same on the code before), passes, sound requests 10 of 10; the loop of the test that waited for the fifth termination is bounded, since the part is found before. TestLibServing, TestFleet, TestLibHttp and TestHostsCutOff pass.

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -358,6 +358,7 @@
     void first_event(Instant now)
     {
         this->record_answer(*this->backend, false, now - this->dispatched_at);
+        this->record_parts_survived();
         this->last_event_at = now;
         this->claim->prompt_read();
         if (this->reads_alone && this->backend->engine.unread_tokens() == 0)
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -78,7 +78,7 @@
     this->context.paces_changed = [this] { this->schedule_delta(); };
     this->context.shortage_began = [this](ServiceName const&) { this->announce_shortage(); };
     this->context.quarantine_changed
-        = [this](RequestFingerprint const& request) { this->announce_request_termination(request); };
+        = [this](std::span<RequestFingerprint const> requests) { this->announce_request_terminations(requests); };
     this->transport.on_message([this](wire::Envelope const& envelope) { this->handle_message(envelope); });
 }
 
@@ -140,14 +140,27 @@
     this->send_to_remote_domains(std::move(message));
 }
 
-void PeerLink::announce_request_termination(RequestFingerprint const& request)
+void PeerLink::announce_request_terminations(std::span<RequestFingerprint const> requests)
 {
     wire::HostUse message;
-    put_request_termination(message, this->context, request);
+    for (auto const& request : requests)
+        put_request_termination(message, this->context, request);
     this->broadcast(message);
     this->send_to_remote_domains(std::move(message));
 }
 
+/// Reports to a host that suspects a prompt part that this host has recently cleared it.
+void PeerLink::handle_request_terminations(Address const& announcer, wire::HostUse const& received)
+{
+    wire::HostUse reply;
+    for (auto const& part : apply_request_terminations(this->context, received)) {
+        if (this->reported_clearances.is_due(announcer.value() + to_text(part), this->context.now()))
+            put_clearance_reply(reply, part);
+    }
+    if (reply.ending_size() > 0)
+        this->send(std::span(&announcer, 1), std::move(reply));
+}
+
 void PeerLink::query_contact()
 {
     wire::Envelope envelope;
@@ -643,7 +656,7 @@
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
     apply_refusals(this->context, message);
-    apply_request_terminations(this->context, message);
+    this->handle_request_terminations(sender, message);
     apply_rate_limits(this->context, message);
     apply_server_paces(this->context, message);
     this->handle_progress(sender, message);
@@ -673,7 +686,7 @@
     this->handle_leaving_list(message);
     this->handle_terminated_list(message);
     apply_refusals(this->context, message);
-    apply_request_terminations(this->context, message);
+    this->handle_request_terminations(representative, message);
     apply_rate_limits(this->context, message);
     apply_server_paces(this->context, message);
     apply_shortages(this->context, MemberId(domain.value()), Overload::SignScope::Domain, message);
--- a/Libraries/LibServing/PeerLink.h
+++ b/Libraries/LibServing/PeerLink.h
@@ -9,6 +9,7 @@
 #include <AK/Timer.h>
 #include <LibCore/HandlerGuard.h>
 #include <LibPlatform/ChangeFollower.h>
+#include <LibServing/LogRateLimiter.h>
 #include <LibServing/PeerUse.h>
 #include <LibServing/ServingContext.h>
 #include <LibWire/DatagramTransport.h>
@@ -73,8 +74,8 @@
     void announce_termination(BackendServer const&);
     /// Announces the rate limit that a backend server has reported.
     void announce_limit(Backend const&);
-    /// Announces what this host knows of a request during which servers have terminated.
-    void announce_request_termination(RequestFingerprint const&);
+    /// Announces what this host knows of requests or prompt parts under which servers have terminated.
+    void announce_request_terminations(std::span<RequestFingerprint const>);
     /// Asks other hosts for contact to the services to which this host has lost it.
     void query_contact();
     /// Announces the shortages that this host has observed.
@@ -118,6 +119,7 @@
     void send(std::span<Address const> peers, wire::HostUse);
     void send(std::span<Address const> peers, wire::PlatformNews);
     void handle_fetch(Address const& peer, wire::NewsFetch const&);
+    void handle_request_terminations(Address const& announcer, wire::HostUse const&);
     void handle_contact_query(Address const& sender, wire::ContactQuery const&);
     void handle_message(wire::Envelope const&);
     [[nodiscard]] std::vector<Address> contact_query_receivers();
@@ -158,6 +160,8 @@
     /// Start of the current one-second window, and the number of unreachable servers announced in it.
     Instant unreachable_window_start {};
     u32 unreachable_announced { 0 };
+    /// By host and prompt part; a suspicion is announced several times.
+    LogRateLimiter reported_clearances { 1s };
     bool delta_pending { false };
     bool domain_delta_pending { false };
     Core::HandlerGuard guard;
--- a/Libraries/LibServing/Quarantine.cpp
+++ b/Libraries/LibServing/Quarantine.cpp
@@ -25,7 +25,7 @@
     std::set<ServerProcess> new_processes;
     for (auto const& process : terminated) {
         bool const is_known = found != this->entries.end() && found->second.terminated_under.contains(process);
-        if (!is_known && (was_held || !this->is_attributed(process)))
+        if (!is_known && (was_held || !this->is_attributed(process, request)))
             new_processes.insert(process);
     }
     bool const is_announced_held = announced_hold > 0s;
@@ -42,7 +42,7 @@
             entry.terminated_under.insert(process);
     }
     entry.changed_at = now;
-    bool const has_enough = entry.terminated_under.size() >= terminations_until_quarantine;
+    bool const has_enough = this->has_enough_terminations(request, entry);
     if (is_announced_held || has_enough) {
         auto const until
             = now + (has_enough && !new_processes.empty() ? retention_time : std::min(announced_hold, retention_time));
@@ -94,21 +94,45 @@
 
 void Quarantine::record_cleared(RequestFingerprint const& request, Instant now)
 {
-    this->cleared_until[request] = now + clearance_lifetime;
-    this->cleared_order.emplace_back(now + clearance_lifetime, request);
+    auto const until = now + (request.is_whole_request() ? clearance_lifetime : part_clearance_lifetime);
+    this->cleared_until[request] = until;
+    this->cleared_order.emplace_back(until, request);
     while (this->cleared_order.front().first <= now || this->cleared_order.size() > max_cleared) {
-        auto const& [until, oldest] = this->cleared_order.front();
+        auto const& [expires_at, oldest] = this->cleared_order.front();
         auto found = this->cleared_until.find(oldest);
-        if (found != this->cleared_until.end() && found->second == until)
+        if (found != this->cleared_until.end() && found->second == expires_at)
             this->cleared_until.erase(found);
         this->cleared_order.pop_front();
     }
 }
 
-bool Quarantine::is_attributed(ServerProcess const& process) const
+/// Whether requests with the quarantined prompt part or request may also have the suspected part, so that both can be
+/// suspected of the same terminations.
+static bool may_contain(RequestFingerprint const& held, RequestFingerprint const& suspect)
 {
-    return std::ranges::any_of(this->entries,
-        [&](auto const& item) { return item.second.held_until && item.second.terminated_under.contains(process); });
+    return !suspect.is_whole_request() && suspect.organisation == held.organisation
+        && suspect.specificity() < held.specificity();
+}
+
+bool Quarantine::is_attributed(ServerProcess const& process, RequestFingerprint const& suspect) const
+{
+    return std::ranges::any_of(this->entries, [&](auto const& item) {
+        return item.second.held_until && item.second.terminated_under.contains(process)
+            && !may_contain(item.first, suspect);
+    });
+}
+
+bool Quarantine::has_enough_terminations(RequestFingerprint const& request, Entry const& entry) const
+{
+    if (entry.terminated_under.size() < terminations_until_quarantine)
+        return false;
+    auto unexplained = entry.terminated_under;
+    for (auto const& [other, known] : this->entries) {
+        if (known.held_until && may_contain(other, request))
+            std::erase_if(
+                unexplained, [&](ServerProcess const& process) { return known.terminated_under.contains(process); });
+    }
+    return unexplained.size() >= min_unexplained_terminations;
 }
 
 /// Attributes the terminations to the quarantined request: the requests that ran beside it are no longer suspected of
@@ -117,7 +141,7 @@
 {
     auto const attributed = this->entries.at(held).terminated_under;
     for (auto& [request, entry] : this->entries) {
-        if (!entry.held_until)
+        if (!entry.held_until && !may_contain(held, request))
             std::erase_if(
                 entry.terminated_under, [&](ServerProcess const& process) { return attributed.contains(process); });
     }
--- a/Libraries/LibServing/Quarantine.h
+++ b/Libraries/LibServing/Quarantine.h
@@ -27,6 +27,11 @@
 /// sending it again would terminate another server, with everything that runs there. A request is cleared once it has
 /// run to completion. A request that merely ran beside the quarantined one is cleared of the same terminations.
 ///
+/// The same holds for parts of prompts, which many different requests share. A part is suspected only if the request
+/// had received no event yet, and is cleared by the first event of any request that has it. If a request and parts of
+/// its prompt are suspected of the same terminations, only the most specific of them is quarantined, so that requests
+/// that share the others are served.
+///
 /// The state of several hosts is merged as sets of processes, so reports may be repeated, late or in any order.
 class Quarantine {
 public:
@@ -60,8 +65,10 @@
     /// Merges the state of another host: these processes terminated while they ran the request, which is quarantined
     /// for another `held_for`, or not quarantined if that is zero.
     Change merge(RequestFingerprint const&, std::set<ServerProcess> const& terminated, Duration held_for, Instant now);
-    /// Clears a request that has run to completion on any host. Returns whether it was suspected or quarantined.
+    /// Clears a request that has run to completion on any host, or a prompt part of a request that has received an
+    /// event. Returns whether it was suspected or quarantined.
     bool clear(RequestFingerprint const&, Instant now);
+    [[nodiscard]] bool is_recently_cleared(RequestFingerprint const&, Instant now) const;
     /// Returns the remaining time of the quarantine, or nothing if the request is not quarantined.
     [[nodiscard]] std::optional<Duration> held_for(RequestFingerprint const&, Instant now) const;
     /// Removes expired entries. Returns the requests among them that were quarantined.
@@ -81,10 +88,15 @@
     /// A request that many callers send at once runs on several servers when they crash together. A recent run that
     /// completed shows that the request is not the cause.
     static constexpr Duration clearance_lifetime = 1min;
+    /// Parts that many requests share are cleared all the time, and rarer ones often enough if they are harmless.
+    static constexpr Duration part_clearance_lifetime = 10s;
     static constexpr size_t max_cleared = 4096;
+    /// A part may be quarantined although a more specific one explains most of its terminations: that one may merely
+    /// come with it often.
+    static constexpr size_t min_unexplained_terminations = 2;
 
-    [[nodiscard]] bool is_recently_cleared(RequestFingerprint const&, Instant now) const;
-    [[nodiscard]] bool is_attributed(ServerProcess const&) const;
+    [[nodiscard]] bool is_attributed(ServerProcess const&, RequestFingerprint const& suspect) const;
+    [[nodiscard]] bool has_enough_terminations(RequestFingerprint const&, Entry const&) const;
     void record_cleared(RequestFingerprint const&, Instant now);
     void attribute_to(RequestFingerprint const& held);
     void evict_if_full(OrganisationId const&);
--- a/Libraries/LibServing/QuarantineTable.h
+++ b/Libraries/LibServing/QuarantineTable.h
@@ -104,6 +104,7 @@
         auto& ending = *message.add_ending();
         ending.set_organisation(stored.organisation());
         ending.set_digest(stored.digest());
+        ending.set_prompt_part(stored.prompt_part());
         ending.set_held_milliseconds(static_cast<u32>(left.count()));
         apply_request_terminations(this->context, message);
         // The row is stored already.
@@ -124,6 +125,7 @@
         wire::QuarantineRow row;
         row.set_organisation(request.organisation.value());
         row.set_digest(request.digest);
+        row.set_prompt_part(request.prompt_part);
         row.set_held_until_unix_milliseconds(unix_milliseconds() + AK::to_milliseconds(left));
         this->pending_writes[key] = row.SerializeAsString();
     }
--- a/Libraries/LibServing/RequestFingerprint.cpp
+++ b/Libraries/LibServing/RequestFingerprint.cpp
@@ -24,9 +24,15 @@
     return { organisation, digest };
 }
 
-RequestFingerprint fingerprint_of_part(std::string_view part, OrganisationId const& organisation)
+std::vector<RequestFingerprint> fingerprints_of_parts(
+    std::span<std::string const> parts, OrganisationId const& organisation)
 {
-    return { organisation, chained(chained(0, organisation.value()), part) };
+    std::vector<RequestFingerprint> fingerprints;
+    for (auto const& part : parts) {
+        auto const digest = chained(chained(0, organisation.value()), part);
+        fingerprints.push_back({ organisation, digest, static_cast<u32>(fingerprints.size() + 1) });
+    }
+    return fingerprints;
 }
 
 std::string to_text(RequestFingerprint const& fingerprint)
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -290,7 +290,11 @@
     void check_for_termination(BackendPointer const& backend, std::string_view reason, u64 events = 0)
     {
         bool const is_expected = backend->availability != Availability::Serving;
-        auto on_state = [&context = this->context, backend, is_expected, attempt = this->attempt(),
+        // A part that terminates servers does so before the first event.
+        std::vector<RequestFingerprint> suspects { this->call.fingerprint };
+        if (events == 0)
+            std::ranges::copy(this->call.part_fingerprints, std::back_inserter(suspects));
+        auto on_state = [&context = this->context, backend, is_expected, suspects, attempt = this->attempt(),
                             fingerprint = this->call.fingerprint, parts = this->call.part_fingerprints, events,
                             reason = std::string(reason)](ProcessState state) {
             context.log.event(Core::EventNumber::BackendServerDisconnected, backend->server.id.value())
@@ -302,7 +306,7 @@
                 .with("state", to_string(backend->availability))
                 .with("reason", reason);
             if (state == ProcessState::Terminated && !is_expected)
-                record_termination_under(context, fingerprint, *backend);
+                record_termination_under(context, suspects, *backend);
         };
         check_termination(this->context, backend, std::move(on_state));
     }
@@ -311,19 +315,28 @@
     /// request.
     void record_completed_run() { record_run_survived(this->context, this->call.fingerprint); }
 
-    /// Remaining quarantine of this request, because servers terminate while running it; empty if it may be dispatched.
+    /// Records that the request has received its first event, and so no part of its prompt terminates servers.
+    void record_parts_survived() { record_run_survived(this->context, this->call.part_fingerprints); }
+
+    /// Remaining quarantine of this request, because servers terminate while running it or a part of its prompt; empty
+    /// if it may be dispatched.
     [[nodiscard]] std::optional<Duration> quarantined_for() const
     {
-        return this->context.quarantine.held_for(this->call.fingerprint, this->context.now());
+        auto const& quarantine = this->context.quarantine;
+        auto left = quarantine.held_for(this->call.fingerprint, this->context.now());
+        for (auto const& part : this->call.part_fingerprints)
+            left = std::max(left, quarantine.held_for(part, this->context.now()));
+        return left;
     }
 
     /// Rejects a quarantined request that has not run.
     void respond_quarantined(Duration left)
     {
         this->context.metrics.add("requests_held_back_total");
-        this->respond_with_error(
-            { ErrorKind::RequestQuarantined,
-                "servers have ended under this request each time; do not send it again unchanged", left },
+        this->respond_with_error({ ErrorKind::RequestQuarantined,
+                                     "servers have ended under this request, or a part of its prompt, each time; do "
+                                     "not send it again unchanged",
+                                     left },
             RequestOutcome::NotRun);
     }
 
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -79,8 +79,7 @@
         call.regions = call.route->allowed_regions;
         TRYV(this->check_organisation(call));
         call.fingerprint = fingerprint_of(request, call.organisation);
-        for (auto const& part : call.head.shared_prompt_parts)
-            call.part_fingerprints.push_back(fingerprint_of_part(part, call.organisation));
+        call.part_fingerprints = fingerprints_of_parts(call.head.shared_prompt_parts, call.organisation);
         auto const& service = choose_service(*call.route, call.head.attempt);
         call.service = call.routing->find_service(service);
         if (!call.service)
--- a/Libraries/LibServing/RequestTerminations.cpp
+++ b/Libraries/LibServing/RequestTerminations.cpp
@@ -39,26 +39,40 @@
         .with("reason", reason);
 }
 
-void record_termination_under(ServingContext& context, RequestFingerprint const& request, Backend const& backend)
+void record_termination_under(
+    ServingContext& context, std::span<RequestFingerprint const> fingerprints, Backend const& backend)
 {
-    auto const change
-        = context.quarantine.record_termination(request, { backend.server.id, backend.server.start }, context.now());
-    if (change == Quarantine::Change::Nothing)
-        return;
-    handle_change(context, request, change);
-    context.quarantine_changed(request);
+    // The most specific one first, since it decides whether the others are quarantined too.
+    std::vector<RequestFingerprint> suspects(fingerprints.begin(), fingerprints.end());
+    std::ranges::sort(suspects, std::ranges::greater {}, &RequestFingerprint::specificity);
+    std::vector<RequestFingerprint> changed;
+    for (auto const& suspect : suspects) {
+        ServerProcess const process { backend.server.id, backend.server.start };
+        auto const change = context.quarantine.record_termination(suspect, process, context.now());
+        if (change == Quarantine::Change::Nothing)
+            continue;
+        handle_change(context, suspect, change);
+        changed.push_back(suspect);
+    }
+    if (!changed.empty())
+        context.quarantine_changed(changed);
 }
 
-void record_run_survived(ServingContext& context, RequestFingerprint const& request)
+void record_run_survived(ServingContext& context, std::span<RequestFingerprint const> fingerprints)
 {
-    bool const was_held = context.quarantine.held_for(request, context.now()).has_value();
-    if (!context.quarantine.clear(request, context.now()))
-        return;
-    context.quarantine_changed(request);
-    if (!was_held)
-        return;
-    log_release(context, request, "a run of the request completed");
-    context.hold_changed(request, false);
+    std::vector<RequestFingerprint> cleared;
+    for (auto const& fingerprint : fingerprints) {
+        bool const was_held = context.quarantine.held_for(fingerprint, context.now()).has_value();
+        if (!context.quarantine.clear(fingerprint, context.now()))
+            continue;
+        cleared.push_back(fingerprint);
+        if (!was_held)
+            continue;
+        log_release(context, fingerprint, "a run of the request completed");
+        context.hold_changed(fingerprint, false);
+    }
+    if (!cleared.empty())
+        context.quarantine_changed(cleared);
 }
 
 void forget_expired_terminations(ServingContext& context)
@@ -77,22 +91,46 @@
     return processes;
 }
 
-void apply_request_terminations(ServingContext& context, wire::HostUse const& message)
+static RequestFingerprint fingerprint_in(wire::EndingRequest const& entry)
+{
+    return { OrganisationId(entry.organisation()), entry.digest(), entry.prompt_part() };
+}
+
+static void apply_clearance(ServingContext& context, wire::EndingRequest const& entry)
+{
+    auto const request = fingerprint_in(entry);
+    bool const was_held = context.quarantine.held_for(request, context.now()).has_value();
+    if (!context.quarantine.clear(request, context.now()))
+        return;
+    if (was_held)
+        log_release(context, request, "a run of the request completed at another host");
+    if (entry.replies_to_suspicion())
+        context.quarantine_changed(std::span(&request, 1));
+}
+
+std::vector<RequestFingerprint> apply_request_terminations(ServingContext& context, wire::HostUse const& message)
 {
     auto const now = context.now();
-    for (auto const& entry : message.ending()) {
-        RequestFingerprint const request { OrganisationId(entry.organisation()), entry.digest() };
-        if (entry.is_cleared()) {
-            bool const was_held = context.quarantine.held_for(request, now).has_value();
-            if (context.quarantine.clear(request, now) && was_held)
-                log_release(context, request, "a run of the request completed at another host");
+    std::vector<wire::EndingRequest const*> entries;
+    for (auto const& entry : message.ending())
+        entries.push_back(&entry);
+    std::ranges::stable_sort(
+        entries, std::ranges::greater {}, [](auto const* entry) { return fingerprint_in(*entry).specificity(); });
+    std::vector<RequestFingerprint> known_harmless;
+    for (auto const* entry : entries) {
+        auto const request = fingerprint_in(*entry);
+        if (entry->is_cleared()) {
+            apply_clearance(context, *entry);
             continue;
         }
-        auto const held_for = std::chrono::milliseconds(entry.held_milliseconds());
-        handle_change(context, request, context.quarantine.merge(request, processes_in(entry), held_for, now));
+        if (!request.is_whole_request() && context.quarantine.is_recently_cleared(request, now))
+            known_harmless.push_back(request);
+        auto const held_for = std::chrono::milliseconds(entry->held_milliseconds());
+        handle_change(context, request, context.quarantine.merge(request, processes_in(*entry), held_for, now));
     }
     if (message.knows_quarantine())
         context.knows_quarantine = true;
+    return known_harmless;
 }
 
 static wire::EndingRequest& add_request(wire::HostUse& message, RequestFingerprint const& request)
@@ -100,6 +138,7 @@
     auto& entry = *message.add_ending();
     entry.set_organisation(request.organisation.value());
     entry.set_digest(request.digest);
+    entry.set_prompt_part(request.prompt_part);
     return entry;
 }
 
@@ -123,6 +162,13 @@
     }
 }
 
+void put_clearance_reply(wire::HostUse& message, RequestFingerprint const& part)
+{
+    auto& entry = add_request(message, part);
+    entry.set_is_cleared(true);
+    entry.set_replies_to_suspicion(true);
+}
+
 void put_recent_request_terminations(wire::HostUse& message, ServingContext const& context, u64 round)
 {
     message.set_knows_quarantine(context.knows_quarantine);
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -121,9 +121,11 @@
     std::function<void(Backend const&)> limit_changed { [](Backend const&) {} };
     /// To be called when this host has observed a speed of an engine that other hosts don't know.
     std::function<void()> paces_changed { [] {} };
-    /// To be called when this host has recorded a termination of a server that ran the request, or a completed run
-    /// after such terminations.
-    std::function<void(RequestFingerprint const&)> quarantine_changed { [](RequestFingerprint const&) {} };
+    /// To be called when this host has recorded a termination of a server that ran a request with these fingerprints,
+    /// or has cleared them after such terminations.
+    std::function<void(std::span<RequestFingerprint const>)> quarantine_changed {
+        [](std::span<RequestFingerprint const>) {}
+    };
     /// To be called when a request becomes quarantined, by this host or another one, or is released.
     std::function<void(RequestFingerprint const&, bool is_held)> hold_changed { [](RequestFingerprint const&, bool) {
     } };
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -257,12 +257,19 @@
     Libraries/LibServing/Quarantine.cpp "this->attribute_to(request);" ""
 guard "requests that end servers: told at once" TestFleet \
     "Scenario: a request that ends what runs it reaches few servers more, however many hosts there are" \
-    Libraries/LibServing/RequestTerminations.cpp "    context.quarantine_changed(request);
+    Libraries/LibServing/RequestTerminations.cpp "    if (!changed.empty())
+        context.quarantine_changed(changed);
 }
 
 void record_run_survived" "}
 
 void record_run_survived"
+guard "prompt parts: the most specific is held back" TestLibServing \
+    "Scenario: a part of prompts ends the engines of several hosts" \
+    Libraries/LibServing/Quarantine.cpp "return unexplained.size() >= min_unexplained_terminations;" "return true;"
+guard "prompt parts: clearances are told" TestLibServing \
+    "Scenario: crashes that no request has caused hold back no part" \
+    Libraries/LibServing/RequestTerminations.cpp "if (entry.replies_to_suspicion())" "if (false)"
 guard "a partition is no termination" TestHostsCutOff \
     "Scenario: a partition is not taken for the termination of servers" \
     Libraries/LibServing/TerminationCheck.cpp "query_controls(context, *backend, std::move(on_state));" "on_state(state);"
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -229,6 +229,8 @@
 
 void PlatformRunner::make_events()
 {
+    if (this->is_terminating)
+        return;
     for (auto& [attempt, generation] : this->generations) {
         ++generation.events_made;
         generation.exchange->send_chunk(
@@ -270,6 +272,7 @@
         this->begin_generation(exchange, 0);
     else
         this->hanging.push_back(exchange);
+    this->is_terminating = true;
     Http::asio::post(this->loop, [this] { this->terminate(); });
 }
 
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -156,6 +156,8 @@
     std::string version { "v1" };
     std::optional<std::string> fatal_body;
     std::string fatal_prompt_part;
+    /// A fatal request has begun to run.
+    bool is_terminating { false };
     std::optional<std::string> limit;
     std::optional<std::string> back_off;
     bool announces_leaving { false };
--- a/Tests/Fleet/TestFatalRequests.cpp
+++ b/Tests/Fleet/TestFatalRequests.cpp
@@ -80,9 +80,10 @@
         host.next_full_state = this->now + step * std::uniform_int_distribution(1, 15)(this->random);
         host.context = std::make_unique<ServingContext>(this->loop, this->settings, this->log);
         host.context->clock = [this] { return this->now; };
-        host.context->quarantine_changed = [this, &host](RequestFingerprint const& request) {
+        host.context->quarantine_changed = [this, &host](std::span<RequestFingerprint const> requests) {
             wire::HostUse message;
-            put_request_termination(message, *host.context, request);
+            for (auto const& request : requests)
+                put_request_termination(message, *host.context, request);
             this->network.broadcast(this->hosts, host, message, this->now);
         };
         std::erase_if(this->terminations, [&](Termination const& termination) { return termination.host == &host; });
--- a/Tests/HostsFatalParts/TestFatalParts.cpp
+++ b/Tests/HostsFatalParts/TestFatalParts.cpp
@@ -43,9 +43,10 @@
         return this->finish(this->send(std::string(common_part) + ":800,91bd3f06:400,"))->status == 200;
     }
 
+    /// Until then, or until the part must have been found.
     void send_until_enough_terminated()
     {
-        while (this->terminated() < enough_terminated) {
+        for (u32 i = 0; i < 2 * enough_terminated && this->terminated() < enough_terminated; ++i) {
             this->send_fatal();
             this->send_sound();
         }
