--- a/Libraries/LibServing/Quarantine.cpp
+++ b/Libraries/LibServing/Quarantine.cpp
@@ -127,10 +127,11 @@
     if (entry.terminated_under.size() < terminations_until_quarantine)
         return false;
     auto unexplained = entry.terminated_under;
-    for (auto const& [other, known] : this->entries) {
-        if (known.held_until && may_contain(other, request))
-            std::erase_if(
-                unexplained, [&](ServerProcess const& process) { return known.terminated_under.contains(process); });
+    for (auto const& [held, known] : this->entries) {
+        if (!known.held_until || !may_contain(held, request))
+            continue;
+        for (auto const& process : known.terminated_under)
+            unexplained.erase(process);
     }
     return unexplained.size() >= min_unexplained_terminations;
 }
