LibServing: Log how late a host runs and how much of its link is in use

The log of a host to which all callers of a failure domain came could not tell a full link from a slow processor or from failed servers: nothing had the bytes a second, the time that connects take, or the connections that were not read. E1009 has them, once a second while there is something to see. The bytes are those that connections of callers and to servers read and write, with the headers of one packet for each read or write. HostLoad measures; no decision uses it.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -23,6 +23,7 @@
     { LogLinesDropped, "log_lines_dropped", Warning },
     { SettingsRejected, "settings_rejected", Warning },
     { LoopStalled, "loop_stalled", Warning },
+    { HostLoadReported, "host_load", Information },
     { MemberJoined, "member_joined", Information },
     { MemberLeaving, "member_leaving", Information },
     { MemberLost, "member_lost", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -23,6 +23,7 @@
     LogLinesDropped = 1006,
     SettingsRejected = 1007,
     LoopStalled = 1008,
+    HostLoadReported = 1009,
     MemberJoined = 1101,
     MemberLeaving = 1102,
     MemberLost = 1103,
--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -44,10 +44,11 @@
 
 std::string describe(ExchangeEnd end, std::string const& reason) { return std::string(to_string(end)) + ": " + reason; }
 
-BackendConnection::BackendConnection(asio::io_context& loop, tcp::endpoint endpoint)
+BackendConnection::BackendConnection(asio::io_context& loop, tcp::endpoint endpoint, std::shared_ptr<Traffic> traffic)
     : socket(loop)
     , connect_timer(loop)
     , endpoint(std::move(endpoint))
+    , traffic(std::move(traffic))
 {
 }
 
@@ -81,18 +82,23 @@
 void BackendConnection::connect(Duration timeout, Duration silence_limit)
 {
     auto number = this->exchange_number;
+    auto const began = AK::BootClock::now();
     this->connect_timer.expires_after(timeout);
     this->connect_timer.async_wait([self = shared_from_this(), number](beast::error_code error) {
-        if (!error && number == self->exchange_number && self->in_exchange && !self->connected)
-            self->fail(ExchangeEnd::NotConnected, asio::error::timed_out);
+        if (error || number != self->exchange_number || !self->in_exchange || self->connected)
+            return;
+        ++self->traffic->connects_timed_out;
+        self->fail(ExchangeEnd::NotConnected, asio::error::timed_out);
     });
     this->socket.async_connect(
-        this->endpoint, [self = shared_from_this(), number, silence_limit](beast::error_code error) {
+        this->endpoint, [self = shared_from_this(), number, began, silence_limit](beast::error_code error) {
             if (number != self->exchange_number || !self->in_exchange)
                 return;
             self->connect_timer.cancel();
             if (error)
                 return self->fail(ExchangeEnd::NotConnected, error);
+            ++self->traffic->connections_made;
+            self->traffic->connect_time += AK::BootClock::now() - began;
             self->connected = true;
             boost::system::error_code ignored;
             self->socket.set_option(tcp::no_delay(true), ignored);
@@ -106,7 +112,8 @@
     auto number = this->exchange_number;
     this->serializer.emplace(this->request);
     beast::http::async_write(
-        this->socket, *this->serializer, [self = shared_from_this(), number](beast::error_code error, size_t) {
+        this->socket, *this->serializer, [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
+            self->traffic->record_sent(bytes);
             // A failed write also makes the read fail, unless the peer sent a response before.
             if (number == self->exchange_number && !error)
                 self->request_written = true;
@@ -122,7 +129,8 @@
     this->parser->body_limit(max_response_bytes);
     this->parser->header_limit(max_response_head_bytes);
     beast::http::async_read_header(this->socket, this->buffer, *this->parser,
-        [self = shared_from_this(), number](beast::error_code error, size_t) {
+        [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
+            self->traffic->record_received(bytes);
             if (number == self->exchange_number && self->in_exchange)
                 self->handle_head(error);
         });
@@ -180,7 +188,8 @@
     if (this->is_paused)
         return;
     beast::http::async_read_some(this->socket, this->buffer, *this->parser,
-        [self = shared_from_this(), number](beast::error_code error, size_t) {
+        [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
+            self->traffic->record_received(bytes);
             if (number == self->exchange_number && self->in_exchange)
                 self->handle_body(error);
         });
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <AK/Timer.h>
+#include <LibHttp/Traffic.h>
 #include <LibHttp/Types.h>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -51,7 +52,8 @@
 /// A connection to a backend server that carries one exchange at a time.
 class BackendConnection : public std::enable_shared_from_this<BackendConnection> {
 public:
-    BackendConnection(asio::io_context&, tcp::endpoint);
+    /// `traffic` counts the bytes of this connection, together with those of others.
+    BackendConnection(asio::io_context&, tcp::endpoint, std::shared_ptr<Traffic> traffic = std::make_shared<Traffic>());
 
     /// Sends `request`, connecting first if necessary, and reports the response to `observer`. Connecting fails after
     /// `connect_timeout`. The connection fails when the peer has acknowledged nothing for `silence_limit`. The response
@@ -92,6 +94,7 @@
     tcp::socket socket;
     AK::Timer connect_timer;
     tcp::endpoint endpoint;
+    std::shared_ptr<Traffic> traffic;
     beast::flat_buffer buffer;
     Request request;
     std::optional<beast::http::serializer<true, beast::http::string_body>> serializer;
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -128,8 +128,11 @@
     this->parser->header_limit(this->context->limits.header_bytes);
     this->parser->body_limit(this->context->limits.body_bytes);
     this->set_timer(this->context->limits.header_timeout, &CallerConnection::handle_head_timeout);
-    beast::http::async_read_header(this->socket, this->buffer, *this->parser,
-        [self = shared_from_this()](beast::error_code error, size_t) { self->handle_head(error); });
+    beast::http::async_read_header(
+        this->socket, this->buffer, *this->parser, [self = shared_from_this()](beast::error_code error, size_t bytes) {
+            self->context->traffic->record_received(bytes);
+            self->handle_head(error);
+        });
 }
 
 void CallerConnection::handle_head_timeout()
@@ -169,8 +172,11 @@
 {
     this->enter(ConnectionPhase::ReadingBody);
     this->set_timer(this->context->limits.idle_timeout, &CallerConnection::handle_body_timeout);
-    beast::http::async_read(this->socket, this->buffer, *this->parser,
-        [self = shared_from_this()](beast::error_code error, size_t) { self->handle_body(error); });
+    beast::http::async_read(
+        this->socket, this->buffer, *this->parser, [self = shared_from_this()](beast::error_code error, size_t bytes) {
+            self->context->traffic->record_received(bytes);
+            self->handle_body(error);
+        });
 }
 
 void CallerConnection::handle_body(beast::error_code error)
@@ -214,6 +220,7 @@
     this->enter(ConnectionPhase::Responding);
     this->timer.cancel();
     ++this->requests_accepted;
+    ++this->context->traffic->requests_read;
     this->keep_alive = this->parser->get().keep_alive();
     auto received = AK::BootClock::now();
     auto accepted = std::make_shared<Exchange>(shared_from_this(), this->parser->release(), received, this->origin);
@@ -337,6 +344,7 @@
         return;
     if (error)
         return this->close(CloseReason::WriteFailed);
+    this->context->traffic->record_sent(count);
     this->account_sent(count);
     this->written_of_front += count;
     if (this->written_of_front == this->outgoing.front().size()) {
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -9,6 +9,7 @@
 #include <AK/Timer.h>
 #include <LibHttp/ConnectionPhase.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/Traffic.h>
 #include <LibOverload/OutputBudget.h>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -42,6 +43,7 @@
     /// Without a budget: maximum number of unsent bytes for one caller, in addition to one body of maximum size. The
     /// connection is closed when there are more.
     static constexpr size_t max_pending_bytes = 1 << 20;
+    std::shared_ptr<Traffic> traffic { std::make_shared<Traffic>() };
     std::function<void(std::shared_ptr<Exchange>)> on_request {};
     /// Called for input that is not an acceptable request, with the message that was sent to the caller.
     std::function<void(std::string const& reason)> on_rejected_request {};
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -99,6 +99,7 @@
     auto connection = std::make_shared<CallerConnection>(std::move(socket), this->context, origin);
     std::erase_if(this->connections, [](auto const& known) { return known.expired(); });
     this->connections.push_back(connection);
+    ++this->context->traffic->connections_accepted;
     connection->start();
 }
 
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -26,7 +26,7 @@
 
 std::shared_ptr<BackendConnection> ConnectionPool::make_new(tcp::endpoint const& endpoint)
 {
-    return std::make_shared<BackendConnection>(this->loop, endpoint);
+    return std::make_shared<BackendConnection>(this->loop, endpoint, this->traffic);
 }
 
 void ConnectionPool::release(std::shared_ptr<BackendConnection> connection)
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -17,6 +17,7 @@
 public:
     explicit ConnectionPool(asio::io_context& loop)
         : loop(loop)
+        , traffic(std::make_shared<Traffic>())
     {
     }
 
@@ -26,11 +27,14 @@
     std::shared_ptr<BackendConnection> make_new(tcp::endpoint const&);
     /// Returns the connection to the pool if it is reusable, and closes it otherwise.
     void release(std::shared_ptr<BackendConnection>);
+    /// What all connections of this pool have carried.
+    [[nodiscard]] std::shared_ptr<Traffic> const& traffic_counters() const { return this->traffic; }
     /// Closes idle connections that are no longer reusable.
     void drop_unusable();
 
 private:
     asio::io_context& loop;
+    std::shared_ptr<Traffic> traffic;
     std::map<tcp::endpoint, std::vector<std::shared_ptr<BackendConnection>>> idle;
 };
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -18,6 +18,7 @@
 #include <LibServing/LogRateLimiter.h>
 #include <LibServing/OperatorTable.h>
 #include <LibServing/Overload/DomainFailures.h>
+#include <LibServing/Overload/LoadMeter.h>
 #include <LibServing/PeerLink.h>
 #include <LibServing/PlannedStop.h>
 #include <LibServing/QuarantineTable.h>
@@ -107,6 +108,7 @@
         };
         this->callers_context->on_closed
             = [this](Http::ConnectionClose const& close) { this->log_caller_connection_closed(close); };
+        this->load_meter.emplace(this->context, this->callers_context->traffic);
         this->callers.emplace(this->loop, this->endpoint(this->settings.callers_listen), this->callers_context);
         this->callers->accept_hosts_at(this->endpoint(this->settings.peer_listen));
         this->readiness.emplace(this->loop, this->endpoint(this->settings.readiness_listen),
@@ -405,6 +407,7 @@
     {
         auto lateness = this->context.now() - this->tick_timer.expiry();
         this->context.metrics.observe("loop_lateness_seconds", lateness);
+        this->load_meter->record(lateness);
         if (lateness >= min_logged_stall)
             this->log.event(Core::EventNumber::LoopStalled, this->settings.host.value()).with("late_ms", lateness);
     }
@@ -568,6 +571,7 @@
     TableUpdateExchange<typename P::Store> table_updates;
     TableLoader table_loader;
     std::shared_ptr<Http::CallerContext> callers_context;
+    std::optional<LoadMeter> load_meter;
     std::optional<Http::CallerServer> callers;
     std::optional<Http::CallerServer> readiness;
     std::optional<Http::CallerServer> metrics;
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -36,6 +36,13 @@
     return ratio < 1 ? 0 : 1 + static_cast<u32>(std::log2(ratio));
 }
 
+double link_bytes_per_second(HostSettings const& settings)
+{
+    constexpr double bits_per_byte = 8;
+    constexpr double bits_per_megabit = 1e6;
+    return settings.link_megabits_per_second * bits_per_megabit / bits_per_byte;
+}
+
 HostSettings read_host_settings(Core::SettingsReader& reader)
 {
     HostSettings settings;
--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -60,6 +60,9 @@
 /// both decides.
 u32 strength_of(HostSettings const&);
 
+/// Bandwidth of the host's link, in each direction.
+double link_bytes_per_second(HostSettings const&);
+
 HostSettings read_host_settings(Core::SettingsReader&);
 
 }
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -10,6 +10,7 @@
 #include <LibCore/StructuredLog.h>
 #include <LibHttp/ConnectionPool.h>
 #include <LibOverload/DomainDoubt.h>
+#include <LibOverload/HostLoad.h>
 #include <LibOverload/PaceTable.h>
 #include <LibOverload/ReturnPlan.h>
 #include <LibOverload/ReturningCallers.h>
@@ -39,6 +40,7 @@
         , settings(settings)
         , log(log)
         , connections(loop)
+        , host_load(link_bytes_per_second(settings))
         , backends(settings.regions, settings.server_forwarders)
         , budget(settings.retry_budget)
         , reachability(settings.failure_domain, strength_of(settings))
@@ -60,6 +62,7 @@
     Core::StructuredLog& log;
     Core::Metrics metrics;
     Http::ConnectionPool connections;
+    Overload::HostLoad host_load;
     BackendTable backends;
     RetryBudget budget;
     Reachability reachability;
