Tests: Reproduce hosts to which all callers of a failure domain come

One host with a narrow link, which all bytes to and from it pass, gets more long streams than the link carries beside calls; and one whose event loop is late gets new callers.

--- a/Tests/Hosts/HostGroup.h
+++ b/Tests/Hosts/HostGroup.h
@@ -55,6 +55,11 @@
 
     [[nodiscard]] bool is_ready(size_t number) { return this->is_ready(*this->members.at(number)); }
 
+    [[nodiscard]] Http::tcp::endpoint const& callers_endpoint(size_t number) const
+    {
+        return this->members.at(number)->callers;
+    }
+
     [[nodiscard]] size_t size() const { return this->members.size(); }
 
     std::shared_ptr<Call> call(size_t number, Http::Request request)
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -97,9 +97,11 @@
             pump.is_waiting = true;
             return;
         }
-        if (this->state->delay == 0s)
+        auto const& link = this->state->shared_links[index_of(direction)];
+        auto const delay = this->state->delay + (link ? link->pass(pump.size) : Duration(0));
+        if (delay == 0s)
             return this->write(direction);
-        this->write_after(this->state->delay, direction);
+        this->write_after(delay, direction);
     }
 
     void write_after(Duration delay, Direction direction)
@@ -189,6 +191,11 @@
 
 void FaultProxy::set_delay(Duration delay) { this->state->delay = delay; }
 
+void FaultProxy::set_link(Direction direction, std::shared_ptr<SharedLink> link)
+{
+    this->state->shared_links[index_of(direction)] = std::move(link);
+}
+
 void FaultProxy::set_tail(size_t size, Duration delay)
 {
     this->state->tail_size = size;
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -8,6 +8,7 @@
 
 #include <AK/Timer.h>
 #include <LibHttp/Types.h>
+#include <Tests/Soak/SharedLink.h>
 #include <array>
 #include <memory>
 #include <optional>
@@ -32,6 +33,8 @@
     [[nodiscard]] Http::tcp::endpoint const& target_endpoint() const { return this->target; }
     /// Delays each chunk of bytes that is read from now on.
     void set_delay(Duration);
+    /// Sends all bytes in this direction through a link that may be shared with other proxies.
+    void set_link(Direction, std::shared_ptr<SharedLink>);
     /// From now on, delays the last `size` bytes of each chunk to the target after the rest of it.
     void set_tail(size_t size, Duration delay);
     /// Forwards neither bytes nor the end of a connection in this direction.
@@ -49,6 +52,7 @@
 private:
     struct State {
         Duration delay { 0 };
+        std::array<std::shared_ptr<SharedLink>, 2> shared_links {};
         std::array<bool, 2> is_held {};
         size_t tail_size { 0 };
         Duration tail_delay { 0 };
