LibServing: Admit the streams that a host's link carries, and leave the rest unread

What callers saw: all callers of a failure domain came to one weak host, which admitted every long stream. Each takes the link for eight seconds, in and out, so that what was admitted in the first seconds filled the link later; calls stood behind it, each second longer, until none was answered in time.

Cause: a host knows what the servers bear and nothing of itself; the capacity of one host was held to be without bound, since the balancer divides the work.

HostLoad measures the link and the lateness of the event loop, and decides. A long stream is refused (not run, on a new connection) if the link can't carry it beside those that were admitted, at the rate of those that flow. While the event loop is late by half of the shortest goal, the link is in use to four fifths, or more than a fifth of what is read is refused for the link, the first request on a new connection is not read: the connection is closed, and the caller can go to another host at once. Connections that were used before are served. One new connection in half a second is read all the same.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -96,11 +96,20 @@
     if (readable == Readable::End)
         return this->close(CloseReason::ClosedByCaller);
     if (this->phase == ConnectionPhase::BetweenRequests)
-        return this->read_head();
+        return this->read_or_close();
     // The bytes belong to the next request, which is read later. A wait for readability cannot see a close behind them.
     this->set_timer(disconnect_check_period, &CallerConnection::check_for_disconnect);
 }
 
+void CallerConnection::read_or_close()
+{
+    bool const is_new_caller = this->requests_accepted == 0 && this->origin == RequestOrigin::Caller;
+    if (!is_new_caller || this->context->may_read_new_connection())
+        return this->read_head();
+    ++this->context->traffic->connections_not_read;
+    this->close(CloseReason::Overloaded);
+}
+
 void CallerConnection::check_for_disconnect()
 {
     if (peer_has_closed(this->socket))
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -44,6 +44,11 @@
     /// connection is closed when there are more.
     static constexpr size_t max_pending_bytes = 1 << 20;
     std::shared_ptr<Traffic> traffic { std::make_shared<Traffic>() };
+    /// Whether connections that callers open now should be closed unread.
+    std::function<bool()> is_overloaded { [] { return false; } };
+    /// Whether the first request on a new connection of a caller should be read now; otherwise the connection is
+    /// closed.
+    std::function<bool()> may_read_new_connection { [] { return true; } };
     std::function<void(std::shared_ptr<Exchange>)> on_request {};
     /// Called for input that is not an acceptable request, with the message that was sent to the caller.
     std::function<void(std::string const& reason)> on_rejected_request {};
@@ -74,6 +79,7 @@
     void watch_socket();
     void handle_readable();
     void check_for_disconnect();
+    void read_or_close();
     void read_head();
     void handle_head(beast::error_code);
     void read_body();
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -11,6 +11,8 @@
 
 /// Delay before the next attempt when a connection cannot be accepted, for example when file descriptors run out.
 static constexpr Duration accept_retry_delay = 20ms;
+/// Connections that are closed in one turn of the event loop.
+static constexpr size_t max_closed_at_once = 64;
 
 CallerServer::Listener::Listener(asio::io_context& loop, tcp::endpoint const& endpoint, RequestOrigin origin)
     : acceptor(loop, endpoint, true)
@@ -76,6 +78,8 @@
             return;
         if (error)
             return this->accept_later(listener, error);
+        if (listener.origin == RequestOrigin::Caller)
+            this->close_waiting(listener);
         this->accept(listener);
     });
 }
@@ -103,6 +107,19 @@
     connection->start();
 }
 
+void CallerServer::close_waiting(Listener& listener)
+{
+    boost::system::error_code error;
+    listener.acceptor.non_blocking(true, error);
+    for (size_t closed = 0; closed < max_closed_at_once && this->context->is_overloaded(); ++closed) {
+        auto socket = listener.acceptor.accept(error);
+        if (error)
+            return;
+        ++this->context->traffic->connections_accepted;
+        ++this->context->traffic->connections_not_read;
+    }
+}
+
 void CallerServer::stop_accepting()
 {
     for (auto& listener : this->listeners)
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -44,6 +44,9 @@
     /// Accepts again after a delay. Closes idle connections first when file descriptors have run out.
     void accept_later(Listener&, beast::error_code);
     void serve(tcp::socket, RequestOrigin);
+    /// Accepts and closes the connections that wait to be accepted while this host is overloaded. Otherwise each would
+    /// wait for its turn on the event loop before its caller learns that it should use another host.
+    void close_waiting(Listener&);
     void stop_accepting(Listener&);
     /// Disconnects the slowest readers until the unsent bytes of all callers are within the budget.
     void relieve_memory();
--- a/Libraries/LibHttp/ConnectionPhase.cpp
+++ b/Libraries/LibHttp/ConnectionPhase.cpp
@@ -39,6 +39,8 @@
         return "planned_stop";
     case CloseReason::CapacityNeeded:
         return "room_needed";
+    case CloseReason::Overloaded:
+        return "overloaded";
     case CloseReason::WriteFailed:
         return "write_failed";
     case CloseReason::TooManyPendingBytes:
--- a/Libraries/LibHttp/ConnectionPhase.h
+++ b/Libraries/LibHttp/ConnectionPhase.h
@@ -35,6 +35,8 @@
     PlannedStop,
     /// File descriptors ran out, so that no further connection could be accepted.
     CapacityNeeded,
+    /// This host is overloaded. No byte of a request was read, so that the caller may send it to another host.
+    Overloaded,
     /// Writing to the caller failed.
     WriteFailed,
     /// More unsent bytes were queued for the caller than the limit allows.
--- a/Libraries/LibHttp/Traffic.h
+++ b/Libraries/LibHttp/Traffic.h
@@ -27,14 +27,14 @@
     void record_received(size_t bytes) { this->bytes_received += on_link(bytes); }
     void record_sent(size_t bytes) { this->bytes_sent += on_link(bytes); }
 
+    /// Bytes that one read or write of `bytes` takes on the link. One of few bytes is one packet.
+    static size_t on_link(size_t bytes) { return bytes + (bytes / packet_payload_bytes + 1) * packet_header_bytes; }
+
 private:
     /// Headers of Ethernet, IP and TCP with time stamps.
     static constexpr size_t packet_header_bytes = 66;
     /// Payload of a full Ethernet packet.
     static constexpr size_t packet_payload_bytes = 1'448;
-
-    /// Each read or write of a few bytes is one packet.
-    static size_t on_link(size_t bytes) { return bytes + (bytes / packet_payload_bytes + 1) * packet_header_bytes; }
 };
 
 }
--- a/Libraries/LibOverload/HostLoad.cpp
+++ b/Libraries/LibOverload/HostLoad.cpp
@@ -9,12 +9,47 @@
 
 namespace Overload {
 
+void HostLoad::set_latency_goal(Duration goal)
+{
+    this->lateness_limit
+        = std::clamp<Duration>(goal / lateness_limits_per_goal, min_lateness_limit, max_lateness_limit);
+}
+
 void HostLoad::record(Sample const& sample, Instant now)
 {
-    this->samples.push_back({ sample, now });
+    double stream_seconds = 0;
+    if (!this->samples.empty()) {
+        auto const& last = this->samples.back();
+        stream_seconds
+            = last.stream_seconds + static_cast<double>(this->flowing_streams) * AK::to_seconds(now - last.at);
+    }
+    this->samples.push_back({ sample, this->refused_streams, this->stream_bytes, stream_seconds, now });
     // The first sample that is kept is the last one from before the window.
     while (this->samples.size() > standing_samples && now - this->samples[1].at >= rate_window)
         this->samples.pop_front();
+    this->update_rate_per_stream();
+    if (this->is_overloaded())
+        this->overloaded_at = now;
+}
+
+void HostLoad::stream_ended(bool has_begun)
+{
+    --this->admitted_streams;
+    this->flowing_streams -= has_begun ? 1 : 0;
+}
+
+void HostLoad::update_rate_per_stream()
+{
+    auto const& first = this->samples.front();
+    auto const& last = this->samples.back();
+    auto const seconds = last.stream_seconds - first.stream_seconds;
+    if (seconds >= min_stream_seconds)
+        this->rate_per_stream = static_cast<double>(last.stream_bytes - first.stream_bytes) / seconds;
+}
+
+static double seconds_between(Instant first, Instant last)
+{
+    return AK::to_seconds(std::max<Duration>(last - first, 1ms));
 }
 
 double HostLoad::bytes_per_second() const
@@ -25,8 +60,30 @@
     auto const& last = this->samples.back();
     auto const received = last.sample.bytes_received - first.sample.bytes_received;
     auto const sent = last.sample.bytes_sent - first.sample.bytes_sent;
-    auto const seconds = AK::to_seconds(std::max<Duration>(last.at - first.at, 1ms));
-    return static_cast<double>(std::max(received, sent)) / seconds;
+    return static_cast<double>(std::max(received, sent)) / seconds_between(first.at, last.at);
+}
+
+double HostLoad::stream_bytes_per_second() const
+{
+    if (this->samples.size() < 2)
+        return 0;
+    auto const& first = this->samples.front();
+    auto const& last = this->samples.back();
+    return static_cast<double>(last.stream_bytes - first.stream_bytes) / seconds_between(first.at, last.at);
+}
+
+double HostLoad::link_use() const
+{
+    return this->link_bytes_per_second > 0 ? this->bytes_per_second() / this->link_bytes_per_second : 0;
+}
+
+bool HostLoad::has_link_for_stream() const
+{
+    if (this->link_bytes_per_second <= 0 || !this->rate_per_stream)
+        return true;
+    auto const other_bytes = std::max(0.0, this->bytes_per_second() - this->stream_bytes_per_second());
+    auto const expected = other_bytes + static_cast<double>(this->admitted_streams + 1) * *this->rate_per_stream;
+    return expected <= max_use_with_streams * this->link_bytes_per_second;
 }
 
 Duration HostLoad::standing_lateness() const
@@ -39,4 +96,36 @@
     return least->sample.lateness;
 }
 
+bool HostLoad::refuses_too_many() const
+{
+    if (this->samples.size() < 2)
+        return false;
+    auto const& first = this->samples.front();
+    auto const& last = this->samples.back();
+    auto const refused = last.refused_streams - first.refused_streams;
+    auto const read = last.sample.requests_read - first.sample.requests_read;
+    return refused > 1 && static_cast<double>(refused) > max_refused_part * static_cast<double>(read);
+}
+
+bool HostLoad::is_overloaded() const
+{
+    return this->standing_lateness() >= this->lateness_limit || this->link_use() >= max_link_use
+        || this->refuses_too_many();
+}
+
+bool HostLoad::may_read_new_connection(Instant now)
+{
+    if (!this->is_overloaded())
+        return true;
+    if (now < this->next_overload_read_at)
+        return false;
+    this->next_overload_read_at = now + overload_read_period;
+    return true;
+}
+
+bool HostLoad::delays_connections(Instant now) const
+{
+    return this->overloaded_at && now - *this->overloaded_at < connect_window;
+}
+
 }
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -105,6 +105,8 @@
         }
         if (this->forwards_after_loss())
             return;
+        if (!this->takes_link())
+            return this->refuse_for_link();
         if (this->is_out_of_reach()) {
             this->finish();
             return this->refuse_out_of_reach();
@@ -152,6 +154,33 @@
         return true;
     }
 
+    /// Reserves this host's link for a long stream. Returns false if the link can't carry it.
+    [[nodiscard]] bool takes_link()
+    {
+        if (this->on_host || this->stream_length() == StreamLength::Short)
+            return true;
+        if (!this->context.host_load.has_link_for_stream())
+            return false;
+        this->on_host.emplace(this->context.host_load);
+        return true;
+    }
+
+    /// Refuses the generation, since the link of this host is in use. The link of another host may be free.
+    void refuse_for_link()
+    {
+        this->context.host_load.stream_refused();
+        this->context.metrics.add("generations_refused_total{ground=\"link\"}");
+        this->context.log.event(Core::EventNumber::GenerationRefused, this->attempt())
+            .with("ground", "link")
+            .with("streams", this->context.host_load.streams())
+            .with("link_use", this->context.host_load.link_use());
+        this->finish();
+        Error const error { ErrorKind::Overloaded,
+            "the link of this host can't carry another stream; send it again on a new connection",
+            other_host_retry_after };
+        this->respond_with_error(error, RequestOutcome::NotRun, true);
+    }
+
     /// Waits until an engine has capacity. Returns false if the generation has to be placed or refused now.
     bool wait()
     {
@@ -333,6 +362,8 @@
         this->last_event_at = now;
         this->sample_event_gap(now);
         this->claim->grow(this->traits().tokens_per_event);
+        if (this->on_host)
+            this->on_host->record_event(Http::Traffic::on_link(event.text.size()));
         this->exchange().send_chunk(event.text);
     }
 
@@ -713,6 +744,7 @@
         this->move = nullptr;
         this->record_end();
         this->claim.reset();
+        this->on_host.reset();
         this->context.use_changed();
     }
 
@@ -725,6 +757,7 @@
     BackendPointer backend;
     std::shared_ptr<Http::BackendConnection> connection;
     std::optional<EngineClaim> claim;
+    std::optional<Overload::StreamOnHost> on_host;
     CapacityRequest capacity { this->context, this->call };
     std::vector<EngineId> tried;
     bool response_is_framed { false };
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -106,6 +106,9 @@
         this->callers_context->on_rejected_request = [this](std::string const& reason) {
             this->log.event(Core::EventNumber::RequestRefused, "unread").with("reason", reason);
         };
+        this->callers_context->is_overloaded = [this] { return this->context.host_load.is_overloaded(); };
+        this->callers_context->may_read_new_connection
+            = [this] { return this->context.host_load.may_read_new_connection(this->context.now()); };
         this->callers_context->on_closed
             = [this](Http::ConnectionClose const& close) { this->log_caller_connection_closed(close); };
         this->load_meter.emplace(this->context, this->callers_context->traffic);
@@ -390,6 +393,7 @@
         auto reason = std::string(to_string(close.reason));
         this->context.metrics.add("caller_connections_closed_total{reason=\"" + reason + "\"}");
         bool const is_ordinary = close.reason == Http::CloseReason::ResponseSent
+            || close.reason == Http::CloseReason::Overloaded
             || (close.reason == Http::CloseReason::ClosedByCaller
                 && close.phase == Http::ConnectionPhase::BetweenRequests);
         if (is_ordinary)
--- a/Libraries/LibServing/Overload/LoadMeter.cpp
+++ b/Libraries/LibServing/Overload/LoadMeter.cpp
@@ -19,7 +19,9 @@
 {
     auto const now = this->context.now();
     Overload::HostLoad::Sample const sample { lateness, this->callers->bytes_received + this->servers->bytes_received,
-        this->callers->bytes_sent + this->servers->bytes_sent };
+        this->callers->bytes_sent + this->servers->bytes_sent, this->callers->requests_read };
+    if (auto const goal = this->context.routing ? this->context.routing->min_latency_goal() : std::nullopt)
+        this->context.host_load.set_latency_goal(*goal);
     this->context.host_load.record(sample, now);
     if (now >= this->next_report_at)
         this->report(now);
--- a/Libraries/LibServing/RoutingTable.cpp
+++ b/Libraries/LibServing/RoutingTable.cpp
@@ -26,6 +26,9 @@
     }
     for (auto const& service : this->configuration.services)
         this->services_by_name[service.name] = &service;
+    if (!this->configuration.routes.empty())
+        this->shortest_latency_goal
+            = std::ranges::min_element(this->configuration.routes, {}, &Route::latency_goal)->latency_goal;
     this->collect_generation_routes();
 }
 
--- a/Libraries/LibServing/RoutingTable.h
+++ b/Libraries/LibServing/RoutingTable.h
@@ -30,6 +30,8 @@
     /// The strictest goal for the time between two events among the routes to this service; empty if no route sends
     /// generations to it.
     [[nodiscard]] std::optional<Duration> min_event_gap_goal(ServiceName const&) const;
+    /// The shortest latency goal of any route; empty without routes.
+    [[nodiscard]] std::optional<Duration> min_latency_goal() const { return this->shortest_latency_goal; }
     /// Whether a less urgent route to this service has a longer goal for the first event than a more urgent one. Its
     /// generations are then admitted behind backlogs that the more urgent ones cannot wait for, and would take all
     /// capacity in a shortage. With a shorter goal they are the first to be refused anyway.
@@ -44,6 +46,7 @@
     std::unordered_map<std::string, std::vector<Route const*>> routes_by_host;
     std::unordered_map<std::string, Organisation const*> organisations_by_key;
     std::unordered_map<ServiceName, Service const*> services_by_name;
+    std::optional<Duration> shortest_latency_goal;
     std::unordered_map<ServiceName, Duration> min_event_gap_goals;
     std::set<ServiceName> services_with_patient_less_urgent_routes;
 };
