LibServing: Don't take a host's own delay for failures of servers

What callers saw: a host whose link was full gave up connecting to sound servers after 50 ms, avoided them, took contact to a service for lost six times, and tried the next ones, whose connections waited in the same queue. 733 servers were suspected for timeouts in ten seconds; none had failed.

A connect that times out while the host is overloaded, or was half a second ago, is no longer evidence: not for suspicions, the contact to services, doubts of failure domains, nor probes. A refused connection still is, since it has reached the server's machine.

The test in TestSuspicion names the load; the function that it calls did not exist before.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -31,6 +31,7 @@
     case ExchangeEnd::Complete:
         return "complete";
     case ExchangeEnd::NotConnected:
+    case ExchangeEnd::ConnectTimedOut:
         return "not_connected";
     case ExchangeEnd::NoResponse:
         return "no_answer";
@@ -88,7 +89,7 @@
         if (error || number != self->exchange_number || !self->in_exchange || self->connected)
             return;
         ++self->traffic->connects_timed_out;
-        self->fail(ExchangeEnd::NotConnected, asio::error::timed_out);
+        self->fail(ExchangeEnd::ConnectTimedOut, asio::error::timed_out);
     });
     this->socket.async_connect(
         this->endpoint, [self = shared_from_this(), number, began, silence_limit](beast::error_code error) {
@@ -96,7 +97,8 @@
                 return;
             self->connect_timer.cancel();
             if (error)
-                return self->fail(ExchangeEnd::NotConnected, error);
+                return self->fail(
+                    error == asio::error::timed_out ? ExchangeEnd::ConnectTimedOut : ExchangeEnd::NotConnected, error);
             ++self->traffic->connections_made;
             self->traffic->connect_time += AK::BootClock::now() - began;
             self->connected = true;
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -23,6 +23,8 @@
     Complete,
     /// The connection could not be established. No byte of the request was sent.
     NotConnected,
+    /// The same, because the peer had not responded in time.
+    ConnectTimedOut,
     /// The connection ended before a whole response head was read. The request may have run.
     NoResponse,
     /// The connection ended within the response body.
@@ -32,6 +34,11 @@
 };
 
 std::string_view to_string(ExchangeEnd);
+/// Whether no connection could be made, so that the request has not run.
+[[nodiscard]] constexpr bool is_not_connected(ExchangeEnd end)
+{
+    return end == ExchangeEnd::NotConnected || end == ExchangeEnd::ConnectTimedOut;
+}
 /// Formats how an exchange ended and the given reason, for logs.
 std::string describe(ExchangeEnd, std::string const& reason);
 
--- a/Libraries/LibServing/ConnectionProbes.cpp
+++ b/Libraries/LibServing/ConnectionProbes.cpp
@@ -7,6 +7,7 @@
 #include <LibServing/ConnectionProbes.h>
 #include <LibServing/Contact.h>
 #include <LibServing/Overload/DomainFailures.h>
+#include <LibServing/Suspicion.h>
 #include <algorithm>
 #include <set>
 
@@ -85,6 +86,9 @@
         record_connected(this->context, *backend);
         return record_responding_server(this->context, *backend);
     }
+    // A probe that is refused has reached the server's machine, however long that took.
+    if (state == ProcessState::Unknown && is_own_delay(this->context, Http::ExchangeEnd::ConnectTimedOut))
+        return;
     backend->health.unreachable_at = this->context.now();
     record_not_connected(this->context, *backend);
     record_failed_connection(this->context, *backend);
--- a/Libraries/LibServing/EnginePoller.h
+++ b/Libraries/LibServing/EnginePoller.h
@@ -151,7 +151,7 @@
                 timeout->cancel();
                 backend->engine.poll_in_flight = false;
                 this->context.connections.release(connection);
-                if (end == Http::ExchangeEnd::NotConnected)
+                if (Http::is_not_connected(end) && !is_own_delay(this->context, end))
                     record_not_connected(this->context, *backend);
                 else if (is_new && end == Http::ExchangeEnd::Complete)
                     record_connected(this->context, *backend);
@@ -180,7 +180,7 @@
         auto now = this->context.now();
         if (end != Http::ExchangeEnd::Complete) {
             this->context.log.event(Core::EventNumber::EngineSilent, backend.server.id.value()).with("reason", reason);
-            if (end == Http::ExchangeEnd::NotConnected)
+            if (Http::is_not_connected(end) && !is_own_delay(this->context, end))
                 suspect(this->context, backend, { true, {}, reason });
             return;
         }
--- a/Libraries/LibServing/ForwardedRequest.h
+++ b/Libraries/LibServing/ForwardedRequest.h
@@ -141,7 +141,7 @@
         if (end == Http::ExchangeEnd::Complete)
             return this->response_received();
         this->context.forwarding_hosts.record_failure(this->tried.back(), this->context.now());
-        if (end == Http::ExchangeEnd::NotConnected)
+        if (Http::is_not_connected(end))
             return this->forward();
         this->finish(Http::describe(end, reason));
         this->respond_with_error(
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -421,12 +421,12 @@
             return this->stream_complete();
         if (end == Http::ExchangeEnd::Complete)
             return this->non_stream_response();
-        bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
-        if (is_unreachable)
-            record_not_connected(this->context, *this->backend);
-        this->suspect(*this->backend, is_unreachable, reason);
+        bool const is_unreachable = Http::is_not_connected(end);
         auto text = Http::describe(end, reason);
-        if (!is_unreachable) {
+        if (is_unreachable) {
+            this->record_unreachable(*this->backend, end, reason);
+        } else {
+            this->suspect(*this->backend, false, reason);
             this->record_answer(*this->backend, true, {});
             this->check_for_termination(this->backend, text, this->order.count());
         }
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -284,6 +284,15 @@
         Serving::suspect(this->context, backend, { is_unreachable, this->attempt(), std::string(reason) });
     }
 
+    /// Records that no connection to `backend` could be made.
+    void record_unreachable(Backend& backend, Http::ExchangeEnd end, std::string_view reason)
+    {
+        if (is_own_delay(this->context, end))
+            return;
+        record_not_connected(this->context, backend);
+        this->suspect(backend, true, reason);
+    }
+
     /// To be called when the connection to `backend` broke during this request. Checks whether its process has
     /// terminated, and records the termination against the request's fingerprint unless the server was known to be
     /// leaving. `events`: number of events that the request has received from it.
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -130,14 +130,14 @@
         auto used = this->release_backend();
         if (end == Http::ExchangeEnd::Complete)
             return this->response_received(*used);
-        bool const is_unreachable = end == Http::ExchangeEnd::NotConnected;
-        if (is_unreachable)
-            record_not_connected(this->context, *used);
+        bool const is_unreachable = Http::is_not_connected(end);
         // The server may have closed a persistent connection that was idle. A new connection that ends without a
         // response counts like a failed connect: the backend server is down or has no capacity for connections.
         bool const is_rejected = end == Http::ExchangeEnd::NoResponse && this->is_on_new_connection;
-        this->suspect(*used, is_unreachable || is_rejected, reason);
-        if (!is_unreachable) {
+        if (is_unreachable) {
+            this->record_unreachable(*used, end, reason);
+        } else {
+            this->suspect(*used, is_rejected, reason);
             this->record_answer(*used, true, {});
             this->check_for_termination(used, Http::describe(end, reason));
         }
--- a/Libraries/LibServing/Suspicion.cpp
+++ b/Libraries/LibServing/Suspicion.cpp
@@ -30,6 +30,11 @@
         context.backend_unreachable(backend, avoidance);
 }
 
+bool is_own_delay(ServingContext const& context, Http::ExchangeEnd end)
+{
+    return end == Http::ExchangeEnd::ConnectTimedOut && context.host_load.delays_connections(context.now());
+}
+
 void apply_suspicions(ServingContext& context, MemberId const& host, wire::HostUse const& message)
 {
     auto now = context.now();
--- a/Libraries/LibServing/Suspicion.h
+++ b/Libraries/LibServing/Suspicion.h
@@ -24,6 +24,10 @@
 /// event, and announces it to the other hosts if it is unreachable.
 void suspect(ServingContext&, Backend& backend, Failure const&);
 
+/// Whether a connection attempt that has failed says nothing about the backend server, because this host is itself so
+/// loaded that its connections take long.
+[[nodiscard]] bool is_own_delay(ServingContext const&, Http::ExchangeEnd);
+
 /// Applies the list of backend servers that `host` could not connect to. A backend server that several hosts report is
 /// avoided here too.
 void apply_suspicions(ServingContext&, MemberId const& host, wire::HostUse const&);
--- a/Tests/LibServing/TestSuspicion.cpp
+++ b/Tests/LibServing/TestSuspicion.cpp
@@ -107,3 +107,30 @@
         CHECK_FALSE(fixture.is_avoided());
     }
 }
+
+// Guards against a host that takes its own full link or late event loop for failures of the servers.
+SCENARIO("a timeout of a connection is no evidence against a server while this host is overloaded")
+{
+    SuspicionFixture fixture;
+    using Http::ExchangeEnd;
+    CHECK_FALSE(is_own_delay(fixture.context, ExchangeEnd::ConnectTimedOut));
+
+    WHEN("the event loop has been late for a moment")
+    {
+        for (int i = 0; i < 3; ++i) {
+            fixture.now += 50ms;
+            fixture.context.host_load.record({ 200ms, 0, 0, 0 }, fixture.now);
+        }
+        THEN("a timeout says nothing about the server")
+        {
+            CHECK(is_own_delay(fixture.context, ExchangeEnd::ConnectTimedOut));
+        }
+        THEN("a refused connection does") { CHECK_FALSE(is_own_delay(fixture.context, ExchangeEnd::NotConnected)); }
+        AND_WHEN("it has been punctual for half a second")
+        {
+            fixture.context.host_load.record({ 0ms, 0, 0, 0 }, fixture.now);
+            fixture.now += 500ms;
+            THEN("a timeout counts again") { CHECK_FALSE(is_own_delay(fixture.context, ExchangeEnd::ConnectTimedOut)); }
+        }
+    }
+}
