--- a/Libraries/LibOverload/HostLoad.h
+++ b/Libraries/LibOverload/HostLoad.h
@@ -69,30 +69,7 @@
     [[nodiscard]] size_t streams() const { return this->admitted_streams; }
 
 private:
-    /// Covers several responses, and several events of each stream.
-    static constexpr Duration rate_window = 500ms;
-    /// Samples in a row that have to be late.
-    static constexpr size_t standing_samples = 3;
-    /// A request waits for the event loop until it is accepted, read, dispatched and answered, so that it is late by
-    /// the whole goal and more.
-    static constexpr int lateness_limits_per_goal = 2;
-    /// Shorter lateness does not matter to any caller.
-    static constexpr Duration min_lateness_limit = 20ms;
     static constexpr Duration max_lateness_limit = 100ms;
-    /// Part of the link that streams may fill together with everything else. The rest absorbs bursts: of calls, and of
-    /// events that engines send faster when they have less to do.
-    static constexpr double max_use_with_streams = 0.6;
-    /// Above this, packets wait in the queue of the link.
-    static constexpr double max_link_use = 0.8;
-    /// Of the requests that a host reads, callers need three quarters to be served. If more than this part is refused
-    /// for the link, the host reads fewer.
-    static constexpr double max_refused_part = 0.2;
-    /// While the host is overloaded, one new connection is read in this time.
-    static constexpr Duration overload_read_period = 500ms;
-    /// Connecting to a server is given up after less than this.
-    static constexpr Duration connect_window = 500ms;
-    /// Time of flow by which the rate of a stream is known.
-    static constexpr double min_stream_seconds = 0.5;
 
     struct TimedSample {
         Sample sample;
@@ -107,6 +84,7 @@
     void update_rate_per_stream();
 
     double link_bytes_per_second;
+    /// Until a latency goal is known, the longest.
     Duration lateness_limit { max_lateness_limit };
     std::deque<TimedSample> samples;
     size_t admitted_streams { 0 };
