LibHttp: Close few connections in one turn while a host is overloaded

Closing 64 at once took the whole processor of a host with 0.02 of a core whose callers came back at once: 650 to 780 a second were closed, and 8, 0, 1, 1 and 7 calls a second answered in the seconds 9 to 13 of a storm.

--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -11,8 +11,9 @@
 
 /// Delay before the next attempt when a connection cannot be accepted, for example when file descriptors run out.
 static constexpr Duration accept_retry_delay = 20ms;
-/// Connections that are closed in one turn of the event loop.
-static constexpr size_t max_closed_at_once = 64;
+/// Connections that are closed in one turn of the event loop. Closing them must leave time for the requests that were
+/// read; callers of the others give up by themselves.
+static constexpr size_t max_closed_at_once = 16;
 
 CallerServer::Listener::Listener(asio::io_context& loop, tcp::endpoint const& endpoint, RequestOrigin origin)
     : acceptor(loop, endpoint, true)
