--- a/Libraries/LibOverload/HostLoad.cpp
+++ b/Libraries/LibOverload/HostLoad.cpp
@@ -45,21 +45,15 @@
     if (!this->samples.empty()) {
         auto const& last = this->samples.back();
         stream_seconds
-            = last.stream_seconds + static_cast<double>(this->flowing_streams) * AK::to_seconds(now - last.at);
+            = last.stream_seconds + static_cast<double>(this->stream_counts->flowing) * AK::to_seconds(now - last.at);
     }
-    this->samples.push_back({ sample, this->refused_streams, this->stream_bytes, stream_seconds, now });
+    this->samples.push_back({ sample, this->refused_streams, this->stream_counts->bytes, stream_seconds, now });
     // The first sample that is kept is the last one from before the window.
     while (this->samples.size() > standing_samples && now - this->samples[1].at >= rate_window)
         this->samples.pop_front();
     this->update_rate_per_stream();
-    if (this->is_overloaded())
-        this->overloaded_at = now;
-}
-
-void HostLoad::stream_ended(bool has_begun)
-{
-    --this->admitted_streams;
-    this->flowing_streams -= has_begun ? 1 : 0;
+    if (this->is_slow())
+        this->slow_at = now;
 }
 
 void HostLoad::update_rate_per_stream()
@@ -106,7 +100,7 @@
     if (this->link_bytes_per_second <= 0 || !this->rate_per_stream)
         return true;
     auto const other_bytes = std::max(0.0, this->bytes_per_second() - this->stream_bytes_per_second());
-    auto const expected = other_bytes + static_cast<double>(this->admitted_streams + 1) * *this->rate_per_stream;
+    auto const expected = other_bytes + static_cast<double>(this->stream_counts->admitted + 1) * *this->rate_per_stream;
     return expected <= max_use_with_streams * this->link_bytes_per_second;
 }
 
@@ -131,12 +125,13 @@
     return refused > 1 && static_cast<double>(refused) > max_refused_part * static_cast<double>(read);
 }
 
-bool HostLoad::is_overloaded() const
+bool HostLoad::is_slow() const
 {
-    return this->standing_lateness() >= this->lateness_limit || this->link_use() >= max_link_use
-        || this->refuses_too_many();
+    return this->standing_lateness() >= this->lateness_limit || this->link_use() >= max_link_use;
 }
 
+bool HostLoad::is_overloaded() const { return this->is_slow() || this->refuses_too_many(); }
+
 bool HostLoad::may_read_new_connection(Instant now)
 {
     if (!this->is_overloaded())
@@ -147,9 +142,6 @@
     return true;
 }
 
-bool HostLoad::delays_connections(Instant now) const
-{
-    return this->overloaded_at && now - *this->overloaded_at < connect_window;
-}
+bool HostLoad::delays_connections(Instant now) const { return this->slow_at && now - *this->slow_at < connect_window; }
 
 }
--- a/Libraries/LibOverload/HostLoad.h
+++ b/Libraries/LibOverload/HostLoad.h
@@ -8,10 +8,20 @@
 
 #include <AK/Types.h>
 #include <deque>
+#include <memory>
 #include <optional>
+#include <utility>
 
 namespace Overload {
 
+/// The streams of a host, and the bytes of their events on the link.
+struct StreamCounts {
+    size_t admitted { 0 };
+    /// Those that have received an event.
+    size_t flowing { 0 };
+    u64 bytes { 0 };
+};
+
 /// Measures the load of this host itself: how late its event loop runs, and how much of its link is in use. From that
 /// it decides whether the host can serve another stream, and whether it should read requests of new callers at all. A
 /// caller whose connection is closed before its request is read can send it to another host immediately.
@@ -37,15 +47,11 @@
     void set_latency_goal(Duration goal);
     void record(Sample const&, Instant now);
 
-    // --- streams, each from its admission to its end
+    // --- streams
 
-    void stream_admitted() { ++this->admitted_streams; }
-    void stream_refused() { ++this->refused_streams; }
-    /// The stream has received its first event.
-    void stream_began() { ++this->flowing_streams; }
-    /// `bytes`: size of an event on the link.
-    void record_event(size_t bytes) { this->stream_bytes += bytes; }
-    void stream_ended(bool has_begun);
+    /// Counts the streams that were admitted; see StreamOnHost.
+    [[nodiscard]] std::shared_ptr<StreamCounts> const& streams() const { return this->stream_counts; }
+    void record_refused_stream() { ++this->refused_streams; }
     /// Whether the link can carry another stream beside those that were admitted, at the rate of those that flow now.
     [[nodiscard]] bool has_link_for_stream() const;
 
@@ -66,7 +72,6 @@
     [[nodiscard]] double link_use() const;
     /// The lateness that the event loop has had throughout the last samples. A single stall doesn't count.
     [[nodiscard]] Duration standing_lateness() const;
-    [[nodiscard]] size_t streams() const { return this->admitted_streams; }
 
 private:
     static constexpr Duration max_lateness_limit = 100ms;
@@ -79,6 +84,8 @@
         double stream_seconds { 0 };
         Instant at {};
     };
+    /// Whether everything on this host is delayed.
+    [[nodiscard]] bool is_slow() const;
     [[nodiscard]] bool refuses_too_many() const;
     [[nodiscard]] double stream_bytes_per_second() const;
     void update_rate_per_stream();
@@ -87,39 +94,41 @@
     /// Until a latency goal is known, the longest.
     Duration lateness_limit { max_lateness_limit };
     std::deque<TimedSample> samples;
-    size_t admitted_streams { 0 };
-    size_t flowing_streams { 0 };
+    std::shared_ptr<StreamCounts> stream_counts { std::make_shared<StreamCounts>() };
     u64 refused_streams { 0 };
-    u64 stream_bytes { 0 };
     /// Bytes per second of one flowing stream; empty until some have flowed.
     std::optional<double> rate_per_stream;
-    std::optional<Instant> overloaded_at;
+    std::optional<Instant> slow_at;
     Instant next_overload_read_at {};
 };
 
 /// Counts one stream in the load of its host, from its admission to its end.
 class StreamOnHost {
 public:
-    explicit StreamOnHost(HostLoad& host)
-        : host(host)
+    explicit StreamOnHost(HostLoad const& host)
+        : counts(host.streams())
     {
-        this->host.stream_admitted();
+        ++this->counts->admitted;
     }
     StreamOnHost(StreamOnHost const&) = delete;
     StreamOnHost& operator=(StreamOnHost const&) = delete;
-    ~StreamOnHost() { this->host.stream_ended(this->has_begun); }
+    ~StreamOnHost()
+    {
+        --this->counts->admitted;
+        this->counts->flowing -= this->has_begun ? 1 : 0;
+    }
 
     /// `bytes`: size of the event on the link.
     void record_event(size_t bytes)
     {
-        if (!this->has_begun)
-            this->host.stream_began();
-        this->has_begun = true;
-        this->host.record_event(bytes);
+        if (!std::exchange(this->has_begun, true))
+            ++this->counts->flowing;
+        this->counts->bytes += bytes;
     }
 
 private:
-    HostLoad& host;
+    /// Shared, since a stream may end after its host.
+    std::shared_ptr<StreamCounts> counts;
     bool has_begun { false };
 };
 
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -168,11 +168,11 @@
     /// Refuses the generation, since the link of this host is in use. The link of another host may be free.
     void refuse_for_link()
     {
-        this->context.host_load.stream_refused();
+        this->context.host_load.record_refused_stream();
         this->context.metrics.add("generations_refused_total{ground=\"link\"}");
         this->context.log.event(Core::EventNumber::GenerationRefused, this->attempt())
             .with("ground", "link")
-            .with("streams", this->context.host_load.streams())
+            .with("streams", this->context.host_load.streams()->admitted)
             .with("link_use", this->context.host_load.link_use());
         this->finish();
         Error const error { ErrorKind::Overloaded,
--- a/Tests/LibOverload/TestHostLoad.cpp
+++ b/Tests/LibOverload/TestHostLoad.cpp
@@ -177,7 +177,7 @@
         constexpr int rounds = 10;
         for (int i = 0; i < rounds; ++i) {
             host.requests_per_tick = 3;
-            host.load.stream_refused();
+            host.load.record_refused_stream();
             host.run_for(tick);
         }
         THEN("few are read") { CHECK(read_in(100ms) <= 1); }
