LibServing: Bound streams by the link only where the settings name it

Without host.link_megabits a host was taken for one with 10 Mbit/s, which was harmless as a rank among hosts and would now refuse streams and close connections of new callers on a host with a wide link.

--- a/Libraries/LibServing/HostSettings.h
+++ b/Libraries/LibServing/HostSettings.h
@@ -29,8 +29,8 @@
     Address peer_address;
     /// Processor cores that this host may use.
     double cores { 0 };
-    /// Bandwidth of its link, in megabits per second.
-    double link_megabits_per_second { 10 };
+    /// Bandwidth of its link, in megabits per second; 0 if unknown.
+    double link_megabits_per_second { 0 };
     /// Memory that this host may use; 0 if unknown. Bounds the responses that callers have not read yet.
     u64 memory_bytes { 0 };
     /// Maximum time from the stop signal to the end of the process.
@@ -60,7 +60,7 @@
 /// both decides.
 u32 strength_of(HostSettings const&);
 
-/// Bandwidth of the host's link, in each direction.
+/// Bandwidth of the host's link, in each direction; 0 if unknown.
 double link_bytes_per_second(HostSettings const&);
 
 HostSettings read_host_settings(Core::SettingsReader&);
--- a/Libraries/LibServing/Snapshot/TableLoader.cpp
+++ b/Libraries/LibServing/Snapshot/TableLoader.cpp
@@ -12,10 +12,17 @@
 /// A host of the platform's table that has not been heard of for this long has been replaced.
 static constexpr Duration host_start_time = 3s;
 
+double TableLoader::link_for_snapshots(HostSettings const& settings)
+{
+    constexpr double least_link = 1.25e6;
+    auto const link = link_bytes_per_second(settings);
+    return (link > 0 ? link : least_link) * share_of_link;
+}
+
 TableLoader::TableLoader(ServingContext& context, PeerLink& peers, std::vector<Table> loaded)
     : context(context)
     , peers(peers)
-    , server(context.settings.link_megabits_per_second * bits_per_megabit / bits_per_byte * share_of_link,
+    , server(link_for_snapshots(context.settings),
           { [this](Address const& receiver, wire::SnapshotChunk chunk) {
                this->peers.send_snapshot_chunk(receiver, std::move(chunk));
            },
--- a/Libraries/LibServing/Snapshot/TableLoader.h
+++ b/Libraries/LibServing/Snapshot/TableLoader.h
@@ -40,9 +40,9 @@
 private:
     /// The part of a host's link that snapshots may use; callers need the rest.
     static constexpr double share_of_link = 0.5;
+    /// Bytes per second. A host whose link is not known is taken for one of the weakest.
+    static double link_for_snapshots(HostSettings const&);
     static constexpr Duration send_period = 10ms;
-    static constexpr double bits_per_byte = 8;
-    static constexpr double bits_per_megabit = 1e6;
 
     struct Loading {
         Table table;
--- a/Tests/LibServing/TestHostSettings.cpp
+++ b/Tests/LibServing/TestHostSettings.cpp
@@ -68,9 +68,18 @@
         return Serving::strength_of(settings);
     };
     CHECK(strength(0.12, 20) == 0);
+    CHECK(strength(0.12, 0) == 0);
     CHECK(strength(0.25, 10) == 0);
     CHECK(strength(0.25, 1000) == 1);
     CHECK(strength(0.5, 200) == 2);
     CHECK(strength(1, 1000) == 3);
     CHECK(strength(1, 40) == 2);
 }
+
+SCENARIO("a host whose link is not set bounds nothing by it")
+{
+    Serving::HostSettings settings;
+    CHECK(Serving::link_bytes_per_second(settings) == 0);
+    settings.link_megabits_per_second = 8;
+    CHECK(Serving::link_bytes_per_second(settings) == 1'000'000);
+}
