LibServing, LibHttp: Respond to all that a stopping host has read

Cause: three decisions were made once and kept. Whether a connection is kept was decided with a response's head; only generations were refused while the host left; and the process ended whatever was open. Evidence: E2401 with left_ms=1499 0.1 s before E1004 with open_requests=6. Ruled out: a kill (E1004 is there) and the close of idle connections (no such E2406).

Change: the end of a response closes its connection while the process stops; a request is admitted only if its deadline comes before the last responses are due (StopSchedule); what is open then gets a response that says whether it may have run (OpenRequests), requests that arrived in part are refused. The soak now also checks calls that were sent after the stop signal.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -130,6 +130,12 @@
         this->close(reason);
 }
 
+void CallerConnection::reject_if_incomplete()
+{
+    if (this->phase == ConnectionPhase::ReadingHead || this->phase == ConnectionPhase::ReadingBody)
+        this->reject(Status::service_unavailable, "this host is stopping; send the request again on a new connection");
+}
+
 void CallerConnection::read_head()
 {
     this->enter(ConnectionPhase::ReadingHead);
@@ -374,13 +380,22 @@
 void CallerConnection::request_finished()
 {
     this->finish_when_written = false;
-    if (this->keep_alive)
+    if (this->awaits_request())
         return this->await_request();
     boost::system::error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     this->close(CloseReason::ResponseSent);
 }
 
+bool CallerConnection::awaits_request()
+{
+    if (!this->keep_alive || !this->context->closing)
+        return this->keep_alive;
+    // The response began before the process was told to stop, so its head has not announced the close. A request that
+    // has arrived meanwhile gets a response; this side closes before it reads a later one.
+    return this->buffer.size() > 0 || peek(this->socket) == Readable::Bytes;
+}
+
 void CallerConnection::close(CloseReason reason)
 {
     if (!this->is_open())
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -64,6 +64,8 @@
     void start() { this->await_request(); }
     /// Closes the connection immediately if no request is in progress and none is waiting in the socket.
     void close_if_idle(CloseReason);
+    /// Rejects a request that has not been received in full, because this process is about to end.
+    void reject_if_incomplete();
     [[nodiscard]] bool is_open() const { return this->phase != ConnectionPhase::Closed; }
     [[nodiscard]] size_t unsent_bytes() const { return this->outgoing_bytes; }
     /// Time since the caller last read something; 0 if nothing is unsent.
@@ -109,6 +111,8 @@
     void write_next();
     void written(beast::error_code, size_t count);
     void request_finished();
+    /// Whether the connection may carry another request after the response that was sent last.
+    [[nodiscard]] bool awaits_request();
     /// Every close of a connection goes through here. Notifies the exchange of the current request.
     void close(CloseReason);
     void enter(ConnectionPhase);
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -150,6 +150,14 @@
     }
 }
 
+void CallerServer::reject_incomplete_requests()
+{
+    for (auto const& known : this->connections) {
+        if (auto connection = known.lock())
+            connection->reject_if_incomplete();
+    }
+}
+
 size_t CallerServer::open_connections() const
 {
     return static_cast<size_t>(std::ranges::count_if(this->connections, [](auto const& known) {
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -27,6 +27,8 @@
     /// Closes connections without a request in progress. A request that has arrived, even unread, keeps its connection
     /// open.
     void close_idle_connections(CloseReason);
+    /// Rejects the requests that have not been received in full, because this process is about to end.
+    void reject_incomplete_requests();
     /// Number of open connections. After stop_accepting() and one more event loop iteration, 0 means that no caller is
     /// waiting for a response.
     [[nodiscard]] size_t open_connections() const;
--- a/Libraries/LibServing/Contact.cpp
+++ b/Libraries/LibServing/Contact.cpp
@@ -63,7 +63,7 @@
 {
     wire::ContactReport report;
     report.set_failure_domain(context.settings.failure_domain.value());
-    if (context.leaving || !context.routing)
+    if (context.is_leaving() || !context.routing)
         return report;
     for (auto const& text : query.services()) {
         ServiceName const service(text);
--- a/Libraries/LibServing/ErrorResponse.cpp
+++ b/Libraries/LibServing/ErrorResponse.cpp
@@ -33,6 +33,13 @@
     }
 }
 
+Error leaving_error()
+{
+    // Another host accepts a new connection immediately.
+    static constexpr Duration retry_after = 50ms;
+    return { ErrorKind::Leaving, "this host is leaving; send the request again on a new connection", retry_after };
+}
+
 /// Formats a duration in seconds with three decimals.
 static std::string seconds_text(Duration duration)
 {
--- a/Libraries/LibServing/ErrorResponse.h
+++ b/Libraries/LibServing/ErrorResponse.h
@@ -24,6 +24,9 @@
 /// Returns the HTTP status of an error. 503 and 429 are used only if the request has not run.
 Http::Status status_for(Error const&, RequestOutcome);
 
+/// The refusal of a request that has not run, because this host is stopping.
+Error leaving_error();
+
 /// Builds an error response of this host. Its body has the kind of the error and a message that names the
 /// remedy. Retry-After is in seconds.
 Http::Response error_response(Error const&, RequestOutcome);
--- a/Libraries/LibServing/ForwardedRequest.h
+++ b/Libraries/LibServing/ForwardedRequest.h
@@ -31,6 +31,10 @@
         auto self = this->shared_from_this();
         this->watch([self] { self->caller_disconnected(); }, [self] { self->deadline_passed(); },
             this->call.deadline + response_margin);
+        this->watch_process_end([weak = this->weak_from_this()] {
+            if (auto request = weak.lock())
+                request->process_ends();
+        });
         this->forward();
     }
 
@@ -216,6 +220,15 @@
             RequestOutcome::MayHaveRun);
     }
 
+    void process_ends()
+    {
+        bool const may_have_run = this->connection != nullptr;
+        this->abandon("this host stops");
+        if (this->exchange().is_streaming())
+            return this->exchange().abort();
+        this->respond_process_ends(may_have_run ? RequestOutcome::MayHaveRun : RequestOutcome::NotRun);
+    }
+
     void caller_disconnected()
     {
         this->context.log.event(Core::EventNumber::CallerLeft, this->attempt()).with("held_ms", this->elapsed());
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -24,6 +24,10 @@
     {
         auto self = this->shared_from_this();
         this->begin([self] { self->caller_disconnected(); }, [self] { self->deadline_passed(); });
+        this->watch_process_end([weak = this->weak_from_this()] {
+            if (auto generation = weak.lock())
+                generation->process_ends();
+        });
         this->capacity.begin(this->need());
         this->place();
     }
@@ -705,6 +709,15 @@
             RequestOutcome::NotRun);
     }
 
+    void process_ends()
+    {
+        if (this->exchange().is_streaming())
+            return this->fail_stream("this host stops");
+        bool const may_have_run = this->connection != nullptr;
+        this->abandon();
+        this->respond_process_ends(may_have_run ? RequestOutcome::MayHaveRun : RequestOutcome::NotRun);
+    }
+
     void caller_disconnected()
     {
         this->context.log.event(Core::EventNumber::CallerLeft, this->attempt())
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -181,7 +181,7 @@
 
     [[nodiscard]] bool is_ready() const
     {
-        return !this->context.leaving && this->context.routing && this->backends_known
+        return !this->context.is_leaving() && this->context.routing && this->backends_known
             && this->context.unreachable_services.empty();
     }
 
@@ -512,7 +512,7 @@
                 return;
             if (number == SIGHUP)
                 this->reload_settings();
-            else if (!this->context.leaving)
+            else if (!this->context.is_leaving())
                 this->begin_stop();
             this->await_signal();
         });
--- a/Libraries/LibServing/Overload/CapacityRequest.cpp
+++ b/Libraries/LibServing/Overload/CapacityRequest.cpp
@@ -87,7 +87,7 @@
         return true;
     auto const now = this->context.now();
     auto& service_demand = this->demand();
-    if (!this->is_limited() || this->has_waited || this->context.leaving || !may_wait(service_demand, now))
+    if (!this->is_limited() || this->has_waited || this->context.is_leaving() || !may_wait(service_demand, now))
         return false;
     auto const reading_time
         = AK::from_seconds(static_cast<double>(this->need.prompt.value()) / shared_reading_tokens_per_second);
--- a/Libraries/LibServing/PlannedStop.cpp
+++ b/Libraries/LibServing/PlannedStop.cpp
@@ -8,11 +8,6 @@
 
 namespace Serving {
 
-/// Time that the load balancer in front of the hosts may take to notice that a host is not ready: two health checks,
-/// sent a second apart, and their responses.
-static constexpr Duration load_balancer_delay = 2500ms;
-/// Part of the grace period that is reserved for sending the last responses.
-static constexpr Duration last_responses_margin = 300ms;
 /// Interval between checks for open connections.
 static constexpr Duration check_period = 50ms;
 
@@ -28,8 +23,7 @@
 
 void PlannedStop::begin()
 {
-    this->begun_at = this->context.now();
-    this->context.leaving = true;
+    this->context.stop_begun_at = this->context.now();
     this->callers_context.closing = true;
     this->context.log.event(Core::EventNumber::ProcessLeaving, this->context.settings.host.value())
         .with("open_requests", this->callers_context.open_requests);
@@ -38,15 +32,18 @@
 
 void PlannedStop::check()
 {
-    auto const elapsed = this->context.now() - this->begun_at;
+    auto const now = this->context.now();
+    auto const schedule = *this->context.stop_schedule();
     // A connection accepted just before accepting stopped is counted by the next check.
     bool const had_stopped_accepting = !this->callers.is_accepting();
-    if (elapsed >= load_balancer_delay) {
+    if (schedule.must_stop_accepting_connections(now)) {
         this->callers.stop_accepting();
         this->callers.close_idle_connections(Http::CloseReason::PlannedStop);
     }
+    if (now >= schedule.responses_due())
+        this->respond_to_remaining_requests();
     bool const is_drained = had_stopped_accepting && this->callers.open_connections() == 0;
-    if (is_drained || elapsed >= this->context.settings.stop_grace - last_responses_margin)
+    if (is_drained || now >= schedule.process_ends())
         return this->finish();
     this->timer.expires_after(check_period);
     this->timer.async_wait([this](boost::system::error_code error) {
@@ -55,6 +52,12 @@
     });
 }
 
+void PlannedStop::respond_to_remaining_requests()
+{
+    this->context.open_requests.end_all();
+    this->callers.reject_incomplete_requests();
+}
+
 void PlannedStop::finish()
 {
     this->context.log.event(Core::EventNumber::ProcessStopped, this->context.settings.host.value())
--- a/Libraries/LibServing/PlannedStop.h
+++ b/Libraries/LibServing/PlannedStop.h
@@ -14,7 +14,8 @@
 
 /// Graceful shutdown of the process after a stop signal. The host reports at once that it is not ready, but serves
 /// requests until the load balancer has noticed. It then accepts no new connections, and ends when the last open one
-/// has got its response or the grace period is over.
+/// has got its response or the grace period is nearly over. Requests that can't get their response by then are refused
+/// when they are read.
 class PlannedStop {
 public:
     /// `on_end` is called once; the process ends with it.
@@ -24,13 +25,14 @@
 
 private:
     void check();
+    /// Responds to all requests that are in progress, and closes the streams so that they don't look complete.
+    void respond_to_remaining_requests();
     void finish();
 
     ServingContext& context;
     Http::CallerServer& callers;
     Http::CallerContext& callers_context;
     std::function<void()> on_end;
-    Instant begun_at {};
     AK::Timer timer;
 };
 
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -63,6 +63,12 @@
         this->context.budget.record_request(this->call.service->name, this->context.now());
     }
 
+    /// Registers the handler that responds to the caller if this process has to end before the response is complete.
+    void watch_process_end(std::function<void()> on_process_end)
+    {
+        this->open_request.emplace(this->context.open_requests, std::move(on_process_end));
+    }
+
     /// Starts to watch for the caller's disconnect and for `deadline`.
     void watch(std::function<void()> on_caller_disconnected, std::function<void()> on_deadline, Instant deadline)
     {
@@ -81,6 +87,7 @@
     {
         this->is_over = true;
         this->deadline_timer.cancel();
+        this->open_request.reset();
     }
 
     [[nodiscard]] Duration time_left() const { return this->call.deadline - this->context.now(); }
@@ -140,6 +147,17 @@
         this->respond_with_error(error, RequestOutcome::NotRun, true);
     }
 
+    /// Responds to a request whose response can't be awaited, because this process ends.
+    void respond_process_ends(RequestOutcome outcome)
+    {
+        if (outcome == RequestOutcome::NotRun)
+            return this->respond_with_error(leaving_error(), outcome, true);
+        this->respond_with_error(
+            { ErrorKind::Leaving, "this host stops before the backend server has answered; the request may have run",
+                {} },
+            outcome, true);
+    }
+
     /// The side of a roll-out that serves the next dispatch of this request.
     [[nodiscard]] Rollout::SideChoice side_choice(bool is_first_dispatch) const
     {
@@ -389,6 +407,8 @@
     /// Received part of a non-stream response; streams are not buffered here.
     std::string response_body;
     bool is_over { false };
+    /// Present while the request is open, from watch_process_end() on.
+    std::optional<OpenRequests::Entry> open_request;
 };
 
 /// Reason for cancelling an exchange whose backend server process is known to have terminated.
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -48,8 +48,6 @@
 private:
     /// Retry-After while this host has no configuration yet. It is read within a few hundred milliseconds.
     static constexpr Duration not_ready_retry_after = 300ms;
-    /// Retry-After while this host is leaving. Another host accepts a new connection immediately.
-    static constexpr Duration leaving_retry_after = 50ms;
 
     static std::string_view path_of(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -87,14 +85,21 @@
                 default_retry_after };
         if (call.service->engine && call.route->kind == CallKind::Generation && !call.head.demand)
             return Error { ErrorKind::InvalidRequest, "a generation must name its model and numbers of tokens", {} };
-        if (this->context.leaving && call.route->kind == CallKind::Generation)
-            return Error { ErrorKind::Leaving, "this host is leaving; send the request again on a new connection",
-                leaving_retry_after };
         auto timeout = std::min(call.route->timeout, call.head.timeout.value_or(call.route->timeout));
         call.deadline = exchange->received_at() + timeout;
+        if (!this->can_be_finished(call))
+            return leaving_error();
         return call;
     }
 
+    /// Whether this process runs for long enough to give the request its response. How long a generation takes is not
+    /// known.
+    [[nodiscard]] bool can_be_finished(AdmittedCall const& call) const
+    {
+        auto const schedule = this->context.stop_schedule();
+        return !schedule || (call.route->kind != CallKind::Generation && schedule->may_accept(call.deadline));
+    }
+
     Result<void> check_organisation(AdmittedCall& call)
     {
         call.priority = call.route->priority;
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -21,6 +21,10 @@
     {
         auto self = this->shared_from_this();
         this->begin([self] { self->caller_disconnected(); }, [self] { self->deadline_passed(); });
+        this->watch_process_end([weak = this->weak_from_this()] {
+            if (auto call = weak.lock())
+                call->process_ends();
+        });
         this->dispatch();
     }
 
@@ -310,6 +314,13 @@
             RequestOutcome::NotRun);
     }
 
+    void process_ends()
+    {
+        bool const may_have_run_now = this->connection != nullptr || this->may_have_run;
+        this->abandon();
+        this->respond_process_ends(may_have_run_now ? RequestOutcome::MayHaveRun : RequestOutcome::NotRun);
+    }
+
     void caller_disconnected()
     {
         this->context.log.event(Core::EventNumber::CallerLeft, this->attempt()).with("held_ms", this->elapsed());
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -21,6 +21,7 @@
 #include <LibServing/ForwardingHosts.h>
 #include <LibServing/HostSettings.h>
 #include <LibServing/LogRateLimiter.h>
+#include <LibServing/OpenRequests.h>
 #include <LibServing/Overload/ServiceDemand.h>
 #include <LibServing/PlacementRate.h>
 #include <LibServing/ProcessCheck.h>
@@ -30,6 +31,7 @@
 #include <LibServing/RoutingTable.h>
 #include <LibServing/ServerLimits.h>
 #include <LibServing/ServiceContact.h>
+#include <LibServing/StopSchedule.h>
 
 namespace Serving {
 
@@ -102,7 +104,17 @@
     ServiceDemands demands;
     /// Null until a configuration is known.
     std::shared_ptr<RoutingTable const> routing;
-    bool leaving { false };
+    /// Set when this process has been told to stop.
+    std::optional<Instant> stop_begun_at;
+    [[nodiscard]] bool is_leaving() const { return this->stop_begun_at.has_value(); }
+    /// Empty unless this process has been told to stop.
+    [[nodiscard]] std::optional<StopSchedule> stop_schedule() const
+    {
+        if (!this->stop_begun_at)
+            return {};
+        return StopSchedule(*this->stop_begun_at, this->settings.stop_grace);
+    }
+    OpenRequests open_requests;
     /// To be called when this host's use of engines has changed.
     std::function<void()> use_changed { [] {} };
     /// To be called when connecting to a backend server failed. This host avoids it for `avoided`.
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -314,7 +314,7 @@
     "this->abandon();
         this->exchange().abort();" "this->abandon(); this->exchange().end_stream();"
 soak_guard "a planned stop waits" Libraries/LibServing/PlannedStop.cpp \
-    "if (is_drained || elapsed >= this->context.settings.stop_grace - last_responses_margin)" "if (true)"
+    "if (is_drained || now >= schedule.process_ends())" "if (true)"
 soak_guard "named limits are kept" Libraries/LibServing/ServerLimits.cpp \
     "&& this->is_within(this->rate_limit_bound(backend, now), backend, now)" ""
 soak_guard "back-off is kept" Libraries/LibServing/BackendTable.h "&& now >= this->back_off_until" ""
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -253,6 +253,16 @@
         generation.exchange->end_stream();
 }
 
+void PlatformRunner::finish(std::string const& attempt)
+{
+    auto found = this->generations.find(attempt);
+    if (found == this->generations.end())
+        return;
+    auto const exchange = found->second.exchange;
+    this->generations.erase(found);
+    exchange->end_stream();
+}
+
 void PlatformRunner::terminate()
 {
     this->terminated = true;
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -54,6 +54,8 @@
     void make_events();
     /// Completes every generation that runs here.
     void finish_all();
+    /// Completes the generation of this attempt, if it runs here.
+    void finish(std::string const& attempt);
     /// Returns the total number of events of a generation. If unset, generations only end through finish_all().
     std::function<u64(std::string const& attempt)> planned_events;
     /// Called for each request addressed to this runner, before it runs or is refused.
--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -219,3 +219,64 @@
     CHECK(fixture.closes.size() == caller_count);
     CHECK(fixture.closes.front().reason == Http::CloseReason::CapacityNeeded);
 }
+
+// Guards against requests that are read on a connection that a stopping process should have closed.
+//
+// Cause: whether a connection is kept was decided when the head of a response was sent. A stream that began before the
+// stop kept its connection after its end.
+SCENARIO("a connection is closed when its response ends after the process was told to stop")
+{
+    CallerFixture fixture;
+    auto& caller = fixture.callers.emplace_back(fixture.loop, fixture.endpoint);
+    caller.send(PersistentCaller::get_request);
+    fixture.wait_for_accepted(1);
+    auto const stream = fixture.waiting.front();
+    fixture.waiting.clear();
+    stream->begin_stream(Http::ResponseHead());
+    fixture.settle();
+    fixture.context->closing = true;
+
+    WHEN("the stream ends")
+    {
+        stream->end_stream();
+        ::Test::run_until(fixture.loop, [&] { return caller.is_closed(); });
+        THEN("the caller has received all of it, and then the close")
+        {
+            CHECK(caller.bytes().ends_with("0\r\n\r\n"));
+            CHECK(fixture.closes.front().reason == Http::CloseReason::ResponseSent);
+        }
+        THEN("a later request is not read")
+        {
+            caller.send(PersistentCaller::post_request);
+            fixture.settle();
+            CHECK(fixture.accepted_count == 1);
+        }
+    }
+    WHEN("the caller has sent its next request before the stream ends")
+    {
+        caller.send(PersistentCaller::post_request);
+        stream->end_stream();
+        fixture.wait_for_accepted(2);
+        fixture.respond_to_all();
+        ::Test::run_until(fixture.loop, [&] { return caller.is_closed(); });
+        THEN("that request gets its response before the close")
+        {
+            CHECK(caller.bytes().find("Connection: close") != std::string::npos);
+            CHECK(fixture.closes.front().reason == Http::CloseReason::ResponseSent);
+        }
+    }
+    WHEN("the process is about to end, and a request has arrived in part")
+    {
+        auto const head = GENERATE(as<std::string> {}, "POST /ask HTTP", PersistentCaller::post_head + "que");
+        stream->end_stream();
+        caller.send(head);
+        fixture.settle();
+        fixture.server->reject_incomplete_requests();
+        ::Test::run_until(fixture.loop, [&] { return caller.is_closed(); });
+        THEN("it is refused as not run")
+        {
+            CHECK(caller.bytes().find("HTTP/1.1 503") != std::string::npos);
+            CHECK(fixture.accepted_count == 1);
+        }
+    }
+}
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -63,6 +63,7 @@
         settings.platform = Address(text_of(this->store_endpoint));
         settings.drain_time = this->drain_time;
         settings.memory_bytes = this->memory_bytes;
+        settings.stop_grace = this->stop_grace;
         return settings;
     }
 
@@ -218,6 +219,7 @@
     Http::tcp::endpoint peer_endpoint { free_endpoint() };
     Duration drain_time { 600ms };
     u64 memory_bytes { 0 };
+    Duration stop_grace { 8s };
     /// Reading the settings again fails with this error.
     std::optional<Error> settings_error;
     PlatformStore store;
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -4,8 +4,11 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <Tests/LibHttp/PersistentCaller.h>
 #include <Tests/Platform/HostFixture.h>
+#include <boost/beast/http/write.hpp>
 #include <csignal>
+#include <sstream>
 
 using Test::HostFixture;
 
@@ -53,3 +56,105 @@
         }
     }
 }
+
+static std::string bytes_of(Http::Request request)
+{
+    request.prepare_payload();
+    std::ostringstream text;
+    text << request.base() << request.body();
+    return text.str();
+}
+
+// Guards against calls that a host dispatches during a planned stop and cuts when its process ends.
+//
+// Cause: a stream that began before the stop signal had told its caller that the connection would be kept. The caller's
+// next request was dispatched however little was left of the grace period, and the process ended without a response.
+SCENARIO("every request that a stopping host has read gets a response before the process ends")
+{
+    HostFixture fixture;
+    fixture.stop_grace = 4s;
+    auto& server = fixture.add_runner("lane-1", "lanes");
+    auto& engine = fixture.add_runner("engine-1", "models");
+    fixture.start_ready_host();
+    auto reached_server = [&](std::string const& attempt) {
+        return std::ranges::any_of(server.received(), [&](auto const& request) { return request.attempt == attempt; });
+    };
+    auto has_ended = [&] { return fixture.log_has("E1004 process_stopped"); };
+
+    GIVEN("callers with streams that began before the stop, on connections that are to be kept")
+    {
+        constexpr size_t caller_count = 4;
+        constexpr Duration time_between_ends = 650ms;
+        server.set_work_time(500ms);
+        std::vector<std::unique_ptr<Http::Test::PersistentCaller>> callers;
+        for (size_t i = 0; i < caller_count; ++i) {
+            auto& caller = callers.emplace_back(
+                std::make_unique<Http::Test::PersistentCaller>(fixture.loop, fixture.callers_endpoint));
+            caller->send(bytes_of(HostFixture::generation("stream-" + std::to_string(i))));
+            fixture.until([&] { return engine.running_count() == i + 1; });
+            // The next prompt is admitted once this one has been read.
+            engine.make_events();
+            fixture.until([&] { return caller->bytes().find("token of") != std::string::npos; });
+        }
+        ::raise(SIGTERM);
+        fixture.until([&] { return fixture.log_has("E1003 process_leaving"); });
+        auto const begun_at = AK::BootClock::now();
+
+        WHEN("the streams end one after the other until the process ends, and each caller sends a call at once")
+        {
+            for (size_t i = 0; i < caller_count; ++i) {
+                auto const ends_at = begun_at + 1500ms + static_cast<i64>(i) * time_between_ends;
+                fixture.until([&] { return has_ended() || AK::BootClock::now() >= ends_at; });
+                engine.finish("stream-" + std::to_string(i));
+                fixture.until([&] { return has_ended() || callers[i]->bytes().ends_with("\r\n0\r\n\r\n"); });
+                callers[i]->send(bytes_of(HostFixture::request("/lookup/1", "call-" + std::to_string(i))));
+            }
+            fixture.until(has_ended);
+            fixture.loop.poll();
+            THEN("no call that has reached a server is left without a response")
+            {
+                for (size_t i = 0; i < caller_count; ++i) {
+                    auto const attempt = "call-" + std::to_string(i);
+                    INFO(attempt);
+                    CHECK((!reached_server(attempt) || callers[i]->bytes().find(attempt) != std::string::npos));
+                }
+            }
+        }
+    }
+    GIVEN("a call whose backend server takes longer than the grace period")
+    {
+        server.add_fault(StandIns::PlatformRunner::Fault::Hang);
+        auto call = fixture.call(HostFixture::request("/lookup/1", "a1"));
+        fixture.until([&] { return reached_server("a1"); });
+        fixture.stop_grace = 2s;
+        ::raise(SIGHUP);
+        fixture.until([&] { return fixture.log_has("settings_reloaded"); });
+        ::raise(SIGTERM);
+        THEN("it gets a response that says that it may have run")
+        {
+            fixture.until(has_ended);
+            fixture.until([&] { return call->is_over(); });
+            CHECK(call->end == Http::ExchangeEnd::Complete);
+            CHECK(call->status == 502);
+        }
+    }
+    GIVEN("a connection that was opened before the stop")
+    {
+        fixture.stop_grace = 2s;
+        ::raise(SIGHUP);
+        fixture.until([&] { return fixture.log_has("settings_reloaded"); });
+        ::raise(SIGTERM);
+        fixture.until([&] { return fixture.log_has("E1003 process_leaving"); });
+        WHEN("a call may take longer than the rest of the grace period")
+        {
+            auto call = fixture.finished_call(HostFixture::request("/lookup/1", "a1"));
+            THEN("it is refused at once as not run, and another host can serve it")
+            {
+                CHECK(call->status == 503);
+                CHECK(call->headers.contains("Retry-After"));
+                CHECK(call->headers["Connection"] == "close");
+                CHECK_FALSE(reached_server("a1"));
+            }
+        }
+    }
+}
--- a/Tests/Soak/Caller.cpp
+++ b/Tests/Soak/Caller.cpp
@@ -284,7 +284,9 @@
     // read.
     bool const was_forwarded = this->deployment.runs().contains(attempt);
     bool const had_time = sent.sent_at < *stop && Deployment::now() - *stop < Deployment::stop_grace / 2;
-    if (was_forwarded && had_time)
+    // A stream may be longer than the grace period; a call is refused if it may be.
+    bool const is_call = sent.kind != CallKind::Draft;
+    if (was_forwarded && (had_time || is_call))
         this->checker.violation(attempt + " was interrupted by the planned stop of " + this->host.name);
 }
 
