Tests: Let the test of a planned stop lose a call on the former code

Its streams met their own deadline before the process ended, so that the last call came too early: on the former code the check that no call is left without a response passed. With a grace of 3.3 s it fails there for one call, and passes now.

--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -72,7 +72,7 @@
 SCENARIO("every request that a stopping host has read gets a response before the process ends")
 {
     HostFixture fixture;
-    fixture.stop_grace = 4s;
+    fixture.stop_grace = 3300ms;
     auto& server = fixture.add_runner("lane-1", "lanes");
     auto& engine = fixture.add_runner("engine-1", "models");
     fixture.start_ready_host();
@@ -84,7 +84,7 @@
     GIVEN("callers with streams that began before the stop, on connections that are to be kept")
     {
         constexpr size_t caller_count = 4;
-        constexpr Duration time_between_ends = 650ms;
+        constexpr Duration time_between_ends = 500ms;
         server.set_work_time(500ms);
         std::vector<std::unique_ptr<Http::Test::PersistentCaller>> callers;
         for (size_t i = 0; i < caller_count; ++i) {
@@ -103,7 +103,7 @@
         WHEN("the streams end one after the other until the process ends, and each caller sends a call at once")
         {
             for (size_t i = 0; i < caller_count; ++i) {
-                auto const ends_at = begun_at + 1500ms + static_cast<i64>(i) * time_between_ends;
+                auto const ends_at = begun_at + 1200ms + static_cast<i64>(i) * time_between_ends;
                 fixture.until([&] { return has_ended() || AK::BootClock::now() >= ends_at; });
                 engine.finish("stream-" + std::to_string(i));
                 fixture.until([&] { return has_ended() || callers[i]->bytes().ends_with("\r\n0\r\n\r\n"); });
