LibPlatform: Tell other hosts what a listing has changed

Cause: a host that lists a table anew, since its history is lost, took the version of the newest row for the version up to which it knew all changes. A removal leaves no row. So its progress showed nothing new, the listing was announced to nobody, and its next update named a previous change that hid the gap. Ruled out: a lost update (the history of that host held none).

Change: the last change counts removals. A listing that replaces a known table is forwarded as a difference, which applies to hosts that knew the same table; the others ask the platform. A first listing is known up to its own version.

--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -30,7 +30,7 @@
 struct TableSnapshot {
     std::vector<Row> rows;
     u64 version { 0 };
-    /// Version of the newest row or removal.
+    /// Version up to which all changes are known, removals included.
     u64 last_change { 0 };
 };
 
@@ -100,6 +100,10 @@
     /// Version of the last change before the ones in `page`.
     u64 previous_change { 0 };
     ChangePage page;
+    /// `page` is the difference between two states of the table, that of `previous_change` and a later listing. It may
+    /// lack rows that were both added and removed in between, so it applies to a process whose last change is exactly
+    /// `previous_change`.
+    bool is_difference { false };
 };
 
 /// Callbacks of a follower. All run on the event loop.
@@ -154,7 +158,7 @@
         // The result of a listing that is in progress is no longer needed.
         this->is_superseded = this->is_calling;
         this->apply_listing(std::move(snapshot.rows), snapshot.version);
-        this->newest_change = std::max(this->newest_change, snapshot.last_change);
+        this->newest_change = snapshot.last_change;
         this->apply_early_updates();
         if (!this->is_calling)
             this->schedule_next_call();
@@ -191,7 +195,7 @@
     {
         if (!this->is_listed || update.page.version <= this->known_version)
             return;
-        if (update.previous_change > this->known_version)
+        if (!this->continues_known_changes(update))
             return this->buffer_early_update(std::move(update));
         this->apply_update(std::move(update));
         this->apply_early_updates();
@@ -213,7 +217,8 @@
         });
     }
 
-    /// Version of the newest known change; 0 before the table has been listed.
+    /// Version up to which this process knows all changes, removals included; 0 before the table has been listed. Two
+    /// processes with the same last change know the same table.
     [[nodiscard]] u64 last_change() const { return this->newest_change; }
     [[nodiscard]] u64 version() const { return this->known_version; }
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
@@ -247,20 +252,43 @@
         if (this->listing_version < this->known_version)
             return this->retry(stale_response(), [this] { this->list_from({}); });
         this->record_success();
+        auto const update = this->difference_to_listing();
         this->apply_listing(std::exchange(this->listing, {}), this->listing_version);
+        this->newest_change = update.page.version;
+        if (!update.page.changes.empty())
+            this->observer.fetched(update);
+        this->apply_early_updates();
         this->schedule_next_call();
     }
 
+    /// What the listing changes in the table as it is known. Without changes, the version is that of the last change.
+    [[nodiscard]] TableUpdate difference_to_listing() const
+    {
+        // Changes before the first listing, of which a removal leaves no trace, are not known.
+        if (!this->is_listed)
+            return { 0, { {}, this->listing_version }, true };
+        TableUpdate update { this->newest_change, { {}, this->newest_change }, true };
+        auto removed = this->rows;
+        for (auto const& row : this->listing) {
+            auto const known = this->rows.find(row.key);
+            if (known == this->rows.end() || known->second.version != row.version)
+                update.page.changes.push_back({ row, false });
+            removed.erase(row.key);
+        }
+        for (auto const& [key, row] : removed)
+            update.page.changes.push_back({ { key, {}, this->listing_version }, true });
+        if (!update.page.changes.empty())
+            update.page.version = this->listing_version;
+        return update;
+    }
+
     void apply_listing(std::vector<Row> listed, u64 version)
     {
         this->known_version = version;
         this->is_listed = true;
-        this->newest_change = 0;
         this->rows.clear();
-        for (auto const& row : listed) {
-            this->newest_change = std::max(this->newest_change, row.version);
+        for (auto const& row : listed)
             this->rows[row.key] = row;
-        }
         this->observer.listed(std::move(listed), this->known_version);
     }
 
@@ -289,12 +317,23 @@
         });
     }
 
+    /// Whether this process knows all changes after an update once it has applied it.
+    [[nodiscard]] bool continues_known_changes(TableUpdate const& update) const
+    {
+        if (update.is_difference)
+            return update.previous_change == this->newest_change;
+        return update.previous_change <= this->known_version;
+    }
+
     void apply_update(TableUpdate update)
     {
         std::erase_if(
             update.page.changes, [this](RowChange const& change) { return change.row.version <= this->known_version; });
         this->known_version = update.page.version;
-        this->record_last_change(update.page);
+        if (update.is_difference)
+            this->newest_change = update.page.version;
+        else
+            this->record_last_change(update.page);
         if (!update.page.changes.empty())
             this->apply_changes(std::move(update.page.changes));
     }
@@ -314,7 +353,7 @@
             std::erase_if(this->early_updates,
                 [this](TableUpdate const& update) { return update.page.version <= this->known_version; });
             auto next = std::ranges::find_if(this->early_updates,
-                [this](TableUpdate const& update) { return update.previous_change <= this->known_version; });
+                [this](TableUpdate const& update) { return this->continues_known_changes(update); });
             if (next == this->early_updates.end())
                 return;
             auto update = std::move(*next);
@@ -389,7 +428,7 @@
 
     void publish(ChangePage page)
     {
-        TableUpdate const update { this->newest_change, page };
+        TableUpdate const update { this->newest_change, page, false };
         this->record_last_change(page);
         this->apply_changes(std::move(page.changes));
         this->observer.fetched(update);
@@ -452,6 +491,8 @@
     u64 listing_version { 0 };
     u64 known_version { 0 };
     u64 version_of_call { 0 };
+    /// Up to this version all changes are known, removals included. It is at most `known_version`, after which there
+    /// may be none. A listing shows the rows that are there, and so not the version of the last removal.
     u64 newest_change { 0 };
     u64 wanted_version { 0 };
     /// Needed besides `known_version`, since a platform that was empty when listed is at version 0, too.
--- a/Libraries/LibServing/TableUpdateExchange.h
+++ b/Libraries/LibServing/TableUpdateExchange.h
@@ -40,6 +40,7 @@
         message.set_table(std::string(table));
         message.set_previous_change(update.previous_change);
         message.set_version(update.page.version);
+        message.set_is_difference(update.is_difference);
         message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
         put_rows(message, update.page.changes, max_update_bytes);
         this->logs[message.table()].add(message);
@@ -77,6 +78,7 @@
         Platform::TableUpdate update;
         update.previous_change = message.previous_change();
         update.page.version = message.version();
+        update.is_difference = message.is_difference();
         update.page.changes = std::move(rows.value());
         follower->receive_update(std::move(update));
     }
