LibPlatform: Notice at once that the platform is back, and ask others meanwhile

Cause: the first call after a failure was one that the platform holds for 2 s when nothing changes, so that the return was noticed 2.2 to 2.8 s after the end of the cut (E1302). And what other hosts knew was not requested from them while a call of the host's own was outstanding or waited to be repeated.

Change: a call after a failure asks for an answer at once; missing changes are requested from other hosts whatever the host's own calls do.

Before: three checks of TestChangeFollower failed.

--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -205,15 +205,14 @@
     void catch_up(u64 version)
     {
         this->wanted_version = std::max(this->wanted_version, version);
-        if (!this->is_listed || this->wanted_version <= this->known_version || this->is_calling)
+        if (!this->is_listed || this->wanted_version <= this->known_version || this->is_waiting_for_peers)
             return;
         if (this->timing.peer_update_timeout <= 0s)
-            return this->follow(0s);
-        if (this->is_waiting_for_peers)
-            return;
+            return this->call_unless_calling();
+        // A call in progress is no reason to wait: the platform may be out of this process's reach.
         this->wait_for_peers(this->timing.peer_update_timeout / 4, [this] {
             this->observer.missed(this->known_version);
-            this->wait_for_peers(this->timing.peer_update_timeout * 3 / 4, [this] { this->follow(0s); });
+            this->wait_for_peers(this->timing.peer_update_timeout * 3 / 4, [this] { this->call_unless_calling(); });
         });
     }
 
@@ -312,11 +311,17 @@
         this->peer_timer.expires_after(timeout);
         this->peer_timer.async_wait([this, then](boost::system::error_code error) {
             this->is_waiting_for_peers = false;
-            if (!error && this->wanted_version > this->known_version && !this->is_calling)
+            if (!error && this->wanted_version > this->known_version)
                 then();
         });
     }
 
+    void call_unless_calling()
+    {
+        if (!this->is_calling)
+            this->follow(0s);
+    }
+
     /// Whether this process knows all changes after an update once it has applied it.
     [[nodiscard]] bool continues_known_changes(TableUpdate const& update) const
     {
@@ -410,10 +415,10 @@
             return this->list_from({});
         }
         if (!page)
-            return this->retry(page.error(), [this] { this->follow(this->wait_of_call()); });
+            return this->retry(page.error(), [this] { this->follow(0s); });
         auto& value = page.value();
         if (value.version < this->version_of_call)
-            return this->retry(stale_response(), [this] { this->follow(this->wait_of_call()); });
+            return this->retry(stale_response(), [this] { this->follow(0s); });
         this->record_success();
         // Other processes may have forwarded some of the changes during the call.
         std::erase_if(
@@ -452,6 +457,7 @@
             this->observer.available();
     }
 
+    /// `again` makes a call that the platform answers at once, since the first answer shows that it is back.
     template<typename Again>
     void retry(Error const& error, Again again)
     {
--- a/Tests/LibPlatform/TestChangeFollower.cpp
+++ b/Tests/LibPlatform/TestChangeFollower.cpp
@@ -141,14 +141,19 @@
         }
         WHEN("the platform fails and recovers")
         {
+            CHECK(source.calls.front().wait == timing.wait);
             source.respond(platform_unavailable("busy"));
             CHECK(unavailable == 1);
             ::Test::run_until(loop, [&] { return !source.calls.empty(); });
+            // Guards against a recovery that is noticed late: the platform holds a call without changes for `wait`.
+            CHECK(source.calls.front().wait == 0s);
             source.respond(platform_unavailable("busy"));
             CHECK(unavailable == 1);
             ::Test::run_until(loop, [&] { return !source.calls.empty(); });
+            CHECK(source.calls.front().wait == 0s);
             source.respond(ChangePage { {}, 15 });
             CHECK(available == 1);
+            CHECK(source.calls.front().wait == timing.wait);
         }
         WHEN("the platform fails, and another follower detects its recovery")
         {
@@ -294,6 +299,7 @@
             for (auto const& entry : changes)
                 this->seen.push_back(entry.row.key);
         };
+        observer.missed = [this](u64 known_version) { this->missed.push_back(known_version); };
         observer.unavailable = [](Error const&) {};
         observer.available = [] {};
         return observer;
@@ -311,6 +317,7 @@
     boost::asio::io_context loop;
     ManualSource source;
     std::vector<std::string> seen;
+    std::vector<u64> missed;
     ChangeFollower<ManualSource> follower;
 };
 
@@ -401,6 +408,21 @@
             }
         }
     }
+    // Guards against a host that ignores what others know while the platform is out of its own reach.
+    WHEN("another host knows a later change while a call of this host has no answer")
+    {
+        waiting.follower.set_following(Following::Prompt);
+        REQUIRE(waiting.source.calls.size() == 1);
+        waiting.follower.catch_up(12);
+        ::Test::run_until(waiting.loop, [&] { return !waiting.missed.empty(); });
+        THEN("the change is requested from that host")
+        {
+            CHECK(waiting.missed == std::vector<u64> { 10 });
+            waiting.follower.receive_update({ 3, { { change("b", 12) }, 12 } });
+            CHECK(waiting.seen == std::vector<std::string> { "b" });
+            CHECK(waiting.source.calls.size() == 1);
+        }
+    }
     WHEN("another host knows a later change")
     {
         waiting.follower.catch_up(12);
