LibServing: Defer removals only if the platform may have been away

Cause: after each return of its own path a host deferred every removal by 2 s, since entries expire while the platform is away, and handed that on with its updates. It took its own path for the platform. Evidence: E2307 2.0 s after E1302, in this domain only. Ruled out: messages that don't arrive.

Change: hosts report how long the platform has answered them. A removal is deferred only if no host had contact all the time (PlatformContact). Servers of the cut-off domain may have expired with it: theirs wait until 2 s after the last failed call, also while the host itself is still without answers. E2321 tells why a removal waits.

Before: the removals of TestBackendList's second half were all deferred.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -77,6 +77,7 @@
     { ServiceReportsSlowness, "service_reports_slowness", Information },
     { ServerPaceKnown, "server_pace_known", Information },
     { ServiceContactChanged, "service_contact_changed", Warning },
+    { BackendServerRemovalDeferred, "backend_server_removal_deferred", Information },
     { ServiceCallDispatched, "service_call_dispatched", Information },
     { ServiceCallEnded, "service_call_ended", Information },
     { ClaimRefused, "claim_refused", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -77,6 +77,7 @@
     ServiceReportsSlowness = 2318,
     ServerPaceKnown = 2319,
     ServiceContactChanged = 2320,
+    BackendServerRemovalDeferred = 2321,
     ServiceCallDispatched = 2401,
     ServiceCallEnded = 2402,
     ClaimRefused = 2403,
--- a/Libraries/LibPlatform/ChangeFollower.h
+++ b/Libraries/LibPlatform/ChangeFollower.h
@@ -115,6 +115,9 @@
     std::function<void(TableUpdate const&)> fetched { [](TableUpdate const&) {} };
     /// Other processes know changes after this version that have not arrived here, so they may be requested from them.
     std::function<void(u64 known_version)> missed { [](u64) {} };
+    /// Called for each answer of the platform, and for each call that it did not answer.
+    std::function<void()> answered { [] {} };
+    std::function<void()> failed { [] {} };
     /// Called at the first failed call after a success, and at the first success after a failure.
     std::function<void(Error const&)> unavailable;
     std::function<void()> available;
@@ -453,6 +456,7 @@
     void record_success()
     {
         this->retry_delay = this->timing.initial_retry_delay;
+        this->observer.answered();
         if (!std::exchange(this->reachable, true))
             this->observer.available();
     }
@@ -461,6 +465,7 @@
     template<typename Again>
     void retry(Error const& error, Again again)
     {
+        this->observer.failed();
         if (std::exchange(this->reachable, false))
             this->observer.unavailable(error);
         auto delay = this->retry_delay;
--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -4,7 +4,9 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
+#include <AK/Error.h>
 #include <LibServing/BackendList.h>
+#include <algorithm>
 #include <set>
 
 namespace Serving {
@@ -105,10 +107,42 @@
 
 void BackendList::handle_removal(EngineId const& id)
 {
-    auto now = this->context.now();
-    if (now >= this->recovery_ends_at)
+    auto const recovery = this->recovery();
+    if (!recovery || this->is_due(id, *recovery))
         return this->remove_now(id);
-    this->deferred_removals.try_emplace(id, this->recovery_ends_at);
+    if (this->deferred_removals.try_emplace(id, *recovery).second)
+        this->log_deferred(id, *recovery);
+}
+
+void BackendList::log_deferred(EngineId const& id, Recovery const& recovery) const
+{
+    auto const now = this->context.now();
+    auto const& domain = this->context.backends.find(id)->server.failure_domain;
+    auto const reason = this->context.platform_contact.possible_expiry(domain, recovery.outage_began, now);
+    this->context.log.event(Core::EventNumber::BackendServerRemovalDeferred, id.value())
+        .with("reason", to_string(reason))
+        .with("outage_began_ms_ago", now - recovery.outage_began)
+        .with("left_ms", this->due_at(domain, recovery) - now);
+}
+
+Instant BackendList::due_at(FailureDomainId const& domain, Recovery const& recovery) const
+{
+    auto const now = this->context.now();
+    switch (this->context.platform_contact.possible_expiry(domain, recovery.outage_began, now)) {
+    case PossibleExpiry::None:
+        return now;
+    case PossibleExpiry::OwnDomainCutOff:
+        return recovery.ends_for_own_domain_at;
+    case PossibleExpiry::PlatformAway:
+        return recovery.ends_at;
+    }
+    VERIFY(false);
+}
+
+bool BackendList::is_due(EngineId const& id, Recovery const& recovery) const
+{
+    auto const backend = this->context.backends.find(id);
+    return !backend || this->context.now() >= this->due_at(backend->server.failure_domain, recovery);
 }
 
 void BackendList::remove_now(EngineId const& id)
@@ -127,14 +161,36 @@
     this->observer.on_leaving(backend);
 }
 
+BackendList::Recovery BackendList::recovery_from_now(Duration recovery) const
+{
+    auto const now = this->context.now();
+    auto const outage = this->context.platform_contact.last_outage().value_or(PlatformContact::Outage { now, now });
+    return { outage.began, now + recovery, outage.last_failure + recovery };
+}
+
 void BackendList::handle_platform_recovery(Duration recovery)
 {
-    this->recovery_ends_at = std::max(this->recovery_ends_at, this->context.now() + recovery);
+    this->handle_recovery_of_reader(this->recovery_from_now(recovery));
+}
+
+void BackendList::handle_recovery_of_reader(Recovery const& recovery)
+{
+    auto const current = this->recovery();
+    if (!current) {
+        this->last_recovery = recovery;
+        return;
+    }
+    this->last_recovery
+        = { std::min(current->outage_began, recovery.outage_began), std::max(current->ends_at, recovery.ends_at),
+              std::max(current->ends_for_own_domain_at, recovery.ends_for_own_domain_at) };
 }
 
-Duration BackendList::recovery_left() const
+std::optional<BackendList::Recovery> BackendList::recovery() const
 {
-    return std::max<Duration>(0s, this->recovery_ends_at - this->context.now());
+    if (this->context.platform_contact.is_in_outage())
+        return this->recovery_from_now(this->context.settings.list_recovery_time);
+    bool const is_over = !this->last_recovery || this->context.now() >= this->last_recovery->ends_at;
+    return is_over ? std::nullopt : this->last_recovery;
 }
 
 void BackendList::tick()
@@ -142,8 +198,8 @@
     auto now = this->context.now();
     this->context.backends.expire_removed(now);
     while (true) {
-        auto due
-            = std::ranges::find_if(this->deferred_removals, [&](auto const& removal) { return removal.second <= now; });
+        auto due = std::ranges::find_if(this->deferred_removals,
+            [this](auto const& removal) { return this->is_due(removal.first, removal.second); });
         if (due == this->deferred_removals.end())
             return;
         auto id = due->first;
--- a/Libraries/LibServing/BackendList.h
+++ b/Libraries/LibServing/BackendList.h
@@ -12,8 +12,9 @@
 namespace Serving {
 
 /// Synchronises the table of backend servers with the platform's list. Entries expire on that list while the platform
-/// is unavailable, and running backend servers register again within a known time after its recovery. A removal that is
-/// received within that time is therefore deferred until the time is over.
+/// is away or a failure domain is cut off from it, and running backend servers register again within a known time after
+/// its recovery. A removal that is received within that time is therefore deferred until the time is over, unless a
+/// host that had contact with the platform all the time reports so: then the fleet has seen the removal.
 class BackendList {
 public:
     struct Observer {
@@ -23,6 +24,18 @@
         std::function<void(BackendPointer const&)> on_leaving;
     };
 
+    /// A recovery from a period in which the platform did not answer the host that reads the list.
+    struct Recovery {
+        /// The last answer before that period.
+        Instant outage_began {};
+        /// Until when entries may come back that expired because the platform was away. It returned at the earliest
+        /// just before its first answer.
+        Instant ends_at {};
+        /// The same for entries that expired because the failure domain was cut off. Its link returned at the earliest
+        /// just after the last call that failed.
+        Instant ends_for_own_domain_at {};
+    };
+
     BackendList(ServingContext& context, Observer observer);
 
     /// Applies a snapshot of the whole list. `unusable` holds the ids of invalid entries.
@@ -41,20 +54,30 @@
     /// or address for it, or adds it again. Running requests are left to their connections: only a later start with the
     /// same id proves the termination.
     void handle_termination(EngineId const&, ServerStart, Address const&);
-    /// The platform is available again; expired entries may come back within `recovery`.
+    /// The platform answers this host again; expired entries may come back within `recovery`.
     void handle_platform_recovery(Duration recovery);
-    [[nodiscard]] Duration recovery_left() const;
+    /// The host that has read the list is in a recovery.
+    void handle_recovery_of_reader(Recovery const&);
+    /// The recovery in progress, if any. While the platform does not answer this host, it may recover at any time, and
+    /// hosts that it answers already report what they read.
+    [[nodiscard]] std::optional<Recovery> recovery() const;
     /// Executes the deferred removals that are due.
     void tick();
 
 private:
     void remove_now(EngineId const&);
+    /// The recovery if the platform answers from now on.
+    [[nodiscard]] Recovery recovery_from_now(Duration recovery) const;
+    void log_deferred(EngineId const&, Recovery const&) const;
+    /// When the removal of a server in `domain` is due.
+    [[nodiscard]] Instant due_at(FailureDomainId const& domain, Recovery const&) const;
+    [[nodiscard]] bool is_due(EngineId const&, Recovery const&) const;
 
     ServingContext& context;
     Observer observer;
-    Instant recovery_ends_at {};
-    /// The removals that are deferred, and when each is due.
-    std::map<EngineId, Instant> deferred_removals;
+    std::optional<Recovery> last_recovery;
+    /// The removals that are deferred, and the recovery in which each was received.
+    std::map<EngineId, Recovery> deferred_removals;
 };
 
 }
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -214,6 +214,8 @@
         Platform::FollowerObserver observer;
         observer.unavailable = [this, table](Error const& error) { this->handle_platform_unavailable(table, error); };
         observer.available = [this, table] { this->handle_platform_available(table); };
+        observer.answered = [this] { this->context.platform_contact.record_answer(this->context.now()); };
+        observer.failed = [this] { this->context.platform_contact.record_failure(this->context.now()); };
         return observer;
     }
 
--- a/Libraries/LibServing/PeerLink.cpp
+++ b/Libraries/LibServing/PeerLink.cpp
@@ -59,6 +59,22 @@
     return addresses;
 }
 
+/// Reports how long the platform has answered this host.
+static void put_platform_contact(wire::HostUse& message, ServingContext const& context)
+{
+    if (auto const duration = context.platform_contact.own_duration(context.now()))
+        message.set_platform_answered_milliseconds(static_cast<u64>(AK::to_milliseconds(*duration)) + 1);
+}
+
+/// Applies the report of a full state message.
+static void apply_platform_contact(ServingContext& context, Address const& host, wire::HostUse const& message)
+{
+    std::optional<Duration> duration;
+    if (message.platform_answered_milliseconds() > 0)
+        duration = std::chrono::milliseconds(message.platform_answered_milliseconds() - 1);
+    context.platform_contact.record_report(host, FailureDomainId(message.failure_domain()), duration, context.now());
+}
+
 PeerLink::PeerLink(ServingContext& context, Observer observer)
     : context(context)
     , observer(std::move(observer))
@@ -435,6 +451,7 @@
     message.set_failure_domain(own.domain.value());
     message.set_period_milliseconds(static_cast<u32>(AK::to_milliseconds(own.period)));
     message.set_platform_is_lost(own.platform_unavailable);
+    put_platform_contact(message, this->context);
     message.set_hosts_of_domain(own.hosts_of_domain);
     message.set_strength(own.strength);
     put_recent_request_terminations(message, this->context, this->rounds);
@@ -638,6 +655,7 @@
     if (message.is_whole()) {
         auto const status = status_in(message);
         this->context.reachability.record_message(sender, status, now);
+        apply_platform_contact(this->context, sender, message);
         if (status.domain == this->context.settings.failure_domain)
             this->peers.insert(sender);
     } else {
@@ -671,10 +689,12 @@
         return;
     auto now = this->context.now();
     Address const representative(message.domain_speaker());
-    if (message.is_whole())
+    if (message.is_whole()) {
         this->context.reachability.record_message(representative, status_in(message), now);
-    else
+        apply_platform_contact(this->context, representative, message);
+    } else {
         this->context.reachability.record_message(representative, now);
+    }
     // A message received from the representative itself is for all hosts of this domain.
     bool const is_relayed = sender != representative;
     if (is_relayed)
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -24,6 +24,7 @@
 #include <LibServing/OpenRequests.h>
 #include <LibServing/Overload/ServiceDemand.h>
 #include <LibServing/PlacementRate.h>
+#include <LibServing/PlatformContact.h>
 #include <LibServing/ProcessCheck.h>
 #include <LibServing/Quarantine.h>
 #include <LibServing/Reachability.h>
@@ -46,6 +47,7 @@
         , backends(settings.regions, settings.server_forwarders)
         , budget(settings.retry_budget)
         , reachability(settings.failure_domain, strength_of(settings))
+        , platform_contact(settings.failure_domain, settings.follower.wait + settings.follower.response_timeout / 2)
         , server_limits(reachability, settings.peer_address)
         , processes(loop)
         , rollouts(
@@ -68,6 +70,7 @@
     BackendTable backends;
     RetryBudget budget;
     Reachability reachability;
+    PlatformContact platform_contact;
     ServerLimits server_limits;
     PlacementRate placements;
     /// Only services whose servers report a slowness have an entry.
--- a/Libraries/LibServing/TableUpdateExchange.h
+++ b/Libraries/LibServing/TableUpdateExchange.h
@@ -41,7 +41,7 @@
         message.set_previous_change(update.previous_change);
         message.set_version(update.page.version);
         message.set_is_difference(update.is_difference);
-        message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(this->backends.recovery_left())));
+        this->put_recovery(message);
         put_rows(message, update.page.changes, max_update_bytes);
         this->logs[message.table()].add(message);
         if (!this->context.reachability.is_primary_reader(this->peers.address(), this->context.now()))
@@ -72,8 +72,7 @@
                 .with("reason", rows.error().message);
         if (!message.has_rows() || !rows)
             return follower->catch_up(message.version());
-        if (message.recovery_left_milliseconds() > 0)
-            this->backends.handle_platform_recovery(std::chrono::milliseconds(message.recovery_left_milliseconds()));
+        this->apply_recovery(message);
         this->logs[message.table()].add(message);
         Platform::TableUpdate update;
         update.previous_change = message.previous_change();
@@ -129,6 +128,30 @@
     /// when packed.
     static constexpr size_t max_update_bytes = 256 << 10;
 
+    void put_recovery(wire::PlatformNews& message) const
+    {
+        auto const recovery = this->backends.recovery();
+        if (!recovery)
+            return;
+        auto const now = this->context.now();
+        auto const last_failure = recovery->ends_for_own_domain_at - this->context.settings.list_recovery_time;
+        message.set_recovery_left_milliseconds(static_cast<u32>(AK::to_milliseconds(recovery->ends_at - now)));
+        message.set_outage_began_milliseconds_ago(static_cast<u64>(AK::to_milliseconds(now - recovery->outage_began)));
+        message.set_last_failure_milliseconds_ago(static_cast<u64>(AK::to_milliseconds(now - last_failure)));
+    }
+
+    void apply_recovery(wire::PlatformNews const& message)
+    {
+        if (message.recovery_left_milliseconds() == 0)
+            return;
+        auto const now = this->context.now();
+        auto const last_failure = now - std::chrono::milliseconds(message.last_failure_milliseconds_ago());
+        this->backends.handle_recovery_of_reader(
+            { now - std::chrono::milliseconds(message.outage_began_milliseconds_ago()),
+                now + std::chrono::milliseconds(message.recovery_left_milliseconds()),
+                last_failure + this->context.settings.list_recovery_time });
+    }
+
     Follower* follower_of(std::string_view table) const
     {
         auto found = this->followers.find(table);
--- a/Tests/LibServing/TestBackendList.cpp
+++ b/Tests/LibServing/TestBackendList.cpp
@@ -24,6 +24,7 @@
 {
     Http::asio::io_context loop;
     HostSettings settings;
+    settings.failure_domain = FailureDomainId("hall-a");
     Core::StructuredLog log([](std::string_view text) { return text.size(); });
     ServingContext context(loop, settings, log);
     Instant now { 100s };
@@ -83,4 +84,102 @@
         CHECK_FALSE(context.backends.find(EngineId("s1")));
         CHECK(context.backends.find(EngineId("s2")));
     }
+    GIVEN("a platform that does not answer this host")
+    {
+        context.platform_contact.record_answer(now);
+        now += 5s;
+        context.platform_contact.record_failure(now);
+        auto elsewhere = server("s3");
+        elsewhere.failure_domain = FailureDomainId("hall-b");
+        list.apply_entry(elsewhere);
+        WHEN("a host of another domain, which it answers all the time, reports removals")
+        {
+            context.platform_contact.record_report(Address("10.0.0.1:1"), FailureDomainId("hall-b"), 1min, now);
+            list.handle_removal(EngineId("s1"));
+            list.handle_removal(EngineId("s3"));
+            THEN("that of a server elsewhere holds at once") { CHECK_FALSE(context.backends.find(EngineId("s3"))); }
+            THEN("that of a server which may have been cut off with this host is deferred")
+            {
+                CHECK(context.backends.find(EngineId("s1")));
+                now += 2s;
+                list.tick();
+                CHECK_FALSE(context.backends.find(EngineId("s1")));
+            }
+        }
+    }
+    // Guards against servers that hosts of a failure domain go on using after it was cut off: their own path to the
+    // platform was taken for the platform.
+    GIVEN("a platform that has answered this host, then not for 5 s, and then again")
+    {
+        auto const outage = 5s;
+        context.platform_contact.record_answer(now);
+        context.platform_contact.record_failure(now + 100ms);
+        context.platform_contact.record_failure(now + outage - 500ms);
+        now += outage;
+        context.platform_contact.record_answer(now);
+        list.handle_platform_recovery(2s);
+        auto elsewhere = server("s3");
+        elsewhere.failure_domain = FailureDomainId("hall-b");
+        list.apply_entry(elsewhere);
+        list.handle_removal(EngineId("s1"));
+        list.handle_removal(EngineId("s3"));
+        auto report = [&](std::string const& domain, Duration contact) {
+            context.platform_contact.record_report(Address("10.0.0.1:1"), FailureDomainId(domain), contact, now);
+            list.tick();
+        };
+        auto knows = [&](std::string const& id) { return context.backends.find(EngineId(id)) != nullptr; };
+
+        WHEN("no other host reports contact")
+        {
+            THEN("the platform may have been away: all removals wait for running servers to register again")
+            {
+                now += 1900ms;
+                list.tick();
+                CHECK(knows("s1"));
+                CHECK(knows("s3"));
+                now += 200ms;
+                list.tick();
+                CHECK_FALSE(knows("s1"));
+                CHECK_FALSE(knows("s3"));
+            }
+        }
+        WHEN("another host reports contact since the platform's return only")
+        {
+            report("hall-b", 0s);
+            THEN("that proves nothing")
+            {
+                CHECK(knows("s1"));
+                CHECK(knows("s3"));
+            }
+        }
+        WHEN("a host of another domain reports contact all the time")
+        {
+            report("hall-b", 1min);
+            THEN("servers elsewhere are gone at once") { CHECK_FALSE(knows("s3")); }
+            THEN("servers that may have been cut off with this host have until 2 s after the last failure")
+            {
+                now += 1400ms;
+                report("hall-b", 1min + 1400ms);
+                CHECK(knows("s1"));
+                now += 200ms;
+                report("hall-b", 1min + 1600ms);
+                CHECK_FALSE(knows("s1"));
+            }
+            THEN("later removals are not deferred")
+            {
+                list.apply_entry(elsewhere);
+                list.handle_removal(EngineId("s3"));
+                CHECK_FALSE(knows("s3"));
+            }
+        }
+        WHEN("a host of the same domain reports contact all the time")
+        {
+            report("hall-a", 1min);
+            THEN("this host was cut off alone, and all removals hold at once")
+            {
+                CHECK_FALSE(knows("s1"));
+                CHECK_FALSE(knows("s3"));
+            }
+        }
+    }
 }
