LibHttp, LibServing: Bound every part of a server's answer

A server that sends bytes without end could use up a host's memory or keep it reading, until its caller's deadline.

Cause: only a head and a single body had a limit.

Change: a connection buffers 128 KB at most and skips 16 responses; a limit ends the exchange as TooLarge, which callers get as 502, may have run. Collected bodies share an eighth of the host's memory. A stream that brings no new event in 256 KB ends visibly incomplete. Answers to the host's own questions have 256 KB.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -20,10 +20,14 @@
 static constexpr Duration idle_limit_margin = 500ms;
 /// The parameter of the Keep-Alive field that holds the idle timeout in seconds.
 static constexpr std::string_view idle_limit_parameter = "timeout=";
-/// Maximum size of a response body. Larger ones would not fit into a host's memory beside others.
-static constexpr u64 max_response_bytes = 16 << 20;
-/// Maximum size of a response head. Limits the memory that a faulty peer can use on this host.
-static constexpr u32 max_response_head_bytes = 64 << 10;
+/// Maximum number of informational responses, and of responses to earlier requests, before the awaited one.
+static constexpr u32 max_skipped_responses = 16;
+
+static bool is_over_limit(beast::error_code error)
+{
+    using Error = beast::http::error;
+    return error == Error::header_limit || error == Error::body_limit || error == Error::buffer_overflow;
+}
 
 std::string_view to_string(ExchangeEnd end)
 {
@@ -39,6 +43,8 @@
         return "truncated";
     case ExchangeEnd::Malformed:
         return "malformed";
+    case ExchangeEnd::TooLarge:
+        return "too_large";
     }
     VERIFY(false);
 }
@@ -64,7 +70,7 @@
 }
 
 void BackendConnection::exchange(
-    Request new_request, ExchangeObserver new_observer, Duration connect_timeout, Duration silence_limit)
+    Request new_request, ExchangeObserver new_observer, Duration connect_timeout, Duration silence_limit, u64 max_body)
 {
     VERIFY(!this->in_exchange);
     this->in_exchange = true;
@@ -72,6 +78,9 @@
     this->response_allows_reuse = false;
     this->is_paused = false;
     this->has_unread_body = false;
+    this->skipped_responses = 0;
+    this->skipped_bytes = 0;
+    this->max_body_bytes = max_body;
     this->request = std::move(new_request);
     this->observer = std::make_shared<ExchangeObserver>(std::move(new_observer));
     ++this->exchange_number;
@@ -128,8 +137,8 @@
     auto number = this->exchange_number;
     this->parser.emplace();
     this->parser->eager(true);
-    this->parser->body_limit(max_response_bytes);
-    this->parser->header_limit(max_response_head_bytes);
+    this->parser->body_limit(this->max_body_bytes);
+    this->parser->header_limit(max_head_bytes);
     beast::http::async_read_header(this->socket, this->buffer, *this->parser,
         [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
             self->traffic->record_received(bytes);
@@ -140,6 +149,8 @@
 
 void BackendConnection::handle_head(beast::error_code error)
 {
+    if (is_over_limit(error))
+        return this->fail(ExchangeEnd::TooLarge, error);
     if (error)
         return this->fail(is_malformed(error) ? ExchangeEnd::Malformed : ExchangeEnd::NoResponse, error);
     auto number = this->exchange_number;
@@ -211,7 +222,12 @@
     auto number = this->exchange_number;
     this->forward_body();
     if (number == this->exchange_number && this->in_exchange)
-        this->fail(ExchangeEnd::Truncated, error);
+        this->fail(is_over_limit(error) ? ExchangeEnd::TooLarge : ExchangeEnd::Truncated, error);
+}
+
+bool BackendConnection::has_skipped_too_much() const
+{
+    return this->skipped_responses > max_skipped_responses || this->skipped_bytes > this->max_body_bytes;
 }
 
 void BackendConnection::forward_body()
@@ -222,13 +238,20 @@
     auto piece = std::exchange(body, {});
     auto current = this->observer;
     if (!this->skipping)
-        current->body(piece);
+        return current->body(piece);
+    this->skipped_bytes += piece.size();
+    if (this->has_skipped_too_much())
+        this->fail_as_too_large("the responses before the awaited one are too large");
 }
 
 void BackendConnection::finish_response()
 {
-    if (this->skipping)
+    if (this->skipping) {
+        ++this->skipped_responses;
+        if (this->has_skipped_too_much())
+            return this->fail_as_too_large("too many responses before the awaited one");
         return this->read_head();
+    }
     // After a response that arrived before the whole request was sent, the peer still waits for the rest of the
     // request.
     this->response_allows_reuse = this->request_written && this->buffer.size() == 0 && this->parser->get().keep_alive()
@@ -242,6 +265,12 @@
     this->finish(end, error.message());
 }
 
+void BackendConnection::fail_as_too_large(std::string const& reason)
+{
+    this->close();
+    this->finish(ExchangeEnd::TooLarge, reason);
+}
+
 void BackendConnection::finish(ExchangeEnd end, std::string const& reason)
 {
     this->in_exchange = false;
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -31,6 +31,8 @@
     Truncated,
     /// The received bytes are not an HTTP response.
     Malformed,
+    /// The response exceeds a limit on its size. The request may have run.
+    TooLarge,
 };
 
 std::string_view to_string(ExchangeEnd);
@@ -59,13 +61,21 @@
 /// A connection to a backend server that carries one exchange at a time.
 class BackendConnection : public std::enable_shared_from_this<BackendConnection> {
 public:
+    /// Default maximum size of a response body. Larger ones would not fit into a host's memory beside others.
+    static constexpr u64 default_max_body_bytes = 16 << 20;
+    /// Maximum size of the body that answers a question or an order of this host itself. A report lists at most the
+    /// requests that run at one engine.
+    static constexpr u64 max_own_answer_bytes = 256 << 10;
+
     /// `traffic` counts the bytes of this connection, together with those of others.
     BackendConnection(asio::io_context&, tcp::endpoint, std::shared_ptr<Traffic> traffic = std::make_shared<Traffic>());
 
     /// Sends `request`, connecting first if necessary, and reports the response to `observer`. Connecting fails after
     /// `connect_timeout`. The connection fails when the peer has acknowledged nothing for `silence_limit`. The response
-    /// has no timeout here; the calling code limits the wait with cancel().
-    void exchange(Request request, ExchangeObserver observer, Duration connect_timeout, Duration silence_limit);
+    /// has no timeout here; the calling code limits the wait with cancel(). Each part of the response has a limit on
+    /// its size, so that a peer that sends without end can't use up this host's memory or processor.
+    void exchange(Request request, ExchangeObserver observer, Duration connect_timeout, Duration silence_limit,
+        u64 max_body_bytes = default_max_body_bytes);
     /// Ends the exchange and closes the connection, so that the backend server can abandon the request.
     void cancel();
     /// Stops reading the response body, so that the backend server has to wait with the rest. What was already received
@@ -85,6 +95,10 @@
 private:
     using Parser = beast::http::response_parser<beast::http::string_body>;
 
+    /// Maximum size of a response head.
+    static constexpr u32 max_head_bytes = 64 << 10;
+    static constexpr size_t max_buffered_bytes = 2 * max_head_bytes;
+
     void connect(Duration timeout, Duration silence_limit);
     void send();
     void read_head();
@@ -92,8 +106,11 @@
     void read_body();
     void handle_body(beast::error_code);
     void forward_body();
+    /// Whether more was skipped than earlier requests on this connection can have left behind.
+    [[nodiscard]] bool has_skipped_too_much() const;
     void finish_response();
     void fail(ExchangeEnd, beast::error_code);
+    void fail_as_too_large(std::string const& reason);
     void finish(ExchangeEnd, std::string const& reason);
     void record_idle_limit(ResponseHead const&);
     void close();
@@ -102,7 +119,8 @@
     AK::Timer connect_timer;
     tcp::endpoint endpoint;
     std::shared_ptr<Traffic> traffic;
-    beast::flat_buffer buffer;
+    /// Received bytes that the parser has not consumed: at most a head, or a line between two chunks of a body.
+    beast::flat_buffer buffer { max_buffered_bytes };
     Request request;
     std::optional<beast::http::serializer<true, beast::http::string_body>> serializer;
     std::optional<Parser> parser;
@@ -111,6 +129,10 @@
     bool connected { false };
     bool in_exchange { false };
     bool skipping { false };
+    /// Responses of this exchange that were skipped, and the bytes of their bodies.
+    u32 skipped_responses { 0 };
+    u64 skipped_bytes { 0 };
+    u64 max_body_bytes { default_max_body_bytes };
     bool request_written { false };
     bool response_allows_reuse { false };
     bool is_paused { false };
--- a/Libraries/LibOverload/OutputBudget.h
+++ b/Libraries/LibOverload/OutputBudget.h
@@ -11,9 +11,10 @@
 
 namespace Overload {
 
-/// Bounds the memory for response bytes that callers have not read yet. Each caller may have as many unsent bytes as
-/// are still free of the whole (a dynamic threshold): one slow reader can use half of the memory, and many slow readers
-/// share it evenly, without being counted. No more is read from a backend server for a caller above the threshold.
+/// Bounds the memory for response bytes: those that callers have not read yet, or those of responses that are collected
+/// before they are sent. Each caller may have as many unsent bytes as are still free of the whole (a dynamic
+/// threshold): one slow reader can use half of the memory, and many slow readers share it evenly, without being
+/// counted. No more is read from a backend server for a caller above the threshold.
 class OutputBudget {
 public:
     /// Each caller may always have this much, so that responses that are ready are delivered at any load.
@@ -29,6 +30,9 @@
     /// The part of a host's memory that may hold unsent bytes. The rest is for requests, tables and the process itself.
     static size_t total_for(u64 host_memory_bytes) { return static_cast<size_t>(host_memory_bytes / 4); }
 
+    /// The part of a host's memory for responses that are being collected. Sound ones are complete within milliseconds.
+    static size_t total_for_collected(u64 host_memory_bytes) { return static_cast<size_t>(host_memory_bytes / 8); }
+
     void set_total(size_t bytes) { this->total = std::max(min_total, bytes); }
     void add(size_t bytes) { this->used_bytes += bytes; }
     void remove(size_t bytes) { this->used_bytes -= std::min(bytes, this->used_bytes); }
--- a/Libraries/LibServing/EnginePoller.h
+++ b/Libraries/LibServing/EnginePoller.h
@@ -163,8 +163,8 @@
                 this->handle_response(*backend, end, reason, report);
             },
         };
-        connection->exchange(
-            D::engine_report_request(*backend), std::move(observer), connect_timeout, backend_silence_limit);
+        connection->exchange(D::engine_report_request(*backend), std::move(observer), connect_timeout,
+            backend_silence_limit, Http::BackendConnection::max_own_answer_bytes);
     }
 
     /// Whether a report comes from this backend server. Another process may use its address, with the same or another
--- a/Libraries/LibServing/ForwardedRequest.h
+++ b/Libraries/LibServing/ForwardedRequest.h
@@ -122,10 +122,8 @@
 
     void body_received(std::string_view piece)
     {
-        if (!this->is_stream()) {
-            this->response_body += piece;
-            return;
-        }
+        if (!this->is_stream())
+            return this->collect(piece);
         this->exchange().send_chunk(piece);
         if (this->is_over || !this->exchange().must_pause())
             return;
@@ -137,6 +135,12 @@
         });
     }
 
+    void collect(std::string_view piece)
+    {
+        if (!this->response_body.append(piece))
+            this->exchange_ended(Http::ExchangeEnd::TooLarge, std::string(too_large_reason));
+    }
+
     void exchange_ended(Http::ExchangeEnd end, std::string const& reason)
     {
         this->close_connection();
@@ -189,7 +193,7 @@
         Http::Response response;
         response.base() = *this->response_head;
         Http::remove_connection_fields(response);
-        response.body() = std::move(this->response_body);
+        response.body() = this->response_body.take();
         return response;
     }
 
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -265,6 +265,7 @@
         this->context.server_limits.record_sent(*target, this->context.now());
         this->reset_response();
         this->reader = {};
+        this->bytes_since_event = 0;
         this->dispatched_at = this->context.now();
         this->gap_sample = {};
         this->gaps = {};
@@ -320,26 +321,37 @@
 
     void body_received(std::string_view piece)
     {
-        if (!this->is_relayed_stream()) {
-            this->response_body += piece;
-            return;
-        }
+        if (!this->is_relayed_stream())
+            return this->collect(piece);
+        this->bytes_since_event += piece.size();
         for (auto const& event : this->reader.feed(piece)) {
             auto verdict = this->order.check(event);
             if (verdict == Delivery::EventOrder::Verdict::Gap)
                 return this->fail_stream("event numbers from the engine have a gap");
             if (verdict == Delivery::EventOrder::Verdict::Forward)
                 this->forward(event);
+            if (verdict == Delivery::EventOrder::Verdict::Forward && event.number)
+                this->bytes_since_event = 0;
             // Sending the event may have closed the caller's connection.
             if (this->is_over)
                 return;
         }
         if (this->reader.is_oversized())
             return this->fail_stream("the engine sent an event that exceeds the size limit");
+        if (this->bytes_since_event > Delivery::EventStreamReader::max_event_bytes)
+            return this->fail_stream("the engine sends bytes that are no new event");
         this->consider_move();
         this->apply_back_pressure();
     }
 
+    void collect(std::string_view piece)
+    {
+        if (this->response_body.append(piece))
+            return;
+        this->connection->cancel();
+        this->exchange_ended(Http::ExchangeEnd::TooLarge, std::string(too_large_reason));
+    }
+
     /// Reads no more from the engine while the caller has too much to read. The engine stops waiting after some
     /// seconds, so this happens only when the host's memory is needed. An engine that is leaving is read to the end.
     void apply_back_pressure()
@@ -776,6 +788,8 @@
     bool response_is_framed { false };
     Delivery::EventStreamReader reader;
     Delivery::EventOrder order;
+    /// Received since the last new event.
+    u64 bytes_since_event { 0 };
     Instant dispatched_at {};
     GapSample gap_sample;
     Overload::EventGaps gaps;
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -184,7 +184,7 @@
             },
         };
         this->connection->exchange(D::copy_request(*this->inputs.source, *this->chosen, this->inputs.attempt, is_last),
-            std::move(observer), connect_timeout, backend_silence_limit);
+            std::move(observer), connect_timeout, backend_silence_limit, Http::BackendConnection::max_own_answer_bytes);
     }
 
     void copy_response_received(bool is_last, Http::ExchangeEnd end, std::string const& reason)
@@ -367,7 +367,7 @@
             [](Http::ExchangeEnd, std::string const&) {},
         };
         connection_to_source->exchange(D::drop_copy_request(*this->inputs.source, this->copy->handle),
-            std::move(observer), connect_timeout, backend_silence_limit);
+            std::move(observer), connect_timeout, backend_silence_limit, Http::BackendConnection::max_own_answer_bytes);
     }
 
     void drop_connection()
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -100,9 +100,12 @@
         this->callers_context = std::make_shared<Http::CallerContext>();
         this->callers_context->on_request
             = [this](std::shared_ptr<Http::Exchange> exchange) { this->request_handler.handle(std::move(exchange)); };
-        if (this->settings.memory_bytes > 0)
+        if (this->settings.memory_bytes > 0) {
             this->callers_context->output_budget.emplace(
                 Overload::OutputBudget::total_for(this->settings.memory_bytes));
+            this->context.collected_responses = std::make_shared<Overload::OutputBudget>(
+                Overload::OutputBudget::total_for_collected(this->settings.memory_bytes));
+        }
         this->callers_context->on_rejected_request = [this](std::string const& reason) {
             this->log.event(Core::EventNumber::RequestRefused, "unread").with("reason", reason);
         };
@@ -200,6 +203,9 @@
         if (this->callers_context->output_budget)
             this->context.metrics.set(
                 "unread_response_bytes", static_cast<double>(this->callers_context->output_budget->used()));
+        if (this->context.collected_responses)
+            this->context.metrics.set(
+                "collected_response_bytes", static_cast<double>(this->context.collected_responses->used()));
         this->context.metrics.set("log_lines_dropped", static_cast<double>(this->log.dropped_lines()));
         Http::Response response(Http::Status::ok, 11);
         response.set(Http::Name::content_type, "text/plain; version=0.0.4");
@@ -546,6 +552,8 @@
         auto& budget = this->callers_context->output_budget;
         if (budget && bytes > 0)
             budget->set_total(Overload::OutputBudget::total_for(bytes));
+        if (this->context.collected_responses && bytes > 0)
+            this->context.collected_responses->set_total(Overload::OutputBudget::total_for_collected(bytes));
     }
 
     void begin_stop()
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -9,6 +9,7 @@
 #include <AK/Timer.h>
 #include <LibHttp/Exchange.h>
 #include <LibServing/BackendChooser.h>
+#include <LibServing/CollectedBody.h>
 #include <LibServing/Contact.h>
 #include <LibServing/Dialect.h>
 #include <LibServing/ErrorResponse.h>
@@ -52,6 +53,7 @@
         : context(context)
         , call(std::move(call))
         , deadline_timer(context.loop)
+        , response_body(context.collected_responses)
     {
     }
 
@@ -292,7 +294,7 @@
         Http::Response response;
         response.base() = *this->response_head;
         remove_hop_fields<D>(response);
-        response.body() = std::move(this->response_body);
+        response.body() = this->response_body.take();
         return response;
     }
 
@@ -405,12 +407,15 @@
     /// Whether the current dispatch had to make its connection.
     bool is_on_new_connection { true };
     /// Received part of a non-stream response; streams are not buffered here.
-    std::string response_body;
+    CollectedBody response_body;
     bool is_over { false };
     /// Present while the request is open, from watch_process_end() on.
     std::optional<OpenRequests::Entry> open_request;
 };
 
+/// Reason for cancelling an exchange whose response does not fit into this host's memory beside others.
+inline constexpr std::string_view too_large_reason = "the response needs more memory than this host has for it";
+
 /// Reason for cancelling an exchange whose backend server process is known to have terminated.
 inline constexpr std::string_view replaced_reason = "another process has taken its place";
 
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -119,7 +119,7 @@
     {
         auto self = this->shared_from_this();
         return { [self](Http::ResponseHead const& head) { return self->head_received(head); },
-            [self](std::string_view piece) { self->response_body += piece; },
+            [self](std::string_view piece) { self->body_received(piece); },
             [self](Http::ExchangeEnd end, std::string const& reason) { self->exchange_ended(end, reason); } };
     }
 
@@ -129,6 +129,14 @@
                                                                             : Http::HeadAction::Skip;
     }
 
+    void body_received(std::string_view piece)
+    {
+        if (this->response_body.append(piece))
+            return;
+        this->connection->cancel();
+        this->exchange_ended(Http::ExchangeEnd::TooLarge, std::string(too_large_reason));
+    }
+
     void exchange_ended(Http::ExchangeEnd end, std::string const& reason)
     {
         auto used = this->release_backend();
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -11,6 +11,7 @@
 #include <LibHttp/ConnectionPool.h>
 #include <LibOverload/DomainDoubt.h>
 #include <LibOverload/HostLoad.h>
+#include <LibOverload/OutputBudget.h>
 #include <LibOverload/PaceTable.h>
 #include <LibOverload/ReturnPlan.h>
 #include <LibOverload/ReturningCallers.h>
@@ -118,6 +119,8 @@
         return StopSchedule(*this->stop_begun_at, this->settings.stop_grace);
     }
     OpenRequests open_requests;
+    /// For the responses that are being collected; null if the host's memory is not known.
+    std::shared_ptr<Overload::OutputBudget> collected_responses;
     /// To be called when this host's use of engines has changed.
     std::function<void()> use_changed { [] {} };
     /// To be called when connecting to a backend server failed. This host avoids it for `avoided`.
--- a/Tests/LibHttp/ScriptedPeer.h
+++ b/Tests/LibHttp/ScriptedPeer.h
@@ -22,6 +22,7 @@
         KeepOpen,
         Close,
         Reset,
+        RepeatWithoutEnd,
     };
 
     explicit ScriptedPeer(asio::io_context& loop)
@@ -36,6 +37,15 @@
         this->response = std::move(bytes);
         this->then = then;
     }
+    /// Responds with `first` and then with `repeated` without end, until the connection is closed.
+    void script_without_end(std::string first, std::string const& repeated)
+    {
+        this->response = std::move(first);
+        this->then = Then::RepeatWithoutEnd;
+        // Large pieces, so that the test does not take long.
+        while (this->repeated.size() < endless_piece)
+            this->repeated += repeated;
+    }
     void close_connections() { this->connections.clear(); }
     void stop()
     {
@@ -46,6 +56,8 @@
     std::string received;
 
 private:
+    static constexpr size_t endless_piece = 16 << 10;
+
     struct Connection {
         explicit Connection(tcp::socket socket)
             : socket(std::move(socket))
@@ -74,12 +86,23 @@
                     return;
                 this->received.append(connection->buffer.data(), count);
                 asio::write(connection->socket, asio::buffer(this->response), error);
+                if (this->then == Then::RepeatWithoutEnd)
+                    return this->repeat(connection);
                 this->finish(*connection);
                 if (connection->socket.is_open())
                     this->serve(connection);
             });
     }
 
+    void repeat(std::shared_ptr<Connection> const& connection)
+    {
+        connection->socket.async_write_some(
+            asio::buffer(this->repeated), [this, connection](boost::system::error_code error, size_t) {
+                if (!error)
+                    this->repeat(connection);
+            });
+    }
+
     void finish(Connection& connection)
     {
         if (this->then == Then::KeepOpen)
@@ -92,6 +115,7 @@
     tcp::acceptor acceptor;
     tcp::endpoint local { acceptor.local_endpoint() };
     std::string response;
+    std::string repeated;
     Then then { Then::KeepOpen };
     std::list<std::shared_ptr<Connection>> connections;
 };
--- a/Tests/LibHttp/TestBackendConnection.cpp
+++ b/Tests/LibHttp/TestBackendConnection.cpp
@@ -157,3 +157,57 @@
         CHECK(pool.acquire(peer.endpoint()) != first);
     }
 }
+
+// Guards against a host whose memory or processor is used up by a server that sends bytes which are no answer, without
+// end, until the connection is closed.
+SCENARIO("each part of an answer without end is cut off at a limit")
+{
+    struct Part {
+        std::string name;
+        std::string first;
+        std::string repeated;
+        u64 limit;
+        /// The parser finds a fault before the limit is reached.
+        bool is_malformed { false };
+    };
+    static std::string const chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    constexpr u64 max_body_bytes = 1 << 20;
+    constexpr u64 max_line_bytes = 128 << 10;
+    // Traffic counts each read of a small chunk as a packet.
+    constexpr u64 max_chunk_traffic = 32 * max_body_bytes;
+    auto const part = GENERATE(values<Part>({
+        { "status line", "HTTP/1.1 200 ", "O", max_line_bytes },
+        { "bytes that are no status line", "", "x", max_line_bytes, true },
+        { "name of a field", "HTTP/1.1 200 OK\r\n", "X", max_line_bytes },
+        { "value of a field", "HTTP/1.1 200 OK\r\nX-Field: ", "y", max_line_bytes },
+        { "fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", max_line_bytes },
+        { "informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n", max_line_bytes },
+        { "responses to earlier requests", "", "HTTP/1.1 200 OK\r\nX-For: earlier\r\nContent-Length: 3\r\n\r\nodd",
+            max_line_bytes },
+        { "body of a response to an earlier request", "HTTP/1.1 200 OK\r\nX-For: earlier\r\n\r\n", "odd",
+            2 * max_body_bytes },
+        { "body without a length", "HTTP/1.1 200 OK\r\nX-For: this\r\n\r\n", "z", 2 * max_body_bytes },
+        { "chunks", "HTTP/1.1 200 OK\r\nX-For: this\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n",
+            max_chunk_traffic },
+        { "size of a chunk", chunked_head, "0", max_line_bytes },
+        { "extension of a chunk", chunked_head + "5;", "e", max_line_bytes },
+        { "trailers", chunked_head + "0\r\n", "X-Field: value\r\n", max_line_bytes },
+        { "value of a trailer", chunked_head + "0\r\nX-Field: ", "t", max_line_bytes },
+    }));
+    INFO(part.name);
+    Http::asio::io_context loop;
+    ScriptedPeer peer(loop);
+    peer.script_without_end(part.first, part.repeated);
+    CollectedResponse collected;
+    collected.skip_unless = "this";
+    auto traffic = std::make_shared<Http::Traffic>();
+    auto connection = std::make_shared<Http::BackendConnection>(loop, peer.endpoint(), traffic);
+    connection->exchange(post(), collected.observer(), 1s, 5s, max_body_bytes);
+    ::Test::run_until(loop, [&] { return collected.end.has_value(); });
+
+    constexpr u64 max_in_one_read = 64 << 10;
+    CHECK(collected.end == (part.is_malformed ? ExchangeEnd::Malformed : ExchangeEnd::TooLarge));
+    CHECK(collected.body.size() <= max_body_bytes);
+    CHECK(traffic->bytes_received <= part.limit + max_in_one_read);
+    CHECK_FALSE(connection->is_reusable());
+}
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -95,8 +95,8 @@
     }
 
     /// Writes the operator's configuration with an at-most-once route, a repeatable one and one for generations.
-    void put_configuration(
-        u64 version, std::string const& more_routes = {}, std::string const& organisation_regions = "null")
+    void put_configuration(u64 version, std::string const& more_routes = {},
+        std::string const& organisation_regions = "null", std::string const& more_services = {})
     {
         auto route = [](std::string const& name, std::string const& prefix, std::string const& kind,
                          std::string const& service, int attempts) {
@@ -111,7 +111,7 @@
                 + route("drafts", "/drafts/", "streaming", "models", 1) + more_routes
                 + R"(],"services":[{"name":"lanes","health_path":"/health","max_conns":50},)"
                 + R"({"name":"models","health_path":"/health","max_conns":50,"engine":{"slots":8,"kv_capacity":30000,)"
-                + R"("kv_token_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4}}],)"
+                + R"("kv_token_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4}})" + more_services + R"(],)"
                 + R"("limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_ms":3000,)"
                 + R"("idle_timeout_ms":15000},"tenants":[{"name":"plaza","api_keys":["plaza-key"],"priority":1,"allowed_regions":)"
                 + organisation_regions + "}]}");
