--- a/Libraries/LibServing/PlatformContact.cpp
+++ b/Libraries/LibServing/PlatformContact.cpp
@@ -39,6 +39,8 @@
 void PlatformContact::record_report(
     Address const& host, FailureDomainId const& domain, std::optional<Duration> duration, Instant now)
 {
+    std::erase_if(
+        this->reports, [now](auto const& report) { return now - report.second.reported_at > report_lifetime; });
     if (duration)
         this->reports[host] = { domain, now - *duration, now };
     else
