--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -175,14 +175,15 @@
 
 void BackendList::handle_recovery_of_reader(Recovery const& recovery)
 {
-    auto const current = this->recovery();
-    if (!current) {
+    auto const& current = this->last_recovery;
+    bool const is_first = !current || this->context.now() >= current->ends_at;
+    if (is_first) {
         this->last_recovery = recovery;
         return;
     }
-    this->last_recovery
-        = { std::min(current->outage_began, recovery.outage_began), std::max(current->ends_at, recovery.ends_at),
-              std::max(current->ends_for_own_domain_at, recovery.ends_for_own_domain_at) };
+    this->last_recovery = Recovery { std::min(current->outage_began, recovery.outage_began),
+        std::max(current->ends_at, recovery.ends_at),
+        std::max(current->ends_for_own_domain_at, recovery.ends_for_own_domain_at) };
 }
 
 std::optional<BackendList::Recovery> BackendList::recovery() const
