LibServing: Log what ended a dispatch and what the host concludes from it

Cause: E2404 says 'not run' whatever a backend server sent. Nothing tells whether the response named the request, which status it had, and how many requests its connection had carried. The hypotheses about calls that ran twice can't be told apart with that. Change: E2412 for each dispatch that brought no success, with what came and what is concluded from it; E2413 for each response that was skipped.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -89,6 +89,8 @@
     { RequestReleased, "request_released", Information },
     { RequestForwarded, "request_forwarded", Information },
     { ForwardingEnded, "forwarding_ended", Information },
+    { DispatchEnded, "dispatch_ended", Information },
+    { ResponseSkipped, "response_skipped", Information },
     { LeaseTaken, "lease_taken", Information },
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -89,6 +89,8 @@
     RequestReleased = 2409,
     RequestForwarded = 2410,
     ForwardingEnded = 2411,
+    DispatchEnded = 2412,
+    ResponseSkipped = 2413,
     LeaseTaken = 2501,
     LeaseLapsed = 2502,
     OrderSent = 2503,
--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -121,6 +121,7 @@
 void BackendConnection::send()
 {
     auto number = this->exchange_number;
+    ++this->requests_sent;
     this->serializer.emplace(this->request);
     beast::http::async_write(
         this->socket, *this->serializer, [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -88,6 +88,8 @@
     [[nodiscard]] bool is_reusable();
     /// Whether the connection is not yet established.
     [[nodiscard]] bool is_new() const { return !this->connected; }
+    /// Number of requests that were sent on this connection, including the current one.
+    [[nodiscard]] u32 request_count() const { return this->requests_sent; }
     /// The time since the end of the last response.
     [[nodiscard]] Duration idle_time() const { return AK::BootClock::now() - this->idle_since; }
     [[nodiscard]] tcp::endpoint const& peer() const { return this->endpoint; }
@@ -127,6 +129,7 @@
     /// Shared, so that the observer outlives its own call when that call cancels the exchange.
     std::shared_ptr<ExchangeObserver> observer;
     bool connected { false };
+    u32 requests_sent { 0 };
     bool in_exchange { false };
     bool skipping { false };
     /// Responses of this exchange that were skipped, and the bytes of their bodies.
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -446,6 +446,7 @@
             this->record_answer(*this->backend, true, {});
             this->check_for_termination(this->backend, text, this->order.count());
         }
+        this->log_dispatch_end(*this->backend, text, is_unreachable, this->dispatched_at);
         if (this->exchange().is_streaming())
             return this->fail_stream(text);
         if (is_unreachable)
@@ -469,6 +470,8 @@
     /// Handles a complete response that is not an event stream.
     void non_stream_response()
     {
+        this->log_dispatch_end(
+            *this->backend, to_string(Http::ExchangeEnd::Complete), this->is_reported_not_run(), this->dispatched_at);
         if (this->exchange().is_streaming())
             return this->continuation_refused();
         if (this->is_reported_not_run()) {
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -238,8 +238,10 @@
     {
         auto decoded = D::decode_response(head);
         apply_server_notice(this->context, backend, decoded);
-        if (!decoded.attempt.empty() && decoded.attempt != this->attempt())
+        if (!decoded.attempt.empty() && decoded.attempt != this->attempt()) {
+            this->log_skipped(backend, decoded, head.result_int());
             return false;
+        }
         this->response_head = head;
         this->decoded_response = decoded;
         // A misdirected response comes from another process and doesn't carry this server's load and limit.
@@ -253,6 +255,35 @@
         return true;
     }
 
+    void log_skipped(Backend const& backend, BackendResponseHead const& response, unsigned status)
+    {
+        this->context.metrics.add("responses_skipped_total");
+        this->context.log.event(Core::EventNumber::ResponseSkipped, this->attempt())
+            .with("backend", backend.server.id)
+            .with("status", status)
+            .with("names", response.attempt.empty() ? "none" : response.attempt)
+            .with("says_not_run", static_cast<int>(response.is_not_run))
+            .with("connection_requests", this->requests_on_connection);
+    }
+
+    /// Logs the end of a dispatch that brought no success, and what this host concludes from it. `end`: how the
+    /// exchange ended.
+    void log_dispatch_end(Backend const& backend, std::string_view end, bool is_not_run, Instant dispatched_at)
+    {
+        auto const& response = this->decoded_response;
+        bool const has_head = this->response_head.has_value();
+        this->context.log.event(Core::EventNumber::DispatchEnded, this->attempt())
+            .with("backend", backend.server.id)
+            .with("end", end)
+            .with("status", has_head ? this->response_status() : 0)
+            .with("named", static_cast<int>(has_head && !response.attempt.empty()))
+            .with("signed", static_cast<int>(has_head && response.is_signed))
+            .with("says_not_run", static_cast<int>(has_head && this->is_reported_not_run()))
+            .with("connection_requests", this->requests_on_connection)
+            .with("took_ms", this->context.now() - dispatched_at)
+            .with("concludes", is_not_run ? "not_run" : "may_have_run");
+    }
+
     /// Status of the current response. This function, is_success(), is_reported_not_run(), is_server_error() and
     /// make_relayed_response() require that the response head has been received.
     [[nodiscard]] unsigned response_status() const { return this->response_head->result_int(); }
@@ -404,6 +435,8 @@
     /// Response head of the current or last dispatch; empty until it has been received.
     std::optional<Http::ResponseHead> response_head;
     BackendResponseHead decoded_response;
+    /// Number of requests that the connection of the current dispatch has carried, including this one.
+    u32 requests_on_connection { 1 };
     /// Whether the current dispatch had to make its connection.
     bool is_on_new_connection { true };
     /// Received part of a non-stream response; streams are not buffered here.
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -60,6 +60,7 @@
         this->reset_response();
         this->connection = this->context.connections.acquire(this->backend->endpoint);
         this->is_on_new_connection = this->connection->is_new();
+        this->requests_on_connection = this->connection->request_count() + 1;
         this->watch_termination(*this->backend, [weak = this->weak_from_this()] {
             if (auto self = weak.lock())
                 self->backend_terminated();
@@ -155,6 +156,7 @@
         }
         // A head that reports "not run" is valid even if the rest of the response was truncated.
         bool const has_not_run = is_unreachable || (this->response_head && this->is_reported_not_run());
+        this->log_dispatch_end(*used, Http::describe(end, reason), has_not_run, this->dispatched_at);
         this->may_have_run = this->may_have_run || !has_not_run;
         this->try_again(Http::describe(end, reason), is_unreachable);
     }
@@ -168,6 +170,9 @@
 
     void response_received(Backend& used)
     {
+        if (!this->is_success() || !this->decoded_response.is_signed)
+            this->log_dispatch_end(
+                used, to_string(Http::ExchangeEnd::Complete), this->is_reported_not_run(), this->dispatched_at);
         if (this->is_reported_not_run()) {
             this->record_refusal_of(used);
             return this->try_again(this->decoded_response.is_misdirected ? "misdirected" : "not run", false);
