--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -148,6 +148,14 @@
         this->count_run(request);
         exchange->respond(Http::Response(Http::Status::ok, Http::http_1_1));
         return true;
+    case Fault::UnsignedUnavailable:
+        this->count_run(request);
+        exchange->respond(Http::Response(Http::Status::service_unavailable, Http::http_1_1));
+        return true;
+    case Fault::UnsignedNotFound:
+        this->count_run(request);
+        exchange->respond(Http::Response(Http::Status::not_found, Http::http_1_1));
+        return true;
     case Fault::Hang:
         this->count_run(request);
         this->hanging.push_back(exchange);
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -35,6 +35,11 @@
         Fail,
         /// Runs the request, then responds without a signature.
         Unsigned,
+        /// Runs the request, then responds with 503 (Service Unavailable), without a signature and without reporting
+        /// that it has not run.
+        UnsignedUnavailable,
+        /// The same with 404 (Not Found).
+        UnsignedNotFound,
         /// Runs the request and never responds.
         Hang,
     };
