LibServing: Relay no status that promises 'not run' without a proof

What callers saw: 503, 429 or 408 for requests that had run. Cause: a backend server's own status was relayed as it came. To callers these statuses are the promise that the request has not run, which a server makes only with its report that it has not; without one it may have run. Change: such a response is replaced by 502 of this host ('may have run'), for calls and generations; the server's signature does not stand beside it. The metric refusals_unproved_total counts them.

--- a/Libraries/LibServing/ErrorResponse.cpp
+++ b/Libraries/LibServing/ErrorResponse.cpp
@@ -33,6 +33,20 @@
     }
 }
 
+bool promises_not_run(unsigned status)
+{
+    using Http::Status;
+    switch (static_cast<Status>(status)) {
+    case Status::request_timeout:
+    case Status::misdirected_request:
+    case Status::too_many_requests:
+    case Status::service_unavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
 Error leaving_error()
 {
     // Another host accepts a new connection immediately.
--- a/Libraries/LibServing/ErrorResponse.h
+++ b/Libraries/LibServing/ErrorResponse.h
@@ -24,6 +24,10 @@
 /// Returns the HTTP status of an error. 503 and 429 are used only if the request has not run.
 Http::Status status_for(Error const&, RequestOutcome);
 
+/// Whether callers take this status for the promise that their request has not run. Only a host that is certain of it
+/// may send one.
+[[nodiscard]] bool promises_not_run(unsigned status);
+
 /// The refusal of a request that has not run, because this host is stopping.
 Error leaving_error();
 
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -490,6 +490,8 @@
         this->context.log.event(Core::EventNumber::StreamEnded, this->attempt())
             .with("engine", this->backend->server.id)
             .with("status", this->response_status());
+        if (promises_not_run(this->response_status()))
+            return this->respond_unproved_refusal();
         this->exchange().respond(this->template make_relayed_response<D>());
     }
 
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -219,6 +219,16 @@
     /// The same for a request that the caller has to change before it sends it again.
     void respond_not_acceptable(Error const& error) { this->send_error(error, RequestOutcome::NotAcceptable, false); }
 
+    /// Responds in place of a server whose status promises that the request has not run, which nothing proves.
+    void respond_unproved_refusal()
+    {
+        this->context.metrics.add("refusals_unproved_total");
+        this->respond_with_error({ ErrorKind::BackendServerFailed,
+            "the backend server returned status " + std::to_string(this->response_status())
+                + " without reporting that it has not run the request; the request may have run",
+            {} });
+    }
+
     void send_error(Error const& error, RequestOutcome outcome, bool closes_connection)
     {
         auto status = status_for(error, outcome);
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -213,6 +213,10 @@
 
     void relay_response()
     {
+        if (promises_not_run(this->response_status())) {
+            this->end();
+            return this->respond_unproved_refusal();
+        }
         auto response = this->template make_relayed_response<D>();
         this->context.metrics.observe("call_seconds", this->elapsed());
         this->context.log.event(Core::EventNumber::ServiceCallEnded, this->attempt())
