LibServing: Repeat a forwarded request only on the other host's own word

What callers saw: a call that must run once and was forwarded ran twice. Cause: a host took any unsigned 401, 403, 404 or 503 for the refusal of the host to which it had forwarded the request. That host relays such a response also if a backend server gave it after a run. Change: a host marks what it refuses itself, in responses to hosts only (Request-Not-Run), and removes the mark from all that it relays. Only a marked response proves that the request has not run. An unmarked 408, 421, 429 or 503 is replaced by 502.

--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -21,6 +21,10 @@
     Host,
 };
 
+/// Field with the value "1" in a response to another host: by its own account, the responding host knows that the
+/// request has not run and will not run. A host never relays the field from a backend server or to a caller.
+inline constexpr auto not_run_field = "Request-Not-Run";
+
 /// A caller's request and its response. Calls after the response is complete, or after the caller has disconnected, do
 /// nothing.
 class Exchange {
--- a/Libraries/LibServing/ErrorResponse.cpp
+++ b/Libraries/LibServing/ErrorResponse.cpp
@@ -62,9 +62,11 @@
     return text.str();
 }
 
-Http::Response error_response(Error const& error, RequestOutcome outcome)
+Http::Response error_response(Error const& error, RequestOutcome outcome, Http::RequestOrigin origin)
 {
     Http::Response response(status_for(error, outcome), Http::http_1_1);
+    if (origin == Http::RequestOrigin::Host && outcome != RequestOutcome::MayHaveRun)
+        response.set(Http::not_run_field, "1");
     response.set(Http::Name::content_type, "application/json");
     if (error.retry_after)
         response.set(Http::Name::retry_after, seconds_text(*error.retry_after));
--- a/Libraries/LibServing/ErrorResponse.h
+++ b/Libraries/LibServing/ErrorResponse.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <AK/Error.h>
+#include <LibHttp/Exchange.h>
 #include <LibHttp/Types.h>
 
 namespace Serving {
@@ -32,7 +33,7 @@
 Error leaving_error();
 
 /// Builds an error response of this host. Its body has the kind of the error and a message that names the
-/// remedy. Retry-After is in seconds.
-Http::Response error_response(Error const&, RequestOutcome);
+/// remedy. Retry-After is in seconds. A response to another host tells it if the request has not run.
+Http::Response error_response(Error const&, RequestOutcome, Http::RequestOrigin);
 
 }
--- a/Libraries/LibServing/ForwardedRequest.h
+++ b/Libraries/LibServing/ForwardedRequest.h
@@ -109,7 +109,7 @@
         this->decoded_response = D::decode_response(head);
         if (this->is_stream()) {
             auto relayed = head;
-            Http::remove_connection_fields(relayed);
+            remove_host_fields(relayed);
             this->exchange().begin_stream(relayed);
         }
         return Http::HeadAction::Accept;
@@ -150,7 +150,7 @@
         if (this->exchange().is_streaming())
             return this->end_stream(end, reason);
         if (end == Http::ExchangeEnd::Complete)
-            return this->response_received(proof.has_value());
+            return this->response_received(proof);
         this->context.forwarding_hosts.record_failure(this->tried.back(), this->context.now());
         if (proof)
             return this->forward();
@@ -168,10 +168,19 @@
         this->exchange().abort();
     }
 
-    void response_received(bool is_refusal)
+    void response_received(std::optional<NotRunProof> const& proof)
+    {
+        if (proof && this->may_be_served_elsewhere())
+            return this->refused_by_host();
+        if (!proof && promises_not_run(this->response_status())) {
+            this->finish("unproved refusal");
+            return this->respond_unproved_refusal();
+        }
+        this->relay_response();
+    }
+
+    void refused_by_host()
     {
-        if (!is_refusal)
-            return this->relay_response();
         // A host that has lost contact too, or is stopping, closes the connection with its refusal.
         if (boost::beast::iequals((*this->response_head)[Http::Name::connection], "close"))
             this->context.forwarding_hosts.record_failure(this->tried.back(), this->context.now());
@@ -179,29 +188,36 @@
         this->forward();
     }
 
-    /// The proof that the other host has not run the request, if there is one.
+    /// The proof that the other host has not run the request, if there is one. Its own word is needed: a status that it
+    /// relays from a backend server proves nothing.
     [[nodiscard]] std::optional<NotRunProof> proof_of_not_run(Http::ExchangeEnd end) const
     {
         if (this->response_head)
-            return NotRunProof::from_host(end == Http::ExchangeEnd::Complete && this->is_refusal());
+            return NotRunProof::from_host(this->response_head->count(Http::not_run_field) > 0);
         return NotRunProof::from_connection(end);
     }
 
-    /// Whether the other host itself reports that the request has not run. It may know a different configuration.
-    [[nodiscard]] bool is_refusal() const
+    /// Whether a further host may serve the request that this one has refused. Hosts may know different configurations.
+    [[nodiscard]] bool may_be_served_elsewhere() const
     {
         using Http::Status;
         auto const status = this->response_head->result();
         bool const is_denial
             = status == Status::unauthorized || status == Status::forbidden || status == Status::not_found;
-        return !this->decoded_response.is_signed && (is_denial || status == Status::service_unavailable);
+        return is_denial || status == Status::service_unavailable;
+    }
+
+    static void remove_host_fields(Http::Fields& fields)
+    {
+        Http::remove_connection_fields(fields);
+        fields.erase(Http::not_run_field);
     }
 
     [[nodiscard]] Http::Response make_response()
     {
         Http::Response response;
         response.base() = *this->response_head;
-        Http::remove_connection_fields(response);
+        remove_host_fields(response);
         response.body() = this->response_body.take();
         return response;
     }
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -239,7 +239,7 @@
             .with("organisation", this->call.organisation)
             .with("held_ms", this->elapsed())
             .with("reason", error.message);
-        auto response = error_response(error, outcome);
+        auto response = error_response(error, outcome, this->exchange().origin());
         response.keep_alive(!closes_connection);
         this->exchange().respond(std::move(response));
     }
@@ -344,6 +344,7 @@
     static void remove_hop_fields(Http::Fields& fields)
     {
         Http::remove_connection_fields(fields);
+        fields.erase(Http::not_run_field);
         D::remove_server_notice(fields);
     }
 
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -137,7 +137,7 @@
             .with("status", status)
             .with("revision", this->context.routing ? this->context.routing->revision() : Revision(0))
             .with("reason", error.message);
-        exchange.respond(error_response(error, outcome));
+        exchange.respond(error_response(error, outcome, exchange.origin()));
     }
 
     ServingContext& context;
