LibServing: Decide at one moment whether the removal of a server is due

What callers saw: requests that went to servers which had left; on arm64, hosts of a domain that had been cut off used them until they were gone. Cause: is_due() compared a reading of the clock with due_at(), which read the clock again and returned that reading where nothing is left to wait for. GCC evaluates the operands from the left on arm64, so that the removal was due a moment after the present, always; on x86-64 it evaluates from the right. Change: one reading for each decision; what is left to wait for is a duration. Test: the clocks that tests drive move on with each reading, as real ones do. Not run on x86-64.

--- a/Libraries/LibServing/BackendList.cpp
+++ b/Libraries/LibServing/BackendList.cpp
@@ -107,42 +107,41 @@
 
 void BackendList::handle_removal(EngineId const& id)
 {
+    auto const now = this->context.now();
     auto const recovery = this->recovery();
-    if (!recovery || this->is_due(id, *recovery))
+    if (!recovery || this->is_due(id, *recovery, now))
         return this->remove_now(id);
     if (this->deferred_removals.try_emplace(id, *recovery).second)
-        this->log_deferred(id, *recovery);
+        this->log_deferred(id, *recovery, now);
 }
 
-void BackendList::log_deferred(EngineId const& id, Recovery const& recovery) const
+void BackendList::log_deferred(EngineId const& id, Recovery const& recovery, Instant now) const
 {
-    auto const now = this->context.now();
     auto const& domain = this->context.backends.find(id)->server.failure_domain;
     auto const reason = this->context.platform_contact.possible_expiry(domain, recovery.outage_began, now);
     this->context.log.event(Core::EventNumber::BackendServerRemovalDeferred, id.value())
         .with("reason", to_string(reason))
         .with("outage_began_ms_ago", now - recovery.outage_began)
-        .with("left_ms", this->due_at(domain, recovery) - now);
+        .with("left_ms", this->wait_left(domain, recovery, now));
 }
 
-Instant BackendList::due_at(FailureDomainId const& domain, Recovery const& recovery) const
+Duration BackendList::wait_left(FailureDomainId const& domain, Recovery const& recovery, Instant now) const
 {
-    auto const now = this->context.now();
     switch (this->context.platform_contact.possible_expiry(domain, recovery.outage_began, now)) {
     case PossibleExpiry::None:
-        return now;
+        return Duration(0);
     case PossibleExpiry::OwnDomainCutOff:
-        return recovery.ends_for_own_domain_at;
+        return std::max<Duration>(Duration(0), recovery.ends_for_own_domain_at - now);
     case PossibleExpiry::PlatformAway:
-        return recovery.ends_at;
+        return std::max<Duration>(Duration(0), recovery.ends_at - now);
     }
     VERIFY(false);
 }
 
-bool BackendList::is_due(EngineId const& id, Recovery const& recovery) const
+bool BackendList::is_due(EngineId const& id, Recovery const& recovery, Instant now) const
 {
     auto const backend = this->context.backends.find(id);
-    return !backend || this->context.now() >= this->due_at(backend->server.failure_domain, recovery);
+    return !backend || this->wait_left(backend->server.failure_domain, recovery, now) == Duration(0);
 }
 
 void BackendList::remove_now(EngineId const& id)
@@ -200,7 +199,7 @@
     this->context.backends.expire_removed(now);
     while (true) {
         auto due = std::ranges::find_if(this->deferred_removals,
-            [this](auto const& removal) { return this->is_due(removal.first, removal.second); });
+            [&](auto const& removal) { return this->is_due(removal.first, removal.second, now); });
         if (due == this->deferred_removals.end())
             return;
         auto id = due->first;
--- a/Libraries/LibServing/BackendList.h
+++ b/Libraries/LibServing/BackendList.h
@@ -68,10 +68,10 @@
     void remove_now(EngineId const&);
     /// The recovery if the platform answers from now on.
     [[nodiscard]] Recovery recovery_from_now(Duration recovery) const;
-    void log_deferred(EngineId const&, Recovery const&) const;
-    /// When the removal of a server in `domain` is due.
-    [[nodiscard]] Instant due_at(FailureDomainId const& domain, Recovery const&) const;
-    [[nodiscard]] bool is_due(EngineId const&, Recovery const&) const;
+    /// How long the removal of a server in `domain` still has to wait; 0 if it is due.
+    [[nodiscard]] Duration wait_left(FailureDomainId const& domain, Recovery const&, Instant now) const;
+    [[nodiscard]] bool is_due(EngineId const&, Recovery const&, Instant now) const;
+    void log_deferred(EngineId const&, Recovery const&, Instant now) const;
 
     ServingContext& context;
     Observer observer;
--- a/Tests/Fleet/TestFatalRequests.cpp
+++ b/Tests/Fleet/TestFatalRequests.cpp
@@ -6,6 +6,7 @@
 
 #include <LibServing/RequestTerminations.h>
 #include <Tests/Fleet/LossyNetwork.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 #include <list>
 #include <random>
@@ -79,7 +80,7 @@
         host.started_at = this->now;
         host.next_full_state = this->now + step * std::uniform_int_distribution(1, 15)(this->random);
         host.context = std::make_unique<ServingContext>(this->loop, this->settings, this->log);
-        host.context->clock = [this] { return this->now; };
+        host.context->clock = [this] { return this->now += Test::clock_step; };
         host.context->quarantine_changed = [this, &host](std::span<RequestFingerprint const> requests) {
             wire::HostUse message;
             for (auto const& request : requests)
--- a/Tests/Fleet/TestRateLimits.cpp
+++ b/Tests/Fleet/TestRateLimits.cpp
@@ -7,6 +7,7 @@
 #include <LibServing/BackendChooser.h>
 #include <LibServing/RateLimit.h>
 #include <Tests/Fleet/LossyNetwork.h>
+#include <Tests/Support/MovingClock.h>
 #include <algorithm>
 #include <list>
 #include <random>
@@ -156,7 +157,7 @@
         host.first_relayed_at.clear();
         host.started_at = this->now;
         host.context = std::make_unique<ServingContext>(this->loop, host.settings, this->log);
-        host.context->clock = [this] { return this->now; };
+        host.context->clock = [this] { return this->now += Test::clock_step; };
         host.context->limit_changed = [this, &host](Backend const& backend) {
             wire::HostUse message;
             put_rate_limit(message, *host.context, backend);
--- a/Tests/LibServing/TestDomainFailures.cpp
+++ b/Tests/LibServing/TestDomainFailures.cpp
@@ -7,6 +7,7 @@
 #include <LibServing/BackendChooser.h>
 #include <LibServing/Overload/DomainFailures.h>
 #include <LibServing/Suspicion.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 
 using namespace Serving;
@@ -19,7 +20,7 @@
     DomainFailureFixture()
         : context(this->loop, this->settings, this->log)
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
         this->context.doubt_changed = [this] { ++this->announcements; };
         for (int i = 0; i < 4; ++i)
             this->add("a" + std::to_string(i), "hall-a", 1);
--- a/Tests/LibServing/TestEvacuations.cpp
+++ b/Tests/LibServing/TestEvacuations.cpp
@@ -6,6 +6,7 @@
 
 #include <LibServing/Evacuations.h>
 #include <LibServing/ServiceReachability.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -23,7 +24,7 @@
         , context(loop, settings, log)
         , evacuations(context)
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
         this->add("a1", hall_a);
         this->add("b1", hall_b);
     }
--- a/Tests/LibServing/TestQuarantineTable.cpp
+++ b/Tests/LibServing/TestQuarantineTable.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/QuarantineTable.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 
 using namespace Serving;
@@ -54,7 +55,7 @@
     explicit StoringHost(QuarantineStore& store)
         : table(this->context, store, this->address)
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
         this->table.start();
     }
 
--- a/Tests/LibServing/TestRateLimit.cpp
+++ b/Tests/LibServing/TestRateLimit.cpp
@@ -6,6 +6,7 @@
 
 #include <LibServing/BackendChooser.h>
 #include <LibServing/RateLimit.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 
 using namespace Serving;
@@ -17,7 +18,7 @@
 public:
     LimitedHost()
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
         this->context.limit_changed = [this](Backend const& changed) {
             wire::HostUse message;
             put_rate_limit(message, this->context, changed);
--- a/Tests/LibServing/TestServerIdentity.cpp
+++ b/Tests/LibServing/TestServerIdentity.cpp
@@ -7,6 +7,7 @@
 #include <LibServing/BackendList.h>
 #include <LibServing/PeerUse.h>
 #include <LibServing/Suspicion.h>
+#include <Tests/Support/MovingClock.h>
 #include <rapidcheck/catch.h>
 
 using namespace Serving;
@@ -30,7 +31,7 @@
 struct HostView {
     HostView()
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
     }
 
     [[nodiscard]] BackendPointer backend() const { return this->context.backends.find(id); }
--- a/Tests/LibServing/TestShortageMessages.cpp
+++ b/Tests/LibServing/TestShortageMessages.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/Overload/ShortageMessages.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <limits>
@@ -21,7 +22,7 @@
     ReportingHost()
         : context(this->loop, this->settings, this->log)
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
     }
 
     /// The message as its receiver decodes it.
--- a/Tests/LibServing/TestSuspicion.cpp
+++ b/Tests/LibServing/TestSuspicion.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/Suspicion.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 
 using namespace Serving;
@@ -16,7 +17,7 @@
     SuspicionFixture()
         : context(this->loop, this->settings, this->log)
     {
-        this->context.clock = [this] { return this->now; };
+        this->context.clock = [this] { return this->now += Test::clock_step; };
         this->context.backend_unreachable
             = [this](Backend const&, Duration avoided) { this->announced.push_back(avoided); };
         BackendServer server;
