--- a/Libraries/LibServing/Overload/ServerPace.cpp
+++ b/Libraries/LibServing/Overload/ServerPace.cpp
@@ -200,12 +200,13 @@
         return;
     }
     Duration const age = std::chrono::milliseconds(entry.slowness_age_milliseconds());
+    auto const observed_at = context.now() - age;
     auto& known = context.paces.pace_of(backend.server.id, backend.server.start);
-    if (!known.merge_report({ reported, context.now() - age }))
+    if (!known.merge_report({ reported, observed_at }))
         return;
     if (age < report_lifetime)
         context.pace_of_services[backend.server.service].record_reported(Overload::credible_part(pace), reported);
-    apply_report(context, backend, reported, context.now() - age);
+    apply_report(context, backend, reported, observed_at);
 }
 
 void apply_server_paces(ServingContext& context, wire::HostUse const& message)
--- a/Libraries/LibServing/RateLimit.cpp
+++ b/Libraries/LibServing/RateLimit.cpp
@@ -74,7 +74,8 @@
     entry.set_backend(backend.server.id.value());
     entry.set_start(backend.server.start.value());
     entry.set_requests_per_second(backend.limit.value_or(RequestRate(no_limit)).value());
-    auto const age = context.now() - backend.limit_reported_at.value_or(context.now());
+    auto const now = context.now();
+    auto const age = now - backend.limit_reported_at.value_or(now);
     entry.set_age_milliseconds(static_cast<u32>(AK::to_milliseconds(age)));
 }
 
--- a/Tests/LibServing/TestPromptParts.cpp
+++ b/Tests/LibServing/TestPromptParts.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibServing/RequestTerminations.h>
+#include <Tests/Support/MovingClock.h>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -63,7 +64,7 @@
     void add_host()
     {
         auto& host = this->hosts.emplace_back(std::make_unique<ServingContext>(this->loop, this->settings, this->log));
-        host->clock = [this] { return this->now; };
+        host->clock = [this] { return this->now += Test::clock_step; };
         auto& sender = *host;
         host->quarantine_changed = [this, &sender](auto fingerprints) { this->announce(sender, fingerprints); };
     }
@@ -204,10 +205,12 @@
         PartHosts hosts(8);
         for (int step = 0; step < 1200; ++step) {
             hosts.now += 50ms;
-            hosts.begin_stream(any_host(random), draw());
+            auto const read = draw();
+            hosts.begin_stream(any_host(random), read);
             if (step % 20 > 0)
                 continue;
-            hosts.terminate(any_host(random), draw());
+            auto const terminated_on = draw();
+            hosts.terminate(any_host(random), terminated_on);
             for (int part = 0; part < parts; ++part)
                 REQUIRE_FALSE(hosts.is_held_anywhere({ "part-" + std::to_string(part) }));
         }
