--- a/StandIns/PlatformStore/PlatformStore.cpp
+++ b/StandIns/PlatformStore/PlatformStore.cpp
@@ -65,13 +65,24 @@
 
 void PlatformStore::put(std::string const& table, std::string const& key, std::string const& value)
 {
-    this->tables[table][key] = { value, ++this->latest_version, false };
+    this->tables[table][key] = { value, ++this->latest_version, false, false };
+    this->serve_waiting();
+}
+
+std::string PlatformStore::Row::encoded_value() const
+{
+    return this->is_undecodable ? "\x01 not base64 \x7f" : to_base64(this->value);
+}
+
+void PlatformStore::put_undecodable(std::string const& table, std::string const& key)
+{
+    this->tables[table][key] = { {}, ++this->latest_version, false, true };
     this->serve_waiting();
 }
 
 void PlatformStore::remove(std::string const& table, std::string const& key)
 {
-    this->tables[table][key] = { {}, ++this->latest_version, true };
+    this->tables[table][key] = { {}, ++this->latest_version, true, false };
     this->serve_waiting();
 }
 
@@ -158,7 +169,7 @@
         if (row.gone || key < from)
             continue;
         rows.push_back(Json::object { { "table", table }, { "part", "" }, { "key", key },
-            { "value", to_base64(row.value) }, { "ver", row.version } });
+            { "value", row.encoded_value() }, { "ver", row.version } });
     }
     Json::object const body { { "rows", std::move(rows) }, { "more", false },
         { "ver", this->latest_version - this->version_lag }, { "now_ms", 0 } };
@@ -171,7 +182,7 @@
     for (auto const& [key, row] : this->tables[table]) {
         if (row.version <= after)
             continue;
-        Json::object change { { "table", table }, { "part", "" }, { "key", key }, { "value", to_base64(row.value) },
+        Json::object change { { "table", table }, { "part", "" }, { "key", key }, { "value", row.encoded_value() },
             { "ver", row.version } };
         if (row.gone)
             change["gone"] = true;
@@ -240,7 +251,7 @@
         for (auto const& put : puts->as_array()) {
             auto const& row = put.as_object();
             this->tables[name_of(text_in(row, "table"), text_in(row, "part"))][text_in(row, "key")]
-                = { from_base64(text_in(row, "value")), version, false };
+                = { from_base64(text_in(row, "value")), version, false, false };
         }
     }
     if (auto const* removals = body.if_contains("remove")) {
--- a/StandIns/PlatformStore/PlatformStore.h
+++ b/StandIns/PlatformStore/PlatformStore.h
@@ -29,6 +29,8 @@
     PlatformStore(Http::asio::io_context&, Http::tcp::endpoint);
 
     void put(std::string const& table, std::string const& key, std::string const& value);
+    /// Writes a row whose value is not in base64, as all values have to be.
+    void put_undecodable(std::string const& table, std::string const& key);
     void remove(std::string const& table, std::string const& key);
     [[nodiscard]] std::map<std::string, std::string> rows(std::string const& table) const;
 
@@ -46,6 +48,9 @@
         std::string value;
         u64 version { 0 };
         bool gone { false };
+        bool is_undecodable { false };
+        /// The value as it is sent.
+        [[nodiscard]] std::string encoded_value() const;
     };
     struct Waiting {
         std::shared_ptr<Http::Exchange> exchange;
