Tests: Let the soak send stray responses and odd entries, and look for deferrals without a reason

The soak's servers answered each request once. A proxy now writes responses that name no request (503 and 400 with the report, 421, signed 200 and 503) on connections that have carried a whole exchange and await another response, 40 to 200 times a second, with a random generator of their own; other writers' entries are nested deeply or have numbers out of range; a host that logs a deferral with nothing to wait for is a violation. The linter lets only RunRecord, ErrorResponse and RequestHandler say 'not run'.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -21,6 +21,13 @@
     echo "$others: sends to backend servers; ask Backend::takes_work_at first, then add it to the senders in Meta/lint.sh"
     exit 1
 fi
+# Callers may be told that a request has not run only if RunRecord is certain of it, or if it was refused before any dispatch.
+tellers='^Libraries/LibServing/(ErrorResponse|RequestHandler|RunRecord)\.(h|cpp)$'
+others=$(grep -lE 'RequestOutcome::NotRun\b' "${files[@]}" | grep -vE "$tellers" || true)
+if [[ -n $others ]]; then
+    echo "$others: let RunRecord::outcome decide whether a request has not run"
+    exit 1
+fi
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep -E '^(AK|Libraries|platform|Services|StandIns|Utilities)/.*\.cpp$')
 # cppcheck's tokenizer fails on chrono literals such as 25h; only clang-tidy checks the files that contain them.
 cppcheck --quiet --error-exitcode=1 --enable=warning,performance,portability --inline-suppr --language=c++ --std=c++20 \
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -305,10 +305,32 @@
     "Scenario: a host sends no new work to a server that has said in an answer that it leaves" \
     Libraries/LibServing/ServerNotice.cpp "record_leaving(context, backend);" ""
 
+guard "a response belongs to its request" TestRunOnce \
+    "Scenario: a response that names no request says nothing about the request that is awaited" \
+    Libraries/LibServing/RunRecord.cpp "is_first ? ResponseSubject::OnlyRequest : ResponseSubject::Unknown" \
+    "ResponseSubject::OnlyRequest"
+guard "a status promises nothing without a proof" TestRunOnce \
+    "Scenario: a server's failure after a run promises nothing to callers" \
+    Libraries/LibServing/ServiceCall.h "if (promises_not_run(this->response_status()))" "if (false)"
+guard "a host's own word" TestRunOnce \
+    "Scenario: a forwarded call is sent to a further host only if the first host itself refuses it" \
+    Libraries/LibServing/ForwardedRequest.h "this->response_head->count(Http::not_run_field) > 0" "true"
+guard "a removal is due at one moment" TestLibServing "Scenario: the table of backend servers follows the platform's list" \
+    Libraries/LibServing/BackendList.cpp "return Duration(0);" "return Duration(1);"
+guard "a row without a value harms no other" TestPlatform "Scenario: odd entries among those of the servers harm nobody" \
+    platform/StoreClient.cpp "return {};
+    }
+}" "throw;
+    }
+}"
+
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
-    "this->call.route->kind == CallKind::Repeatable && this->runs() < this->call.route->max_dispatches" "true"
-soak_guard "a refusal is true" Libraries/LibServing/ServiceCall.h \
-    "this->may_have_run = this->may_have_run || !has_not_run;" ""
+    "this->call.route->kind == CallKind::Repeatable
+            && this->runs.possible_runs() < this->call.route->max_dispatches" "true"
+soak_guard "a refusal is true" Libraries/LibServing/RunRecord.cpp \
+    "this->may_have_run() ? RequestOutcome::MayHaveRun : RequestOutcome::NotRun" "RequestOutcome::NotRun"
+soak_guard "a response belongs to its request" Libraries/LibServing/RunRecord.cpp \
+    "is_first ? ResponseSubject::OnlyRequest : ResponseSubject::Unknown" "ResponseSubject::OnlyRequest"
 soak_guard "a signed success" Libraries/LibServing/ServiceCall.h "this->is_success() && !this->decoded_response.is_signed" "false"
 soak_guard "a cut stream does not look whole" Libraries/LibServing/Generation.h \
     "this->abandon();
--- a/Tests/Soak/BackgroundFaults.cpp
+++ b/Tests/Soak/BackgroundFaults.cpp
@@ -25,6 +25,10 @@
 static constexpr Duration min_back_off = 1s;
 static constexpr Duration max_back_off = 6s;
 static constexpr u32 whole_service_odds = 6;
+/// Time between two stray responses of a server. Plain calls take a few milliseconds, so that few of the responses find
+/// a request.
+static constexpr Duration min_stray_interval = 5ms;
+static constexpr Duration max_stray_interval = 25ms;
 
 u32 draw_below(boost::random::mt19937& random, u32 below)
 {
@@ -44,6 +48,7 @@
     , entry_random(seed ^ 0x5eed)
     , limit_random(seed ^ 0x11317)
     , back_off_random(seed ^ 0xbac0ff)
+    , stray_random(seed ^ 0x57a4)
 {
 }
 
@@ -53,6 +58,7 @@
     this->corrupt_entries();
     this->advertise_limits();
     this->request_back_off();
+    this->send_stray_responses();
 }
 
 void BackgroundFaults::end()
@@ -86,7 +92,10 @@
 
 void BackgroundFaults::corrupt_entries()
 {
-    static constexpr std::array<std::string_view, 6> values { "", "no entry", R"({"service":"models"})",
+    static std::string const deeply_nested(30'000, '[');
+    static std::array<std::string_view, 9> const values { "", "no entry", R"({"service":"models"})", deeply_nested,
+        R"({"service":"models","addr":"127.0.0.1:18446744073709551617","zone":"z","slots":8,"state":"ready","cold_left_ms":0})",
+        R"({"service":"models","addr":"127.0.0.1:99","zone":"z","slots":1e999,"state":"ready","cold_left_ms":1e999})",
         R"({"service":7,"addr":[],"zone":null,"slots":1e300,"state":"ready","cold_left_ms":-1,"born":1.5})",
         R"({"service":"models","addr":"nowhere","zone":"","slots":0,"state":"resting","cold_left_ms":0})", "\xff\xfe" };
     this->restore_entry();
@@ -141,4 +150,16 @@
         [this] { this->request_back_off(); });
 }
 
+void BackgroundFaults::send_stray_responses()
+{
+    static constexpr std::array<std::string_view, 5> heads { "503 Odd\r\nLilactiller-Not-Executed: 1",
+        "400 Odd\r\nLilactiller-Not-Executed: 1", "421 Odd", "200 Odd\r\nLilactiller-Response-Stamp: s",
+        "503 Odd\r\nLilactiller-Response-Stamp: s" };
+    auto const head = heads.at(draw_below(this->stray_random, heads.size()));
+    for (auto* instance : this->deployment.serving(plain_service))
+        instance->link->send_stray_response("HTTP/1.1 " + std::string(head) + "\r\nContent-Length: 3\r\n\r\nodd");
+    this->after(draw_between(this->stray_random, min_stray_interval, max_stray_interval),
+        [this] { this->send_stray_responses(); });
+}
+
 }
--- a/Tests/Soak/BackgroundFaults.h
+++ b/Tests/Soak/BackgroundFaults.h
@@ -38,6 +38,9 @@
     void request_back_off();
     /// Keeps one plain server at a time advertising a limit; the others serve the requests beyond it.
     void advertise_limits();
+    /// Repeatedly lets plain servers send responses that name no request while they run one. The servers stay sound
+    /// otherwise.
+    void send_stray_responses();
     /// Does nothing once end() has been called.
     void after(Duration, std::function<void()>);
 
@@ -47,6 +50,7 @@
     boost::random::mt19937 entry_random;
     boost::random::mt19937 limit_random;
     boost::random::mt19937 back_off_random;
+    boost::random::mt19937 stray_random;
     /// The server whose entry is currently corrupted, if any.
     RunnerInstance* corrupted_server { nullptr };
     /// The server that currently advertises a limit, if any.
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -45,6 +45,16 @@
         }
     }
 
+    /// Responses are small, so that each arrives in one piece.
+    void send_stray_response(std::string const& bytes)
+    {
+        constexpr u32 min_requests = 2;
+        if (!this->awaits_response || this->request_count < min_requests)
+            return;
+        boost::system::error_code ignored;
+        Http::asio::write(this->sink(Direction::FromTarget), Http::asio::buffer(bytes), ignored);
+    }
+
     void reset()
     {
         for (auto& socket : this->sockets) {
@@ -86,10 +96,20 @@
                 pump.end = error;
                 pump.size = size;
                 pump.written = 0;
+                self->record_read(direction);
                 self->forward(direction);
             });
     }
 
+    /// Bytes to the target after bytes from it belong to the next request.
+    void record_read(Direction direction)
+    {
+        bool const is_request = direction == Direction::ToTarget;
+        if (is_request && !this->awaits_response)
+            ++this->request_count;
+        this->awaits_response = is_request;
+    }
+
     void forward(Direction direction)
     {
         auto& pump = this->pumps[index_of(direction)];
@@ -160,6 +180,8 @@
     Http::tcp::endpoint target;
     std::shared_ptr<State> state;
     std::array<Pump, 2> pumps;
+    u32 request_count { 0 };
+    bool awaits_response { false };
 };
 
 FaultProxy::FaultProxy(Http::asio::io_context& loop, Http::tcp::endpoint listen, Http::tcp::endpoint target)
@@ -214,6 +236,14 @@
     }
 }
 
+void FaultProxy::send_stray_response(std::string const& bytes)
+{
+    for (auto const& known : this->links) {
+        if (auto link = known.lock())
+            link->send_stray_response(bytes);
+    }
+}
+
 void FaultProxy::listen_with_queue_of(int connections)
 {
     this->acceptor = Http::tcp::acceptor(this->loop, this->listen.protocol());
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Soak {
@@ -35,6 +36,9 @@
     void set_delay(Duration);
     /// Sends all bytes in this direction through a link that may be shared with other proxies.
     void set_link(Direction, std::shared_ptr<SharedLink>);
+    /// Sends a response that nobody has asked for on each connection that has carried a whole exchange and awaits the
+    /// response to another request.
+    void send_stray_response(std::string const& bytes);
     /// From now on, delays the last `size` bytes of each chunk to the target after the rest of it.
     void set_tail(size_t size, Duration delay);
     /// Forwards neither bytes nor the end of a connection in this direction.
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -9,6 +9,7 @@
 #include <Tests/Soak/FaultSchedule.h>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sstream>
@@ -181,9 +182,23 @@
         std::cout << std::endl;
     }
 
+    /// A host that defers the removal of a server has to name what it waits for.
+    void check_logs()
+    {
+        for (auto const& host : this->deployment.hosts) {
+            std::ifstream log(host->daemon->log_file());
+            for (std::string line; std::getline(log, line);) {
+                bool const is_deferral = line.find("event=E2321 ") != std::string::npos;
+                if (is_deferral && line.find(" reason=none ") != std::string::npos)
+                    this->checker.violation(host->name + " deferred a removal for no reason: " + line);
+            }
+        }
+    }
+
     bool report()
     {
         this->checker.finish(this->deployment.runs());
+        this->check_logs();
         this->report_endings();
         std::cout << "seed " << this->seed << ": answers by status:";
         for (auto const& [status, count] : this->checker.counts())
