--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -226,7 +226,7 @@
         this->context->on_rejected_request(reason);
     Response response(status, http_1_1);
     response.set(Name::content_type, "application/json");
-    // No one has seen the request.
+    // The request has not been delivered to anyone.
     if (this->origin == RequestOrigin::Host)
         response.set(not_run_field, "1");
     response.body() = R"({"error":{"type":"invalid_request","message":")" + reason + "\"}}";
