--- a/Tests/Soak/Daemon.h
+++ b/Tests/Soak/Daemon.h
@@ -29,6 +29,8 @@
     std::optional<int> reap();
 
     [[nodiscard]] bool is_running() const { return this->process_id > 0; }
+    /// The process id; 0 while the process does not run.
+    [[nodiscard]] pid_t id() const { return this->process_id; }
     [[nodiscard]] std::string const& log_file() const { return this->log_path; }
     /// Number of starts so far. The process keeps no view of the system across restarts.
     [[nodiscard]] u32 incarnation() const { return this->start_count; }
