LibHttp: Bound the trailers and chunk headers of callers

What callers saw: a host that stopped answering, since the platform had ended it. Four callers whose trailers, chunk extensions or chunk sizes go on without end took 138 to 147 MB of a host's 48, at the listeners for readiness, metrics and other hosts too.

Cause: the HTTP library's limits bind the first head and the sum of a body's bytes. A chunk header or a trailer section is parsed only once its end has arrived; until then the bytes are read into a buffer without a maximum, for as long as the body may take.

Ruled out: the limit for heads, which the library does apply to trailers, but only after their end.

Why this works: the buffer of a connection has a maximum, that of a head (16 KB at least). Whatever does not fit is rejected with 431, not run. The library holds the head and the trailers together to max_header_bytes as before, so no request that was served is refused (RequestsWithinLimits).

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -5,6 +5,7 @@
  */
 
 #include <LibHttp/CallerConnection.h>
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -25,6 +26,8 @@
 /// the connection. Longer than the delay of a request from another region (12 ms) and its retransmissions on a lossy
 /// link.
 static constexpr Duration keep_alive_margin = 1s;
+/// The buffer of a connection holds at least this much, however small heads have to be.
+static constexpr size_t min_buffer_bytes = 16 << 10;
 
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context, RequestOrigin origin)
     : socket(std::move(socket))
@@ -142,6 +145,9 @@
     this->parser.emplace();
     this->parser->header_limit(this->context->limits.header_bytes);
     this->parser->body_limit(this->context->limits.body_bytes);
+    // The parser limits what a chunk head or a trailer section may be only once its end has arrived.
+    this->buffer.max_size(
+        std::max<size_t>({ min_buffer_bytes, this->context->limits.header_bytes, this->buffer.size() }));
     this->set_timer(this->context->limits.header_timeout, &CallerConnection::handle_head_timeout);
     beast::http::async_read_header(
         this->socket, this->buffer, *this->parser, [self = shared_from_this()](beast::error_code error, size_t bytes) {
@@ -207,9 +213,9 @@
 
 void CallerConnection::reject_unreadable_request(beast::error_code error)
 {
-    if (error == HttpError::header_limit)
-        return this->reject(
-            Status::request_header_fields_too_large, "the header is too large; send fewer or shorter fields");
+    if (error == HttpError::header_limit || error == HttpError::buffer_overflow)
+        return this->reject(Status::request_header_fields_too_large,
+            "the header, a chunk header or the trailers are too large; send fewer or shorter fields");
     if (error == HttpError::body_limit)
         return this->reject(Status::payload_too_large, "the body is too large; send a smaller one");
     if (is_malformed(error))
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -19,7 +19,8 @@
 
 /// Limits on the size of a caller's requests and on the time that it takes to send them.
 struct CallerLimits {
-    /// Maximum size of a request line and its fields together. Larger heads get status 431.
+    /// Maximum size of a request line and its fields together, and of the trailers of a chunked body with them. Also
+    /// limits the size line of a chunk, but no further than to 16 KiB. Larger ones get status 431.
     u32 header_bytes { 16'384 };
     /// Maximum size of a request body. Larger bodies get status 413.
     u64 body_bytes { 4'194'304 };
@@ -123,6 +124,7 @@
     RequestOrigin origin;
     /// The idle timeout at the last response, whose Keep-Alive field advertises a shorter time.
     Duration advertised_idle_timeout;
+    /// Received bytes that the parser has not consumed: at most a head, a chunk header, or the trailers of a body.
     beast::flat_buffer buffer;
     std::optional<Parser> parser;
     std::weak_ptr<Exchange> exchange;
