LibHttp, LibOverload: Bound the memory for the requests of all callers

What callers saw: a host that the platform ended, with the requests of all its callers. 64 bodies of 1 MiB took 78 to 84 MB of a host's 48 while they stopped just short of their end, in large chunks, in chunks of one byte or with a length; 84 MB when they went far over the limit in chunks; 146 MB when they were whole and the servers did not answer.

Cause: each body has a limit, and nothing added up what all connections hold: the buffer, the body as it arrives, and the request until its response is complete.

Change: requests share a quarter of the host's memory. Small ones (64 KiB) may use all of it, larger ones three quarters. A connection counts its buffer and its request with each read, and the exchange keeps the charge until it is over; an announced length is reserved when the head has arrived. Beyond the budget an unfinished request is rejected with 503 and Retry-After, the one that progresses least for its memory first: true, since it was handed to nobody. Requests that a server may have are never ended for it. For that, a connection reads and parses in steps, where the library's composed read went on until the end of the body. The listeners for readiness and metrics have 1 MiB of their own and take bodies of 64 KiB. Buffers that grew are given back; a line is logged once a second for each reason.

Ruled out: pausing to read, which leaves the bytes in the kernel and the memory with those who wait longest.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -6,10 +6,11 @@
 
 #include <LibHttp/CallerConnection.h>
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sstream>
 
@@ -28,6 +29,10 @@
 static constexpr Duration keep_alive_margin = 1s;
 /// The buffer of a connection holds at least this much, however small heads have to be.
 static constexpr size_t min_buffer_bytes = 16 << 10;
+/// A buffer that has grown beyond this is given back after the request.
+static constexpr size_t max_kept_buffer_bytes = 4 << 10;
+/// Retry-After of a request for which there is no memory. Those that hold it are over within about a second.
+static constexpr Duration shed_retry_after = 500ms;
 
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context, RequestOrigin origin)
     : socket(std::move(socket))
@@ -35,6 +40,7 @@
     , context(std::move(context))
     , origin(origin)
     , advertised_idle_timeout(this->context->limits.idle_timeout)
+    , charge(this->context->request_budget)
 {
     boost::system::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
@@ -72,6 +78,9 @@
     this->enter(ConnectionPhase::BetweenRequests);
     if (this->buffer.size() > 0)
         return this->read_head();
+    if (this->buffer.capacity() > max_kept_buffer_bytes)
+        this->buffer.shrink_to_fit();
+    this->charge.set(this->buffer.capacity());
     this->set_timer(this->advertised_idle_timeout, &CallerConnection::handle_idle_timeout);
     this->watch_socket();
 }
@@ -139,76 +148,162 @@
         this->reject(Status::service_unavailable, "this host is stopping; send the request again on a new connection");
 }
 
+bool CallerConnection::is_receiving() const
+{
+    return this->phase == ConnectionPhase::ReadingHead || this->phase == ConnectionPhase::ReadingBody;
+}
+
 void CallerConnection::read_head()
 {
     this->enter(ConnectionPhase::ReadingHead);
+    auto const& limits = this->context->limits;
+    auto const& budget = this->context->request_budget;
     this->parser.emplace();
-    this->parser->header_limit(this->context->limits.header_bytes);
-    this->parser->body_limit(this->context->limits.body_bytes);
-    // The parser limits what a chunk head or a trailer section may be only once its end has arrived.
-    this->buffer.max_size(
-        std::max<size_t>({ min_buffer_bytes, this->context->limits.header_bytes, this->buffer.size() }));
-    this->set_timer(this->context->limits.header_timeout, &CallerConnection::handle_head_timeout);
-    beast::http::async_read_header(
-        this->socket, this->buffer, *this->parser, [self = shared_from_this()](beast::error_code error, size_t bytes) {
-            self->context->traffic->record_received(bytes);
-            self->handle_head(error);
-        });
+    this->parser->header_limit(limits.header_bytes);
+    // A body that this host has no memory for is as much over the limit as one that the operator does not allow.
+    this->parser->body_limit(budget ? std::min<u64>(limits.body_bytes, budget->max_request()) : limits.body_bytes);
+    // The parser limits what a chunk header or a trailer section may be only once its end has arrived.
+    this->buffer.max_size(std::max<size_t>({ min_buffer_bytes, limits.header_bytes, this->buffer.size() }));
+    this->part_bytes = 0;
+    this->progress.begin(AK::BootClock::now());
+    this->set_timer(limits.header_timeout, &CallerConnection::handle_head_timeout);
+    this->read_or_parse();
 }
 
-void CallerConnection::handle_head_timeout()
+void CallerConnection::read_body()
 {
-    this->reject(Status::request_timeout, "the head did not arrive in time; send the request again");
+    this->enter(ConnectionPhase::ReadingBody);
+    this->set_timer(this->context->limits.idle_timeout, &CallerConnection::handle_body_timeout);
+    this->parser->eager(true);
+    this->head_bytes = std::exchange(this->part_bytes, 0);
+    this->charge_request();
+    this->read_or_parse();
 }
 
-void CallerConnection::handle_body_timeout()
+void CallerConnection::read_or_parse()
 {
-    this->reject(Status::request_timeout, "the body did not arrive in time; send the request again");
+    if (this->buffer.size() == 0 && !this->is_part_complete())
+        return this->read_more();
+    asio::post(this->socket.get_executor(), [self = shared_from_this()] {
+        if (self->is_receiving())
+            self->parse();
+    });
 }
 
-bool CallerConnection::has_ambiguous_framing() const
+void CallerConnection::read_more()
 {
-    // If two parsers can disagree about where a body ends, one request can be smuggled inside another.
-    auto const& head = this->parser->get();
-    if (head.count(Name::content_length) > 1 || head.count(Name::transfer_encoding) > 1)
-        return true;
-    if (head.count(Name::transfer_encoding) == 0)
-        return false;
-    return !beast::iequals(head[Name::transfer_encoding], "chunked") || head.count(Name::content_length) > 0;
+    constexpr size_t max_read_bytes = 64 << 10;
+    auto const size = beast::read_size(this->buffer, max_read_bytes);
+    if (size == 0)
+        return this->reject_unreadable_request(HttpError::buffer_overflow);
+    this->socket.async_read_some(this->buffer.prepare(size),
+        [self = shared_from_this()](beast::error_code error, size_t count) { self->handle_bytes(error, count); });
 }
 
-void CallerConnection::handle_head(beast::error_code error)
+void CallerConnection::handle_bytes(beast::error_code error, size_t count)
 {
-    // The request may already have been rejected because its head arrived too late.
-    if (this->phase != ConnectionPhase::ReadingHead)
+    this->buffer.commit(count);
+    // The request may already have been rejected because it arrived too late. It must not run then, nor after its
+    // connection was closed: nobody would receive its response.
+    if (!this->is_receiving())
         return;
+    if (error == asio::error::eof) {
+        error = HttpError::end_of_stream;
+        if (this->parser->got_some())
+            this->parser->put_eof(error);
+    }
     if (error)
         return this->reject_unreadable_request(error);
+    this->progress.record(count, AK::BootClock::now());
+    this->parse();
+}
+
+bool CallerConnection::is_part_complete() const
+{
+    return this->phase == ConnectionPhase::ReadingHead ? this->parser->is_header_done() : this->parser->is_done();
+}
+
+void CallerConnection::parse()
+{
+    beast::error_code error;
+    while (!error && this->buffer.size() > 0 && !this->is_part_complete()) {
+        auto const used = this->parser->put(this->buffer.data(), error);
+        this->buffer.consume(used);
+        this->part_bytes += used;
+    }
+    bool const is_unreadable = error && error != HttpError::need_more;
+    if (is_unreadable || this->is_part_complete())
+        this->context->traffic->record_received(this->part_bytes);
+    if (is_unreadable)
+        return this->reject_unreadable_request(error);
+    this->charge_request();
+    if (!this->is_part_complete())
+        return this->read_more();
+    if (this->phase == ConnectionPhase::ReadingHead)
+        return this->handle_head();
+    this->deliver();
+}
+
+void CallerConnection::handle_head()
+{
     if (this->has_ambiguous_framing())
         return this->reject(Status::bad_request, "send either one Content-Length or 'Transfer-Encoding: chunked'");
     this->read_body();
 }
 
-void CallerConnection::read_body()
+void CallerConnection::charge_request()
 {
-    this->enter(ConnectionPhase::ReadingBody);
-    this->set_timer(this->context->limits.idle_timeout, &CallerConnection::handle_body_timeout);
-    beast::http::async_read(
-        this->socket, this->buffer, *this->parser, [self = shared_from_this()](beast::error_code error, size_t bytes) {
-            self->context->traffic->record_received(bytes);
-            self->handle_body(error);
-        });
+    u64 body_bytes = 0;
+    if (this->phase == ConnectionPhase::ReadingBody) {
+        // The memory for an announced body is reserved, so that it is refused before much of it has been sent.
+        auto const announced = this->parser->content_length().value_or(0);
+        body_bytes = std::max<u64>(announced, this->parser->get().body().size());
+    }
+    this->charge.set(this->buffer.capacity() + this->head_bytes + body_bytes);
+    if (this->charge.must_shed() && this->context->on_requests_exceed_memory)
+        this->context->on_requests_exceed_memory();
 }
 
-void CallerConnection::handle_body(beast::error_code error)
+void CallerConnection::release_request()
 {
-    // A request must not run after it was rejected as too late or after its connection was closed: nobody would receive
-    // its response.
-    if (this->phase != ConnectionPhase::ReadingBody)
-        return;
-    if (error)
-        return this->reject_unreadable_request(error);
-    this->deliver();
+    this->parser.reset();
+    this->head_bytes = 0;
+    this->charge.set(this->buffer.capacity());
+}
+
+std::optional<Overload::ReceiveState> CallerConnection::receive_state(Instant now)
+{
+    if (!this->is_receiving())
+        return {};
+    return this->progress.state(this->charge.held(), now);
+}
+
+void CallerConnection::shed_request()
+{
+    ++this->context->traffic->requests_shed;
+    this->reject(Status::service_unavailable, "this host has no memory left for a request of this size; send it again",
+        shed_retry_after);
+}
+
+void CallerConnection::handle_head_timeout()
+{
+    this->reject(Status::request_timeout, "the head did not arrive in time; send the request again");
+}
+
+void CallerConnection::handle_body_timeout()
+{
+    this->reject(Status::request_timeout, "the body did not arrive in time; send the request again");
+}
+
+bool CallerConnection::has_ambiguous_framing() const
+{
+    // If two parsers can disagree about where a body ends, one request can be smuggled inside another.
+    auto const& head = this->parser->get();
+    if (head.count(Name::content_length) > 1 || head.count(Name::transfer_encoding) > 1)
+        return true;
+    if (head.count(Name::transfer_encoding) == 0)
+        return false;
+    return !beast::iequals(head[Name::transfer_encoding], "chunked") || head.count(Name::content_length) > 0;
 }
 
 void CallerConnection::reject_unreadable_request(beast::error_code error)
@@ -223,15 +318,18 @@
     this->close(CloseReason::ClosedByCaller);
 }
 
-void CallerConnection::reject(Status status, std::string const& reason)
+void CallerConnection::reject(Status status, std::string const& reason, std::optional<Duration> retry_after)
 {
     this->enter(ConnectionPhase::Responding);
     this->timer.cancel();
+    this->release_request();
     this->keep_alive = false;
     if (this->context->on_rejected_request)
-        this->context->on_rejected_request(reason);
+        this->context->on_rejected_request(status, reason);
     Response response(status, http_1_1);
     response.set(Name::content_type, "application/json");
+    if (retry_after)
+        response.set(Name::retry_after, std::to_string(AK::to_seconds(*retry_after)));
     // The request has not been delivered to anyone.
     if (this->origin == RequestOrigin::Host)
         response.set(not_run_field, "1");
@@ -247,7 +345,12 @@
     ++this->context->traffic->requests_read;
     this->keep_alive = this->parser->get().keep_alive();
     auto received = AK::BootClock::now();
-    auto accepted = std::make_shared<Exchange>(shared_from_this(), this->parser->release(), received, this->origin);
+    auto request = this->parser->release();
+    Overload::RequestCharge request_charge(this->context->request_budget);
+    request_charge.set(this->head_bytes + request.body().size());
+    this->release_request();
+    auto accepted = std::make_shared<Exchange>(
+        shared_from_this(), std::move(request), std::move(request_charge), received, this->origin);
     this->exchange = accepted;
     this->watch_socket();
     this->context->on_request(std::move(accepted));
@@ -413,6 +516,8 @@
         AK::BootClock::now() - this->phase_began };
     this->enter(ConnectionPhase::Closed);
     this->timer.cancel();
+    this->parser.reset();
+    this->charge.set(0);
     this->account_sent(this->outgoing_bytes);
     // The buffer of a write in progress has to live until its handler has run.
     if (this->outgoing.size() > 1)
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -11,6 +11,8 @@
 #include <LibHttp/Exchange.h>
 #include <LibHttp/Traffic.h>
 #include <LibOverload/OutputBudget.h>
+#include <LibOverload/ReceiveProgress.h>
+#include <LibOverload/RequestBudget.h>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <deque>
@@ -41,6 +43,10 @@
     std::optional<Overload::OutputBudget> output_budget {};
     /// Called when the budget is exceeded.
     std::function<void()> on_budget_exceeded {};
+    /// Bounds the memory for the requests of all callers. Null if the memory is not known.
+    std::shared_ptr<Overload::RequestBudget> request_budget {};
+    /// Called when an unfinished request holds memory that the budget does not have.
+    std::function<void()> on_requests_exceed_memory {};
     /// Without a budget: maximum number of unsent bytes for one caller, in addition to one body of maximum size. The
     /// connection is closed when there are more.
     static constexpr size_t max_pending_bytes = 1 << 20;
@@ -51,8 +57,9 @@
     /// closed.
     std::function<bool()> may_read_new_connection { [] { return true; } };
     std::function<void(std::shared_ptr<Exchange>)> on_request {};
-    /// Called for input that is not an acceptable request, with the message that was sent to the caller.
-    std::function<void(std::string const& reason)> on_rejected_request {};
+    /// Called for input that is not an acceptable request, with the status and the message that were sent to the
+    /// caller.
+    std::function<void(Status, std::string const& reason)> on_rejected_request {};
     std::function<void(ConnectionClose const&)> on_closed {};
 };
 
@@ -73,6 +80,12 @@
     [[nodiscard]] Duration unread_for() const;
     /// Closes the connection, because unsent bytes of all callers take too much memory.
     void close_as_slowest_reader() { this->close(CloseReason::SlowestReader); }
+    /// How the request that is being received progresses; empty if none is.
+    [[nodiscard]] std::optional<Overload::ReceiveState> receive_state(Instant now);
+    /// Whether the memory for requests has none for what the unfinished request on this connection holds.
+    [[nodiscard]] bool must_be_shed() const { return this->is_receiving() && this->charge.must_shed(); }
+    /// Rejects the request that is being received, because requests of all callers take too much memory.
+    void shed_request();
 
 private:
     friend class Exchange;
@@ -83,12 +96,26 @@
     void handle_readable();
     void check_for_disconnect();
     void read_or_close();
+    /// Whether a request has begun to arrive and is not complete.
+    [[nodiscard]] bool is_receiving() const;
     void read_head();
-    void handle_head(beast::error_code);
     void read_body();
-    void handle_body(beast::error_code);
+    /// Parses what was read with the bytes before, in a later turn of the event loop, or reads more.
+    void read_or_parse();
+    /// Reads the next bytes of the request. Each read is limited, so that memory is counted as it is used and the event
+    /// loop serves others in between.
+    void read_more();
+    void handle_bytes(beast::error_code, size_t count);
+    /// Parses what has arrived of the head or of the body.
+    void parse();
+    [[nodiscard]] bool is_part_complete() const;
+    void handle_head();
+    /// Counts the memory that the request holds.
+    void charge_request();
+    /// Gives back the memory of a request that is not received any more.
+    void release_request();
     void reject_unreadable_request(beast::error_code);
-    void reject(Status, std::string const& reason);
+    void reject(Status, std::string const& reason, std::optional<Duration> retry_after = {});
     [[nodiscard]] bool has_ambiguous_framing() const;
     void deliver();
 
@@ -127,6 +154,12 @@
     /// Received bytes that the parser has not consumed: at most a head, a chunk header, or the trailers of a body.
     beast::flat_buffer buffer;
     std::optional<Parser> parser;
+    /// Memory of the buffer and of the request that is being received.
+    Overload::RequestCharge charge;
+    Overload::ReceiveProgress progress;
+    /// Parsed bytes of the part that is being received, and those of the head before a body.
+    size_t part_bytes { 0 };
+    size_t head_bytes { 0 };
     std::weak_ptr<Exchange> exchange;
     std::deque<std::string> outgoing;
     /// Number of bytes of the first element of `outgoing` that were written.
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -31,6 +31,10 @@
         if (!std::exchange(this->is_relieving, true))
             asio::post(loop, this->guard.wrap([this] { this->relieve_memory(); }));
     });
+    this->context->on_requests_exceed_memory = this->guard.wrap([this, &loop] {
+        if (!std::exchange(this->is_shedding, true))
+            asio::post(loop, this->guard.wrap([this] { this->shed_requests(); }));
+    });
     this->accept(this->listeners.emplace_back(loop, endpoint, RequestOrigin::Caller));
 }
 
@@ -50,6 +54,28 @@
     }
 }
 
+void CallerServer::shed_requests()
+{
+    this->is_shedding = false;
+    struct Unfinished {
+        std::shared_ptr<CallerConnection> connection;
+        Overload::ReceiveState state;
+    };
+    std::vector<Unfinished> unfinished;
+    auto const now = AK::BootClock::now();
+    for (auto const& known : this->connections) {
+        auto connection = known.lock();
+        if (auto const state = connection ? connection->receive_state(now) : std::nullopt)
+            unfinished.push_back({ std::move(connection), *state });
+    }
+    std::ranges::stable_sort(
+        unfinished, [](auto const& one, auto const& other) { return is_shed_before(one.state, other.state); });
+    for (auto const& [connection, state] : unfinished) {
+        if (connection->must_be_shed())
+            connection->shed_request();
+    }
+}
+
 std::shared_ptr<CallerConnection> CallerServer::slowest_reader() const
 {
     auto const key = [](CallerConnection const& connection) {
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -53,6 +53,9 @@
     /// Disconnects the slowest readers until the unsent bytes of all callers are within the budget.
     void relieve_memory();
     [[nodiscard]] std::shared_ptr<CallerConnection> slowest_reader() const;
+    /// Rejects unfinished requests, those first that progress least for the memory that they hold, until the requests
+    /// of all callers are within the budget.
+    void shed_requests();
 
     asio::io_context& loop;
     /// That for callers, and that for other hosts if there is one.
@@ -60,6 +63,7 @@
     std::shared_ptr<CallerContext> context;
     std::vector<std::weak_ptr<CallerConnection>> connections;
     bool is_relieving { false };
+    bool is_shedding { false };
     Core::HandlerGuard guard;
 };
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <LibHttp/Types.h>
+#include <LibOverload/RequestBudget.h>
 #include <functional>
 #include <memory>
 
@@ -29,7 +30,9 @@
 /// nothing.
 class Exchange {
 public:
-    Exchange(std::shared_ptr<CallerConnection> connection, Request request, Instant received, RequestOrigin);
+    /// `charge`: for the memory of the request, which the exchange holds.
+    Exchange(std::shared_ptr<CallerConnection> connection, Request request, Overload::RequestCharge charge,
+        Instant received, RequestOrigin);
 
     [[nodiscard]] Request const& request() const { return this->received_request; }
     [[nodiscard]] RequestOrigin origin() const { return this->sent_by; }
@@ -63,6 +66,7 @@
 
     std::shared_ptr<CallerConnection> connection;
     Request received_request;
+    Overload::RequestCharge charge;
     Instant received;
     RequestOrigin sent_by;
     bool streaming { false };
--- a/Libraries/LibHttp/Traffic.h
+++ b/Libraries/LibHttp/Traffic.h
@@ -17,6 +17,8 @@
     u64 bytes_sent { 0 };
     u64 connections_accepted { 0 };
     u64 requests_read { 0 };
+    /// Requests that were rejected unread, because the memory for requests was used up.
+    u64 requests_shed { 0 };
     /// Connections of callers that were closed before any of their bytes was read.
     u64 connections_not_read { 0 };
     /// Connections that this process has made to others, and the time that this took in total.
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -105,10 +105,11 @@
                 Overload::OutputBudget::total_for(this->settings.memory_bytes));
             this->context.collected_responses = std::make_shared<Overload::OutputBudget>(
                 Overload::OutputBudget::total_for_collected(this->settings.memory_bytes));
+            this->callers_context->request_budget = std::make_shared<Overload::RequestBudget>(
+                Overload::RequestBudget::total_for(this->settings.memory_bytes));
         }
-        this->callers_context->on_rejected_request = [this](std::string const& reason) {
-            this->log.event(Core::EventNumber::RequestRefused, "unread").with("reason", reason);
-        };
+        this->callers_context->on_rejected_request
+            = [this](Http::Status status, std::string const& reason) { this->record_rejected_unread(status, reason); };
         this->callers_context->is_overloaded = [this] { return this->context.host_load.is_overloaded(); };
         this->callers_context->may_read_new_connection
             = [this] { return this->context.host_load.may_read_new_connection(this->context.now()); };
@@ -165,6 +166,9 @@
     /// two calls of the platform and one message each way, about ten milliseconds; the rest allows for a slow start.
     static constexpr Duration settling_time = 500ms;
 
+    /// Requests for readiness and metrics need no body.
+    static constexpr u64 max_page_request_bytes = 64 << 10;
+
     static Http::tcp::endpoint endpoint(Address const& address)
     {
         auto parsed = Http::parse_endpoint(address.value());
@@ -176,6 +180,8 @@
     static std::shared_ptr<Http::CallerContext> make_page(std::function<Http::Response(Http::Request const&)> page)
     {
         auto context = std::make_shared<Http::CallerContext>();
+        context->limits.body_bytes = max_page_request_bytes;
+        context->request_budget = std::make_shared<Overload::RequestBudget>(Overload::RequestBudget::min_total);
         context->on_request = [page = std::move(page)](std::shared_ptr<Http::Exchange> const& exchange) {
             exchange->respond(page(exchange->request()));
         };
@@ -206,6 +212,9 @@
         if (this->context.collected_responses)
             this->context.metrics.set(
                 "collected_response_bytes", static_cast<double>(this->context.collected_responses->used()));
+        if (this->callers_context->request_budget)
+            this->context.metrics.set(
+                "request_bytes", static_cast<double>(this->callers_context->request_budget->used()));
         this->context.metrics.set("log_lines_dropped", static_cast<double>(this->log.dropped_lines()));
         Http::Response response(Http::Status::ok, 11);
         response.set(Http::Name::content_type, "text/plain; version=0.0.4");
@@ -213,6 +222,16 @@
         return response;
     }
 
+    /// Clients that don't keep to the limits may send more than the log can hold, so one line a second is written for
+    /// each reason.
+    void record_rejected_unread(Http::Status status, std::string const& reason)
+    {
+        auto const number = static_cast<int>(status);
+        this->context.metrics.add("requests_rejected_unread_total{status=\"" + std::to_string(number) + "\"}");
+        if (this->rejected_requests.is_due(reason, this->context.now()))
+            this->log.event(Core::EventNumber::RequestRefused, "unread").with("status", number).with("reason", reason);
+    }
+
     // --- tables of the platform
 
     Platform::FollowerObserver make_observer(std::string_view table)
@@ -554,6 +573,8 @@
             budget->set_total(Overload::OutputBudget::total_for(bytes));
         if (this->context.collected_responses && bytes > 0)
             this->context.collected_responses->set_total(Overload::OutputBudget::total_for_collected(bytes));
+        if (this->callers_context->request_budget && bytes > 0)
+            this->callers_context->request_budget->set_total(Overload::RequestBudget::total_for(bytes));
     }
 
     void begin_stop()
@@ -599,6 +620,8 @@
     bool backends_known { false };
     /// An invalid entry is reported again with each heartbeat of its writer.
     LogRateLimiter rejected_rows { 1min };
+    /// Rejections of requests that were not received in full.
+    LogRateLimiter rejected_requests { 1s };
     std::vector<FailureDomainId> silent_domains;
     bool has_logged_ready { false };
 };
--- a/Libraries/LibServing/Overload/LoadMeter.cpp
+++ b/Libraries/LibServing/Overload/LoadMeter.cpp
@@ -44,6 +44,7 @@
     auto const connect_time = mean_connect_time(*this->servers, servers_before);
     this->context.metrics.set("link_use", load.link_use());
     this->context.metrics.add("caller_connections_not_read_total", not_read);
+    this->context.metrics.add("requests_shed_total", this->callers->requests_shed - before.requests_shed);
     bool const is_notable = load.standing_lateness() >= reported_lateness || load.link_use() >= reported_link_use
         || not_read > 0 || connect_time >= reported_connect_time;
     if (!is_notable)
