LibHttp, LibServing: Hold the body of a request once

While the servers of one plain service are slow to read, a dozen bodies of 4,000,000 bytes ended the host, with all requests of its other callers.

Cause: a request's body was held twice for as long as the request was open, in the exchange and in the copy for the backend server, and the copy stayed with the idle connection after the response until its next request. A bound on the requests of all callers bounds half of what they take then.

Change: an OutgoingRequest shares its body. A dispatch refers to the body in the exchange, which it keeps alive, and gives it back as soon as it has been written or the exchange was cancelled.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -51,6 +51,18 @@
 
 std::string describe(ExchangeEnd end, std::string const& reason) { return std::string(to_string(end)) + ": " + reason; }
 
+OutgoingRequest::OutgoingRequest(Request request)
+    : OutgoingRequest(std::move(request.base()), std::make_shared<std::string const>(std::move(request.body())))
+{
+}
+
+OutgoingRequest::OutgoingRequest(RequestHead head, std::shared_ptr<std::string const> shared_body)
+    : message(std::move(head))
+    , body(std::move(shared_body))
+{
+    this->message.body() = { this->body->data(), this->body->size() };
+}
+
 BackendConnection::BackendConnection(asio::io_context& loop, tcp::endpoint endpoint, std::shared_ptr<Traffic> traffic)
     : socket(loop)
     , connect_timer(loop)
@@ -69,8 +81,8 @@
     return peek(this->socket) == Readable::Nothing;
 }
 
-void BackendConnection::exchange(
-    Request new_request, ExchangeObserver new_observer, Duration connect_timeout, Duration silence_limit, u64 max_body)
+void BackendConnection::exchange(OutgoingRequest new_request, ExchangeObserver new_observer, Duration connect_timeout,
+    Duration silence_limit, u64 max_body)
 {
     VERIFY(!this->in_exchange);
     this->in_exchange = true;
@@ -81,7 +93,7 @@
     this->skipped_responses = 0;
     this->skipped_bytes = 0;
     this->max_body_bytes = max_body;
-    this->request = std::move(new_request);
+    this->request.emplace(std::move(new_request));
     this->observer = std::make_shared<ExchangeObserver>(std::move(new_observer));
     ++this->exchange_number;
     if (this->connected)
@@ -122,17 +134,27 @@
 {
     auto number = this->exchange_number;
     ++this->requests_sent;
-    this->serializer.emplace(this->request);
+    this->serializer.emplace(this->request->message);
     beast::http::async_write(
         this->socket, *this->serializer, [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
             self->traffic->record_sent(bytes);
-            // A failed write also makes the read fail, unless the peer sent a response before.
-            if (number == self->exchange_number && !error)
-                self->request_written = true;
+            self->handle_written(error, number);
         });
     this->read_head();
 }
 
+void BackendConnection::handle_written(beast::error_code error, u64 number)
+{
+    // A failed write also makes the read fail, unless the peer sent a response before.
+    bool const is_current = number == this->exchange_number;
+    this->request_written |= is_current && !error;
+    // An idle connection must not hold the memory of a large body.
+    if (!is_current && this->in_exchange)
+        return;
+    this->serializer.reset();
+    this->request.reset();
+}
+
 void BackendConnection::read_head()
 {
     auto number = this->exchange_number;
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <functional>
 #include <memory>
 
@@ -51,6 +52,18 @@
     Skip,
 };
 
+/// A request as it is sent to a backend server. Its body can be shared, so that a large one is held once, however often
+/// it is sent.
+struct OutgoingRequest {
+    /// A request with a body of its own.
+    explicit OutgoingRequest(Request);
+    OutgoingRequest(RequestHead head, std::shared_ptr<std::string const> body);
+
+    /// Its body refers to `body`.
+    beast::http::request<beast::http::span_body<char const>> message;
+    std::shared_ptr<std::string const> body;
+};
+
 /// Callbacks for the parts of a response as they arrive. None is called after `ended` or after cancel().
 struct ExchangeObserver {
     std::function<HeadAction(ResponseHead const&)> head;
@@ -74,8 +87,14 @@
     /// `connect_timeout`. The connection fails when the peer has acknowledged nothing for `silence_limit`. The response
     /// has no timeout here; the calling code limits the wait with cancel(). Each part of the response has a limit on
     /// its size, so that a peer that sends without end can't use up this host's memory or processor.
-    void exchange(Request request, ExchangeObserver observer, Duration connect_timeout, Duration silence_limit,
+    void exchange(OutgoingRequest request, ExchangeObserver observer, Duration connect_timeout, Duration silence_limit,
         u64 max_body_bytes = default_max_body_bytes);
+    void exchange(Request request, ExchangeObserver observer, Duration connect_timeout, Duration silence_limit,
+        u64 max_body_bytes = default_max_body_bytes)
+    {
+        this->exchange(
+            OutgoingRequest(std::move(request)), std::move(observer), connect_timeout, silence_limit, max_body_bytes);
+    }
     /// Ends the exchange and closes the connection, so that the backend server can abandon the request.
     void cancel();
     /// Uses the connection for no further exchange after the current one.
@@ -105,6 +124,7 @@
 
     void connect(Duration timeout, Duration silence_limit);
     void send();
+    void handle_written(beast::error_code, u64 number);
     void read_head();
     void handle_head(beast::error_code);
     void read_body();
@@ -125,8 +145,9 @@
     std::shared_ptr<Traffic> traffic;
     /// Received bytes that the parser has not consumed: at most a head, or a line between two chunks of a body.
     beast::flat_buffer buffer { max_buffered_bytes };
-    Request request;
-    std::optional<beast::http::serializer<true, beast::http::string_body>> serializer;
+    /// The request that is being sent; given back once it has been written.
+    std::optional<OutgoingRequest> request;
+    std::optional<beast::http::serializer<true, beast::http::span_body<char const>>> serializer;
     std::optional<Parser> parser;
     /// Shared, so that the observer outlives its own call when that call cancels the exchange.
     std::shared_ptr<ExchangeObserver> observer;
--- a/Libraries/LibServing/ForwardedRequest.h
+++ b/Libraries/LibServing/ForwardedRequest.h
@@ -84,14 +84,11 @@
             .with("left_ms", this->time_left());
     }
 
-    [[nodiscard]] Http::Request make_request() const
+    [[nodiscard]] Http::OutgoingRequest make_request() const
     {
-        auto request = this->exchange().request();
-        Http::remove_connection_fields(request);
-        D::set_time_left(request, this->time_left());
-        request.version(Http::http_1_1);
-        request.keep_alive(true);
-        request.prepare_payload();
+        auto request = this->copy_of_request();
+        D::set_time_left(request.message, this->time_left());
+        request.message.prepare_payload();
         return request;
     }
 
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -198,14 +198,23 @@
     /// Returns the caller's request as it is sent to the backend server that `head` names, without the headers that
     /// apply only to the caller's connection.
     template<typename D>
-    Http::Request make_dispatch(DispatchHead const& head) const
-    {
-        Http::Request request = this->call.exchange->request();
-        Http::remove_connection_fields(request);
-        D::prepare_dispatch(request, head);
-        request.version(Http::http_1_1);
-        request.keep_alive(true);
-        request.prepare_payload();
+    Http::OutgoingRequest make_dispatch(DispatchHead const& head) const
+    {
+        auto request = this->copy_of_request();
+        D::prepare_dispatch(request.message, head);
+        request.message.prepare_payload();
+        return request;
+    }
+
+    /// Returns the caller's request for another connection. It shares the body, which lives as long as the exchange.
+    [[nodiscard]] Http::OutgoingRequest copy_of_request() const
+    {
+        auto const& exchange = this->call.exchange;
+        auto const& received = exchange->request();
+        Http::OutgoingRequest request(received.base(), std::shared_ptr<std::string const>(exchange, &received.body()));
+        Http::remove_connection_fields(request.message);
+        request.message.version(Http::http_1_1);
+        request.message.keep_alive(true);
         return request;
     }
 
--- a/Tests/LibHttp/TestBackendConnection.cpp
+++ b/Tests/LibHttp/TestBackendConnection.cpp
@@ -136,6 +136,38 @@
     }
 }
 
+SCENARIO("a connection holds no body of its own, and none longer than it takes to send")
+{
+    Http::asio::io_context loop;
+    ScriptedPeer peer(loop);
+    Http::ConnectionPool pool(loop);
+    CollectedResponse collected;
+    auto const body = std::make_shared<std::string const>(100'000, 'x');
+    Http::RequestHead head;
+    head.method(Http::Verb::post);
+    head.target("/ask");
+    head.version(Http::http_1_1);
+    Http::OutgoingRequest request(head, body);
+    request.message.prepare_payload();
+    auto connection = pool.acquire(peer.endpoint());
+    GIVEN("a peer that answers")
+    {
+        peer.script("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        connection->exchange(std::move(request), collected.observer(), 1s, 5s);
+        CHECK(body.use_count() == 2);
+        ::Test::run_until(loop, [&] { return collected.end.has_value() && body.use_count() == 1; });
+        CHECK(collected.end == ExchangeEnd::Complete);
+    }
+    GIVEN("an exchange that is cancelled while the body is being sent")
+    {
+        connection->exchange(std::move(request), collected.observer(), 1s, 5s);
+        loop.poll();
+        connection->cancel();
+        connection = nullptr;
+        ::Test::run_until(loop, [&] { return body.use_count() == 1; });
+    }
+}
+
 SCENARIO("the pool returns idle connections only while they are reusable")
 {
     Http::asio::io_context loop;
