LibHttp: Let callers that are refused while they send read why

A reset promises nothing, so that a request which has not run could not be sent again.

Cause: the host closed the connection once it had written the refusal, with bytes of the caller unread. The kernel answers that with a reset, which may overtake the response.

Change: after the refusal the host closes its sending side only, and discards what the caller still sends, up to 4 MiB and for up to two seconds. Such a connection keeps 4 KiB, counts as no open request, and gives way first when descriptors run out.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -33,6 +33,10 @@
 static constexpr size_t max_kept_buffer_bytes = 4 << 10;
 /// Retry-After of a request for which there is no memory. Those that hold it are over within about a second.
 static constexpr Duration shed_retry_after = 500ms;
+/// A caller whose request was rejected while it was sending gets this long to read the response, and may send this much
+/// meanwhile.
+static constexpr Duration max_discard_time = 2s;
+static constexpr size_t max_discarded_bytes = 4 << 20;
 
 CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<CallerContext> context, RequestOrigin origin)
     : socket(std::move(socket))
@@ -78,9 +82,7 @@
     this->enter(ConnectionPhase::BetweenRequests);
     if (this->buffer.size() > 0)
         return this->read_head();
-    if (this->buffer.capacity() > max_kept_buffer_bytes)
-        this->buffer.shrink_to_fit();
-    this->charge.set(this->buffer.capacity());
+    this->give_back_buffer();
     this->set_timer(this->advertised_idle_timeout, &CallerConnection::handle_idle_timeout);
     this->watch_socket();
 }
@@ -138,6 +140,8 @@
 
 void CallerConnection::close_if_idle(CloseReason reason)
 {
+    if (this->phase == ConnectionPhase::Discarding && reason == CloseReason::CapacityNeeded)
+        return this->close(reason);
     if (this->phase == ConnectionPhase::BetweenRequests && peek(this->socket) != Readable::Bytes)
         this->close(reason);
 }
@@ -196,13 +200,17 @@
     auto const size = beast::read_size(this->buffer, max_read_bytes);
     if (size == 0)
         return this->reject_unreadable_request(HttpError::buffer_overflow);
+    this->reading = true;
     this->socket.async_read_some(this->buffer.prepare(size),
         [self = shared_from_this()](beast::error_code error, size_t count) { self->handle_bytes(error, count); });
 }
 
 void CallerConnection::handle_bytes(beast::error_code error, size_t count)
 {
+    this->reading = false;
     this->buffer.commit(count);
+    if (this->phase == ConnectionPhase::Discarding)
+        return this->discard(error, count);
     // The request may already have been rejected because it arrived too late. It must not run then, nor after its
     // connection was closed: nobody would receive its response.
     if (!this->is_receiving())
@@ -271,6 +279,13 @@
     this->charge.set(this->buffer.capacity());
 }
 
+void CallerConnection::give_back_buffer()
+{
+    if (this->buffer.capacity() > max_kept_buffer_bytes)
+        this->buffer.shrink_to_fit();
+    this->charge.set(this->buffer.capacity());
+}
+
 std::optional<Overload::ReceiveState> CallerConnection::receive_state(Instant now)
 {
     if (!this->is_receiving())
@@ -318,12 +333,40 @@
     this->close(CloseReason::ClosedByCaller);
 }
 
+void CallerConnection::discard_rest()
+{
+    this->enter(ConnectionPhase::Discarding);
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->set_timer(max_discard_time, &CallerConnection::handle_discard_timeout);
+    if (!this->reading)
+        this->read_discarded();
+}
+
+void CallerConnection::discard(beast::error_code error, size_t count)
+{
+    this->discarded_bytes += count;
+    if (error || this->discarded_bytes > max_discarded_bytes)
+        return this->close(CloseReason::ResponseSent);
+    this->read_discarded();
+}
+
+void CallerConnection::read_discarded()
+{
+    this->buffer.consume(this->buffer.size());
+    this->give_back_buffer();
+    this->reading = true;
+    this->socket.async_read_some(this->buffer.prepare(max_kept_buffer_bytes),
+        [self = shared_from_this()](beast::error_code error, size_t count) { self->handle_bytes(error, count); });
+}
+
 void CallerConnection::reject(Status status, std::string const& reason, std::optional<Duration> retry_after)
 {
     this->enter(ConnectionPhase::Responding);
     this->timer.cancel();
     this->release_request();
     this->keep_alive = false;
+    this->is_rejected = true;
     if (this->context->on_rejected_request)
         this->context->on_rejected_request(status, reason);
     Response response(status, http_1_1);
@@ -492,6 +535,8 @@
 void CallerConnection::request_finished()
 {
     this->finish_when_written = false;
+    if (this->is_rejected)
+        return this->discard_rest();
     if (this->awaits_request())
         return this->await_request();
     boost::system::error_code ignored;
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -114,7 +114,15 @@
     void charge_request();
     /// Gives back the memory of a request that is not received any more.
     void release_request();
+    /// Gives back the memory of an empty buffer that has grown.
+    void give_back_buffer();
     void reject_unreadable_request(beast::error_code);
+    /// Closes the sending side, and reads and discards what the caller still sends. A close with unread bytes would
+    /// reset the connection, and the caller might lose the response that it has not read.
+    void discard_rest();
+    void discard(beast::error_code, size_t count);
+    void read_discarded();
+    void handle_discard_timeout() { this->close(CloseReason::ResponseSent); }
     void reject(Status, std::string const& reason, std::optional<Duration> retry_after = {});
     [[nodiscard]] bool has_ambiguous_framing() const;
     void deliver();
@@ -176,6 +184,11 @@
     bool finish_when_written { false };
     bool keep_alive { true };
     bool watching { false };
+    /// A read of the request, or of what is discarded after it, has not completed yet.
+    bool reading { false };
+    /// The current request was rejected before it was received in full.
+    bool is_rejected { false };
+    size_t discarded_bytes { 0 };
 };
 
 }
--- a/Libraries/LibHttp/ConnectionPhase.cpp
+++ b/Libraries/LibHttp/ConnectionPhase.cpp
@@ -20,6 +20,8 @@
         return "reading_body";
     case ConnectionPhase::Responding:
         return "answering";
+    case ConnectionPhase::Discarding:
+        return "discarding";
     case ConnectionPhase::Closed:
         return "closed";
     }
@@ -55,7 +57,8 @@
 
 bool has_request(ConnectionPhase phase)
 {
-    return phase != ConnectionPhase::BetweenRequests && phase != ConnectionPhase::Closed;
+    return phase == ConnectionPhase::ReadingHead || phase == ConnectionPhase::ReadingBody
+        || phase == ConnectionPhase::Responding;
 }
 
 }
--- a/Libraries/LibHttp/ConnectionPhase.h
+++ b/Libraries/LibHttp/ConnectionPhase.h
@@ -20,6 +20,9 @@
     ReadingBody,
     /// A request has been read or rejected, and its response is not complete.
     Responding,
+    /// A request was rejected while its caller was still sending. The response is complete; what the caller sends until
+    /// it has read the response is discarded.
+    Discarding,
     Closed,
 };
 
--- a/Tests/LibHttp/PersistentCaller.h
+++ b/Tests/LibHttp/PersistentCaller.h
@@ -40,6 +40,14 @@
         REQUIRE((error || count == bytes.size()));
     }
 
+    /// Writes as much as the socket takes without waiting. Returns whether the server has not reset the connection.
+    [[nodiscard]] bool try_send(std::string const& bytes)
+    {
+        boost::system::error_code error;
+        this->socket.write_some(asio::buffer(bytes), error);
+        return !error || error == asio::error::would_block;
+    }
+
     /// Number of responses received so far.
     [[nodiscard]] size_t responses()
     {
--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -280,3 +280,117 @@
         }
     }
 }
+
+SCENARIO("a caller that is refused while it sends can read why")
+{
+    CallerFixture fixture;
+    constexpr size_t limit = 100'000;
+    fixture.context->limits.body_bytes = limit;
+    PersistentCaller caller(fixture.loop, fixture.endpoint);
+    auto const piece = std::string(10'000, 'x');
+    auto const has_refusal = [&] { return caller.bytes().starts_with("HTTP/1.1 413 "); };
+
+    GIVEN("a body whose announced length is over the limit")
+    {
+        caller.send(PersistentCaller::head_of_post(100 * limit));
+        ::Test::run_until(fixture.loop, has_refusal);
+        fixture.settle();
+        THEN("the connection is not reset while it sends on")
+        {
+            for (int i = 0; i < 20; ++i) {
+                CHECK(caller.try_send(piece));
+                fixture.settle();
+            }
+            CHECK(has_refusal());
+            CHECK(fixture.accepted_count == 0);
+        }
+        THEN("the connection ends if it sends without end")
+        {
+            ::Test::run_until(fixture.loop, [&] { return !caller.try_send(piece); });
+            fixture.settle();
+            CHECK(fixture.server->open_connections() == 0);
+            CHECK(fixture.accepted_count == 0);
+        }
+        THEN("it does not count as an open request, and gives way if descriptors run out")
+        {
+            CHECK(fixture.context->open_requests == 0);
+            fixture.server->close_idle_connections(Http::CloseReason::CapacityNeeded);
+            CHECK(fixture.server->open_connections() == 0);
+        }
+    }
+    GIVEN("a chunked body that goes on beyond the limit")
+    {
+        caller.send("POST /ask HTTP/1.1\r\nHost: example\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n");
+        ::Test::run_until(fixture.loop, [&] {
+            CHECK(caller.try_send(piece));
+            return has_refusal();
+        });
+        fixture.settle();
+        CHECK(caller.try_send(piece));
+        fixture.settle();
+        CHECK(caller.try_send(piece));
+        CHECK(fixture.accepted_count == 0);
+    }
+}
+
+SCENARIO("requests that take more memory than there is are shed before they are delivered")
+{
+    CallerFixture fixture;
+    auto const budget = std::make_shared<Overload::RequestBudget>(Overload::RequestBudget::min_total);
+    fixture.context->request_budget = budget;
+    std::string const part(100'000, 'x');
+    constexpr size_t announced = 300'000;
+    auto const is_refused = [](PersistentCaller& caller) {
+        return caller.bytes().starts_with("HTTP/1.1 503 ") && caller.bytes().find("Retry-After: ") != std::string::npos;
+    };
+
+    GIVEN("callers that announce more than fits")
+    {
+        std::list<PersistentCaller> large;
+        for (int i = 0; i < 5; ++i) {
+            large.emplace_back(fixture.loop, fixture.endpoint).send(PersistentCaller::head_of_post(announced) + part);
+            fixture.settle();
+        }
+        THEN("some are refused as not run, and the others are still read")
+        {
+            auto const refused = std::ranges::count_if(large, is_refused);
+            CHECK(refused == 3);
+            CHECK(budget->used() <= budget->max_request());
+        }
+        THEN("a small request is delivered meanwhile")
+        {
+            PersistentCaller small(fixture.loop, fixture.endpoint);
+            small.send(PersistentCaller::post_request);
+            fixture.wait_for_accepted(1);
+            fixture.respond_to_all();
+            ::Test::run_until(fixture.loop, [&] { return small.responses() == 1; });
+        }
+        THEN("their memory is free again when they have left")
+        {
+            large.clear();
+            ::Test::run_until(fixture.loop, [&] { return budget->used() == 0; });
+        }
+    }
+    GIVEN("a request that has been delivered and holds almost all")
+    {
+        PersistentCaller first(fixture.loop, fixture.endpoint);
+        std::string const body(700'000, 'x');
+        first.send(PersistentCaller::head_of_post(body.size()));
+        for (size_t sent = 0; sent < body.size(); sent += part.size()) {
+            first.send(part);
+            fixture.settle();
+        }
+        fixture.wait_for_accepted(1);
+        PersistentCaller second(fixture.loop, fixture.endpoint);
+        second.send(PersistentCaller::head_of_post(announced));
+        ::Test::run_until(fixture.loop, [&] { return is_refused(second); });
+        THEN("it keeps its memory until its response is complete")
+        {
+            CHECK(budget->used() >= body.size());
+            fixture.respond_to_all();
+            ::Test::run_until(fixture.loop, [&] { return first.responses() == 1; });
+            fixture.settle();
+            CHECK(budget->used() < body.size());
+        }
+    }
+}
