--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -126,8 +126,9 @@
     "this->phase == ConnectionPhase::BetweenRequests && peek(this->socket) != Readable::Bytes" \
     "peek(this->socket) != Readable::Bytes"
 guard "what is refused is not taken" TestLibHttp "Scenario: a connection is closed without an answer between requests only" \
-    Libraries/LibHttp/CallerConnection.cpp "if (this->phase != ConnectionPhase::ReadingBody)
-        return;" ""
+    Libraries/LibHttp/CallerConnection.cpp "if (!this->is_receiving())
+        return;
+    if (error == asio" "if (error == asio"
 guard "a close is told" TestLibHttp "Scenario: whoever works on a request is told when its connection ends" \
     Libraries/LibHttp/CallerConnection.cpp "interrupted->connection_lost();" "(void)interrupted;"
 guard "what was accepted is served" TestLibHttp \
@@ -150,8 +151,8 @@
         return;" "this->writing = false;"
 guard "a refused head is not taken" TestLibHttp \
     "Scenario: a request that times out is rejected and not accepted, or accepted and gets a response" \
-    Libraries/LibHttp/CallerConnection.cpp "if (this->phase != ConnectionPhase::ReadingHead)
-        return;" ""
+    Libraries/LibHttp/CallerConnection.cpp "if (self->is_receiving())
+            self->parse();" "self->parse();"
 guard "a body has its time" TestLibHttp "Scenario: a request that times out is rejected and not accepted, or accepted and gets a response" \
     Libraries/LibHttp/CallerConnection.cpp "this->set_timer(this->context->limits.idle_timeout, &CallerConnection::handle_body_timeout);" ""
 guard "an end behind bytes is noticed" TestLibHttp "Scenario: a caller that leaves is noticed" \
@@ -317,6 +318,15 @@
     Libraries/LibServing/ForwardedRequest.h "this->response_head->count(Http::not_run_field) > 0" "true"
 guard "a removal is due at one moment" TestLibServing "Scenario: the table of backend servers follows the platform's list" \
     Libraries/LibServing/BackendList.cpp "return Duration(0);" "return Duration(1);"
+guard "frames are bounded" TestMisbehavingCallers "Scenario: trailers without end" \
+    Libraries/LibHttp/CallerConnection.cpp "this->buffer.max_size(" "(void)("
+guard "requests share a budget" TestLibHttp "Scenario: requests that take more memory than there is are shed before they are delivered" \
+    Libraries/LibHttp/CallerServer.cpp "if (connection->must_be_shed())" "if (false)"
+guard "a refusal can be read" TestLibHttp "Scenario: a caller that is refused while it sends can read why" \
+    Libraries/LibHttp/CallerConnection.cpp "return this->discard_rest();" ""
+guard "a body that was sent is given back" TestLibHttp \
+    "Scenario: a connection holds no body of its own, and none longer than it takes to send" \
+    Libraries/LibHttp/BackendConnection.cpp "this->request.reset();" ""
 guard "a row without a value harms no other" TestPlatform "Scenario: odd entries among those of the servers harm nobody" \
     platform/StoreClient.cpp "return {};
     }
