LibHttp: Make room for new callers when unfinished requests hold all descriptors

What callers saw: no new connection was accepted, for as long as a body may take, while callers that had stopped in the middle of their bodies held all file descriptors.

Cause: when descriptors ran out, only idle connections were closed.

Change: where no connection is idle, one in 16 of the unfinished requests is rejected with 503 and Retry-After, in the order in which they are shed for lack of memory. Their connections are closed next if their callers stay.

Evidence: 'a new caller is served when unfinished requests hold all descriptors' failed before (none was refused; the new caller waited until the bodies' time was over) and passes now. A test of the limit for what frames a body comes with it: the memory test does not notice any more if that limit is taken out, since the budget holds too. Two guards of Meta/prove-guards.sh name places that a test notices.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -293,11 +293,10 @@
     return this->progress.state(this->charge.held(), now);
 }
 
-void CallerConnection::shed_request()
+void CallerConnection::shed_request(std::string const& reason)
 {
     ++this->context->traffic->requests_shed;
-    this->reject(Status::service_unavailable, "this host has no memory left for a request of this size; send it again",
-        shed_retry_after);
+    this->reject(Status::service_unavailable, reason, shed_retry_after);
 }
 
 void CallerConnection::handle_head_timeout()
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -43,7 +43,7 @@
     std::optional<Overload::OutputBudget> output_budget {};
     /// Called when the budget is exceeded.
     std::function<void()> on_budget_exceeded {};
-    /// Bounds the memory for the requests of all callers. Null if the memory is not known.
+    /// Bounds the memory for the requests of all callers. Null for no bound.
     std::shared_ptr<Overload::RequestBudget> request_budget {};
     /// Called when an unfinished request holds memory that the budget does not have.
     std::function<void()> on_requests_exceed_memory {};
@@ -84,8 +84,9 @@
     [[nodiscard]] std::optional<Overload::ReceiveState> receive_state(Instant now);
     /// Whether the memory for requests has none for what the unfinished request on this connection holds.
     [[nodiscard]] bool must_be_shed() const { return this->is_receiving() && this->charge.must_shed(); }
-    /// Rejects the request that is being received, because requests of all callers take too much memory.
-    void shed_request();
+    /// Rejects the request that is being received, because the requests of all callers together take too much of
+    /// something. `reason` names it and the remedy.
+    void shed_request(std::string const& reason);
 
 private:
     friend class Exchange;
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -14,6 +14,8 @@
 /// Connections that are closed in one turn of the event loop. Closing them must leave time for the requests that were
 /// read; callers of the others give up by themselves.
 static constexpr size_t max_closed_at_once = 16;
+/// One in this many unfinished requests is shed at a time when file descriptors run out.
+static constexpr size_t shed_part_for_connections = 16;
 
 CallerServer::Listener::Listener(asio::io_context& loop, tcp::endpoint const& endpoint, RequestOrigin origin)
     : acceptor(loop, endpoint, true)
@@ -54,28 +56,44 @@
     }
 }
 
-void CallerServer::shed_requests()
+std::vector<std::shared_ptr<CallerConnection>> CallerServer::unfinished_requests() const
 {
-    this->is_shedding = false;
-    struct Unfinished {
-        std::shared_ptr<CallerConnection> connection;
-        Overload::ReceiveState state;
-    };
-    std::vector<Unfinished> unfinished;
+    std::vector<std::pair<Overload::ReceiveState, std::shared_ptr<CallerConnection>>> unfinished;
     auto const now = AK::BootClock::now();
     for (auto const& known : this->connections) {
         auto connection = known.lock();
         if (auto const state = connection ? connection->receive_state(now) : std::nullopt)
-            unfinished.push_back({ std::move(connection), *state });
+            unfinished.emplace_back(*state, std::move(connection));
     }
     std::ranges::stable_sort(
-        unfinished, [](auto const& one, auto const& other) { return is_shed_before(one.state, other.state); });
-    for (auto const& [connection, state] : unfinished) {
+        unfinished, [](auto const& one, auto const& other) { return is_shed_before(one.first, other.first); });
+    std::vector<std::shared_ptr<CallerConnection>> result;
+    for (auto& [state, connection] : unfinished)
+        result.push_back(std::move(connection));
+    return result;
+}
+
+void CallerServer::shed_requests()
+{
+    this->is_shedding = false;
+    for (auto const& connection : this->unfinished_requests()) {
         if (connection->must_be_shed())
-            connection->shed_request();
+            connection->shed_request("this host has no memory left for a request of this size; send it again");
     }
 }
 
+void CallerServer::make_room_for_connections()
+{
+    auto const open_before = this->open_connections();
+    this->close_idle_connections(CloseReason::CapacityNeeded);
+    if (this->open_connections() < open_before)
+        return;
+    auto const unfinished = this->unfinished_requests();
+    auto const shed = std::min(unfinished.size(), unfinished.size() / shed_part_for_connections + 1);
+    for (size_t i = 0; i < shed; ++i)
+        unfinished[i]->shed_request("this host has no room left for more connections; send the request again");
+}
+
 std::shared_ptr<CallerConnection> CallerServer::slowest_reader() const
 {
     auto const key = [](CallerConnection const& connection) {
@@ -117,7 +135,7 @@
     bool const is_out_of_descriptors = error == boost::system::errc::too_many_files_open
         || error == boost::system::errc::too_many_files_open_in_system;
     if (is_out_of_descriptors)
-        this->close_idle_connections(CloseReason::CapacityNeeded);
+        this->make_room_for_connections();
     listener.retry_timer.expires_after(accept_retry_delay);
     listener.retry_timer.async_wait([this, &listener](beast::error_code timer_error) {
         if (!timer_error && listener.acceptor.is_open())
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -43,7 +43,7 @@
     };
 
     void accept(Listener&);
-    /// Accepts again after a delay. Closes idle connections first when file descriptors have run out.
+    /// Accepts again after a delay. Makes room first when file descriptors have run out.
     void accept_later(Listener&, beast::error_code);
     void serve(tcp::socket, RequestOrigin);
     /// Accepts and closes the connections that wait to be accepted while this host is overloaded. Otherwise each would
@@ -56,6 +56,11 @@
     /// Rejects unfinished requests, those first that progress least for the memory that they hold, until the requests
     /// of all callers are within the budget.
     void shed_requests();
+    /// Closes idle connections, as file descriptors have run out. Where there are none, rejects some unfinished
+    /// requests, whose connections can be closed next.
+    void make_room_for_connections();
+    /// The connections with an unfinished request, those first that are shed first.
+    [[nodiscard]] std::vector<std::shared_ptr<CallerConnection>> unfinished_requests() const;
 
     asio::io_context& loop;
     /// That for callers, and that for other hosts if there is one.
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -151,8 +151,9 @@
         return;" "this->writing = false;"
 guard "a refused head is not taken" TestLibHttp \
     "Scenario: a request that times out is rejected and not accepted, or accepted and gets a response" \
-    Libraries/LibHttp/CallerConnection.cpp "if (self->is_receiving())
-            self->parse();" "self->parse();"
+    Libraries/LibHttp/CallerConnection.cpp "if (!this->is_receiving())
+        return;
+    if (error == asio" "if (error == asio"
 guard "a body has its time" TestLibHttp "Scenario: a request that times out is rejected and not accepted, or accepted and gets a response" \
     Libraries/LibHttp/CallerConnection.cpp "this->set_timer(this->context->limits.idle_timeout, &CallerConnection::handle_body_timeout);" ""
 guard "an end behind bytes is noticed" TestLibHttp "Scenario: a caller that leaves is noticed" \
@@ -318,10 +319,16 @@
     Libraries/LibServing/ForwardedRequest.h "this->response_head->count(Http::not_run_field) > 0" "true"
 guard "a removal is due at one moment" TestLibServing "Scenario: the table of backend servers follows the platform's list" \
     Libraries/LibServing/BackendList.cpp "return Duration(0);" "return Duration(1);"
-guard "frames are bounded" TestMisbehavingCallers "Scenario: trailers without end" \
+guard "frames are bounded" TestLibHttp "Scenario: what frames a body is refused as soon as it is larger than a head may be" \
     Libraries/LibHttp/CallerConnection.cpp "this->buffer.max_size(" "(void)("
 guard "requests share a budget" TestLibHttp "Scenario: requests that take more memory than there is are shed before they are delivered" \
     Libraries/LibHttp/CallerServer.cpp "if (connection->must_be_shed())" "if (false)"
+guard "a shed request is not parsed" TestLibHttp "Scenario: requests that take more memory than there is are shed before they are delivered" \
+    Libraries/LibHttp/CallerConnection.cpp "if (self->is_receiving())
+            self->parse();" "self->parse();"
+guard "room for new callers is made of unfinished requests" TestLibHttp \
+    "Scenario: a new caller is served when unfinished requests hold all descriptors" \
+    Libraries/LibHttp/CallerServer.cpp "for (size_t i = 0; i < shed; ++i)" "for (size_t i = shed; i < shed; ++i)"
 guard "a refusal can be read" TestLibHttp "Scenario: a caller that is refused while it sends can read why" \
     Libraries/LibHttp/CallerConnection.cpp "return this->discard_rest();" ""
 guard "a body that was sent is given back" TestLibHttp \
--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -220,6 +220,34 @@
     CHECK(fixture.closes.front().reason == Http::CloseReason::CapacityNeeded);
 }
 
+SCENARIO("a new caller is served when unfinished requests hold all descriptors")
+{
+    CallerFixture fixture;
+    for (size_t i = 0; i < caller_count; ++i)
+        fixture.callers.emplace_back(fixture.loop, fixture.endpoint).send(PersistentCaller::post_head);
+    fixture.settle();
+    PersistentCaller newcomer(fixture.loop, fixture.endpoint);
+    ::Test::DescriptorLimit const limit(::Test::descriptors_in_use());
+    newcomer.send(PersistentCaller::get_request);
+    ::Test::run_until(fixture.loop, [&] {
+        fixture.respond_to_all();
+        return newcomer.responses() == 1;
+    });
+    auto const refused = std::ranges::count_if(fixture.callers, [](auto& caller) {
+        return caller.bytes().starts_with("HTTP/1.1 503 ") && caller.bytes().find("Retry-After: ") != std::string::npos;
+    });
+    CHECK(refused >= 1);
+    CHECK(refused <= static_cast<i64>(caller_count) / 2);
+    THEN("the others are served once their bodies have arrived")
+    {
+        fixture.send_all(PersistentCaller::post_body);
+        ::Test::run_until(fixture.loop, [&] {
+            fixture.respond_to_all();
+            return fixture.responses() == caller_count - static_cast<size_t>(refused);
+        });
+    }
+}
+
 // Guards against requests that are read on a connection that a stopping process should have closed.
 //
 // Cause: whether a connection is kept was decided when the head of a response was sent. A stream that began before the
@@ -333,6 +361,24 @@
     }
 }
 
+SCENARIO("what frames a body is refused as soon as it is larger than a head may be")
+{
+    CallerFixture fixture;
+    auto const body = GENERATE(as<std::string> {}, "4;extension=", "0", "4\r\nbody\r\n0\r\nX-Trailer: ");
+    INFO(body);
+    // Digits fit into each of these places.
+    std::string const piece(1'000, '0');
+    PersistentCaller caller(fixture.loop, fixture.endpoint);
+    caller.send("POST /ask HTTP/1.1\r\nHost: example\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+    size_t sent = 0;
+    ::Test::run_until(fixture.loop, [&] {
+        sent += caller.try_send(piece) ? piece.size() : 0;
+        return caller.bytes().starts_with("HTTP/1.1 431 ") || sent > 10 * fixture.context->limits.header_bytes;
+    });
+    CHECK(caller.bytes().starts_with("HTTP/1.1 431 "));
+    CHECK(fixture.accepted_count == 0);
+}
+
 SCENARIO("requests that take more memory than there is are shed before they are delivered")
 {
     CallerFixture fixture;
