LibOverload: Receive one request of the maximum size however little memory there is

What callers saw: 413 for a single body of max_body_bytes, in calm, at a host whose memory is less than six times as much.

Change: the limit for large requests is one request of the operator's maximum size at least; a quarter of the total is on top of it for small ones. A host whose memory is not known has 64 MiB for requests, where it had no bound.

Evidence: 'a host with little memory for its limits, and one request of the maximum size' failed before, with a length and in chunks, and passes now. The tests of shedding set the limit for bodies that they took for granted, since the budget follows from it now; what they check is the same.

--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -164,10 +164,11 @@
     auto const& budget = this->context->request_budget;
     this->parser.emplace();
     this->parser->header_limit(limits.header_bytes);
-    // A body that this host has no memory for is as much over the limit as one that the operator does not allow.
-    this->parser->body_limit(budget ? std::min<u64>(limits.body_bytes, budget->max_request()) : limits.body_bytes);
+    this->parser->body_limit(limits.body_bytes);
     // The parser limits what a chunk header or a trailer section may be only once its end has arrived.
     this->buffer.max_size(std::max<size_t>({ min_buffer_bytes, limits.header_bytes, this->buffer.size() }));
+    if (budget)
+        budget->set_largest_request(limits.body_bytes + limits.header_bytes + this->buffer.max_size());
     this->part_bytes = 0;
     this->progress.begin(AK::BootClock::now());
     this->set_timer(limits.header_timeout, &CallerConnection::handle_head_timeout);
--- a/Libraries/LibOverload/RequestBudget.h
+++ b/Libraries/LibOverload/RequestBudget.h
@@ -25,23 +25,32 @@
 
     explicit RequestBudget(size_t total) { this->set_total(total); }
 
+    /// For a host whose memory is not known.
+    static constexpr size_t default_total = 64 << 20;
+
     /// The part of a host's memory for requests. The rest is for responses, tables and the process itself.
     static size_t total_for(u64 host_memory_bytes) { return static_cast<size_t>(host_memory_bytes / 4); }
 
     void set_total(size_t bytes) { this->total = std::max(min_total, bytes); }
     [[nodiscard]] size_t used() const { return this->used_bytes; }
-    /// Size of the largest request that can be received while nothing else is held.
-    [[nodiscard]] size_t max_request() const { return this->total / 4 * 3; }
+    /// Sets what the largest request that callers may send holds. One such request is received while nothing else is
+    /// held, however small the total is.
+    void set_largest_request(size_t bytes) { this->largest_request = bytes; }
+    /// What requests may hold together while large ones are received.
+    [[nodiscard]] size_t limit_for_large() const { return std::max(this->total / 4 * 3, this->largest_request); }
+    /// What requests may hold together.
+    [[nodiscard]] size_t limit() const { return this->limit_for_large() + this->total / 4; }
     /// Whether an unfinished request that holds this much has to be given up.
     [[nodiscard]] bool must_shed(size_t held) const
     {
-        return this->used_bytes > (held > max_small_request ? this->max_request() : this->total);
+        return this->used_bytes > (held > max_small_request ? this->limit_for_large() : this->limit());
     }
 
 private:
     friend class RequestCharge;
 
     size_t total { 0 };
+    size_t largest_request { 0 };
     size_t used_bytes { 0 };
 };
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -105,9 +105,10 @@
                 Overload::OutputBudget::total_for(this->settings.memory_bytes));
             this->context.collected_responses = std::make_shared<Overload::OutputBudget>(
                 Overload::OutputBudget::total_for_collected(this->settings.memory_bytes));
-            this->callers_context->request_budget = std::make_shared<Overload::RequestBudget>(
-                Overload::RequestBudget::total_for(this->settings.memory_bytes));
         }
+        this->callers_context->request_budget = std::make_shared<Overload::RequestBudget>(
+            this->settings.memory_bytes > 0 ? Overload::RequestBudget::total_for(this->settings.memory_bytes)
+                                            : Overload::RequestBudget::default_total);
         this->callers_context->on_rejected_request
             = [this](Http::Status status, std::string const& reason) { this->record_rejected_unread(status, reason); };
         this->callers_context->is_overloaded = [this] { return this->context.host_load.is_overloaded(); };
@@ -212,9 +213,7 @@
         if (this->context.collected_responses)
             this->context.metrics.set(
                 "collected_response_bytes", static_cast<double>(this->context.collected_responses->used()));
-        if (this->callers_context->request_budget)
-            this->context.metrics.set(
-                "request_bytes", static_cast<double>(this->callers_context->request_budget->used()));
+        this->context.metrics.set("request_bytes", static_cast<double>(this->callers_context->request_budget->used()));
         this->context.metrics.set("log_lines_dropped", static_cast<double>(this->log.dropped_lines()));
         Http::Response response(Http::Status::ok, 11);
         response.set(Http::Name::content_type, "text/plain; version=0.0.4");
@@ -573,7 +572,7 @@
             budget->set_total(Overload::OutputBudget::total_for(bytes));
         if (this->context.collected_responses && bytes > 0)
             this->context.collected_responses->set_total(Overload::OutputBudget::total_for_collected(bytes));
-        if (this->callers_context->request_budget && bytes > 0)
+        if (bytes > 0)
             this->callers_context->request_budget->set_total(Overload::RequestBudget::total_for(bytes));
     }
 
--- a/Tests/LibHttp/TestCallerConnection.cpp
+++ b/Tests/LibHttp/TestCallerConnection.cpp
@@ -384,6 +384,7 @@
     CallerFixture fixture;
     auto const budget = std::make_shared<Overload::RequestBudget>(Overload::RequestBudget::min_total);
     fixture.context->request_budget = budget;
+    fixture.context->limits.body_bytes = 700'000;
     std::string const part(100'000, 'x');
     constexpr size_t announced = 300'000;
     auto const is_refused = [](PersistentCaller& caller) {
@@ -401,7 +402,7 @@
         {
             auto const refused = std::ranges::count_if(large, is_refused);
             CHECK(refused == 3);
-            CHECK(budget->used() <= budget->max_request());
+            CHECK(budget->used() <= budget->limit_for_large());
         }
         THEN("a small request is delivered meanwhile")
         {
@@ -417,6 +418,30 @@
             ::Test::run_until(fixture.loop, [&] { return budget->used() == 0; });
         }
     }
+    GIVEN("a host with little memory for its limits, and one request of the maximum size")
+    {
+        constexpr size_t max_body = 2 << 20;
+        fixture.context->limits.body_bytes = max_body;
+        PersistentCaller caller(fixture.loop, fixture.endpoint);
+        bool const is_chunked = GENERATE(false, true);
+        caller.send(is_chunked ? "POST /ask HTTP/1.1\r\nHost: example\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n"
+                               : PersistentCaller::head_of_post(max_body));
+        std::string const piece(1 << 16, 'x');
+        for (size_t sent = 0; sent < max_body; sent += piece.size()) {
+            caller.send(piece);
+            fixture.settle();
+        }
+        if (is_chunked)
+            caller.send("\r\n0\r\n\r\n");
+        THEN("it is delivered")
+        {
+            ::Test::run_until(fixture.loop, [&] {
+                fixture.respond_to_all();
+                return caller.responses() == 1 || caller.is_closed();
+            });
+            CHECK(caller.responses() == 1);
+        }
+    }
     GIVEN("a request that has been delivered and holds almost all")
     {
         PersistentCaller first(fixture.loop, fixture.endpoint);
--- a/Tests/LibOverload/TestRequestBudget.cpp
+++ b/Tests/LibOverload/TestRequestBudget.cpp
@@ -41,7 +41,21 @@
         RequestCharge charge(budget);
         charge.set(largest_body);
         CHECK_FALSE(charge.must_shed());
-        CHECK(budget->max_request() >= largest_body);
+        CHECK(budget->limit_for_large() >= largest_body);
+    }
+    SECTION("and so does one on a host whose memory is small for the limits, and a small one beside it")
+    {
+        auto const little = std::make_shared<RequestBudget>(RequestBudget::min_total);
+        little->set_largest_request(largest_body);
+        RequestCharge charge(little);
+        charge.set(largest_body);
+        CHECK_FALSE(charge.must_shed());
+        RequestCharge small(little);
+        small.set(small_request);
+        CHECK_FALSE(small.must_shed());
+        RequestCharge second(little);
+        second.set(largest_body);
+        CHECK(second.must_shed());
     }
     SECTION("large bodies without end never hold all of it, and small requests are still received")
     {
