--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -68,6 +68,7 @@
     std::ranges::stable_sort(
         unfinished, [](auto const& one, auto const& other) { return is_shed_before(one.first, other.first); });
     std::vector<std::shared_ptr<CallerConnection>> result;
+    result.reserve(unfinished.size());
     for (auto& [state, connection] : unfinished)
         result.push_back(std::move(connection));
     return result;
