--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -67,7 +67,7 @@
         spawn([attempt, &engine] { check_later(attempt, &engine); });
     };
     for (int i = 0; i < 3; ++i)
-        add_host(directory, "front-" + zones[i] + "-1", zones[i], "127.0.0.1", store->server->address, zones);
+        add_host(directory, "front-" + zones[i] + "-1", zones[i], store->server->address, zones);
     for (auto& host : hosts)
         host.start();
     if (!all_ready(15000))
--- a/review/standins-2/Lab.h
+++ b/review/standins-2/Lab.h
@@ -771,6 +771,41 @@
     }
 };
 
+// --- plain runners
+
+/// Answers each request after `work_ms`.
+struct PlainRunner {
+    Store& store;
+    string id;
+    string service;
+    string zone;
+    double work_ms { 60 };
+    int runs { 0 };
+    std::shared_ptr<Server> server;
+
+    PlainRunner(Store& store, string const& ip, string id, string service, string zone)
+        : store(store)
+        , id(std::move(id))
+        , service(std::move(service))
+        , zone(std::move(zone))
+    {
+        server = std::make_shared<Server>(ip, [this](std::shared_ptr<Stream> stream, Message request) {
+            auto const attempt = request.get("Lilactiller-Attempt-Id");
+            if (request.get("Lilactiller-Target-Instance") != this->id)
+                return stream->write(misdirected(this->id, attempt));
+            ++runs;
+            sleep_ms(work_ms);
+            Fields const fields { { "Lilactiller-Attempt-Id", attempt }, { "Lilactiller-Response-Stamp", "stamp." + this->id },
+                { "Lilactiller-Server-Load", "1,0,6" } };
+            return stream->write(response(200, fields, "answer to " + attempt));
+        });
+        server->start();
+        json::object const row { { "service", this->service }, { "addr", server->address }, { "zone", this->zone },
+            { "version", "v1" }, { "slots", 6 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+        store.put("servers", this->id, json::serialize(row));
+    }
+};
+
 // --- HostServers
 
 struct Host {
@@ -847,9 +882,11 @@
     return text + "\nretries:\n  ratio: \"0.2\"\n  allowance: \"56\"\n  window: \"" + window + "s\"\n";
 }
 
-inline Host& add_host(string const& directory, string const& name, string const& zone, string const& ip,
-    string const& store, std::vector<string> const& zones)
+/// Each host has a loopback address of its own, so that nobody else takes its ports while it is down.
+inline Host& add_host(string const& directory, string const& name, string const& zone, string const& store,
+    std::vector<string> const& zones)
 {
+    auto const ip = "127.0.1." + std::to_string(hosts.size() + 1);
     auto& host = hosts.emplace_back();
     host.name = name;
     host.zone = zone;
