--- a/review/standins-2/Lab.h
+++ b/review/standins-2/Lab.h
@@ -615,6 +615,18 @@
         server->stop();
         store.remove("servers", id);
     }
+    /// Ends at once and says nothing; its entry lapses after three heartbeats.
+    void crash()
+    {
+        rec("runner %s crashes; it worked on %d requests", id.c_str(), working());
+        for (auto& [attempt, run] : runs)
+            run->working = false;
+        server->stop();
+        spawn([this] {
+            sleep_ms(3600);
+            store.remove("servers", id);
+        });
+    }
     Fields stamped(Message const& request) const
     {
         return { { "Lilactiller-Attempt-Id", request.get("Lilactiller-Attempt-Id") },
