--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -56,12 +56,13 @@
     std::vector<string> const zones { "hall-a", "hall-b", "hall-c" };
     auto* const store = new Store("127.0.0.1"); // until the process ends
     for (int i = 0; i < 9; ++i) {
-        engines.push_back(std::make_unique<Engine>(*store, "127.0.0.1", "i-" + std::to_string(1000 + i), "huvo11a",
-            zones[i % 3], std::random_device {}()));
+        engines.push_back(std::make_unique<Engine>(
+            *store, "127.0.0.1", "i-" + std::to_string(1000 + i), "huvo11a", zones[i % 3], std::random_device {}()));
         // "Most of them drop a request when its connection closes": three of nine do not.
         engines.back()->drops = i >= 3;
     }
-    store->put("op", "config", R"({"version":7,"routes":[{"name":"r-px5pa2y","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":39000,"goal_ms":1800,"priority":0,"service":"huvo11a","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":180}],"services":[{"name":"huvo11a","health_path":"/health","max_conns":442,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity":34545,"kv_token_bytes":18432,"link_mbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"huka270","api_keys":["xd9dnn2ctnfzs989anu6"],"priority":1}]})");
+    store->put("op", "config",
+        R"({"version":7,"routes":[{"name":"r-px5pa2y","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":39000,"goal_ms":1800,"priority":0,"service":"huvo11a","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":180}],"services":[{"name":"huvo11a","health_path":"/health","max_conns":442,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity":34545,"kv_token_bytes":18432,"link_mbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"huka270","api_keys":["xd9dnn2ctnfzs989anu6"],"priority":1}]})");
     on_continued = [](string const& attempt, Engine& engine) {
         ++continued;
         spawn([attempt, &engine] { check_later(attempt, &engine); });
@@ -98,7 +99,8 @@
         if (auto const status = host.ended())
             rec("%s has ended with status %d", host.name.c_str(), *status);
     }
-    rec("%d requests went on at another runner, %d of them while the earlier one still worked 400 ms later; %d streams whole, %d cut off",
+    rec("%d requests went on at another runner, %d of them while the earlier one still worked 400 ms later; %d streams "
+        "whole, %d cut off",
         continued, broken, whole, cut);
     if (continued == 0)
         return 2;
--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -54,7 +54,9 @@
     ++sent;
     (status == 200 ? served : lost) += 1;
     rec("client sends %s with a head of %zu bytes to %s: %s", attempt.c_str(), request.size(), host.name.c_str(),
-        status ? std::to_string(status).c_str() : stream ? "the connection is closed without an answer" : "no connection");
+        status       ? std::to_string(status).c_str()
+            : stream ? "the connection is closed without an answer"
+                     : "no connection");
     return status;
 }
 
--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -21,7 +21,8 @@
         int status = 0;
         if (auto stream = connect_to(host.callers)) {
             Message answer;
-            stream->write(string("GET /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nLilactiller-Attempt-Id: ") + attempt
+            stream->write(string("GET /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nLilactiller-Attempt-Id: ")
+                + attempt
                 + "\r\nLilactiller-Deadline-Ms: 3000\r\nApi-Key: xd9dnn2ctnfzs989anu6\r\nConnection: close\r\n\r\n");
             if (stream->head(answer) && stream->body(answer))
                 status = answer.status();
@@ -55,7 +56,8 @@
                     while (std::getline(log, line))
                         last = line;
                     return last;
-                }().c_str());
+                }()
+                    .c_str());
         } else {
             rec("%s was killed", host.name.c_str());
         }
@@ -71,7 +73,8 @@
     auto* const store = new Store("127.0.0.1"); // until the process ends
     for (auto const& zone : zones)
         new PlainRunner(*store, "127.0.0.1", "i-" + zone, "wuno96b", zone);
-    store->put("op", "config", R"({"version":7,"routes":[{"name":"r-tariff","host":"ficu95.example","path_prefix":"/puxa403/","kind":"safe","timeout_ms":3000,"goal_ms":300,"priority":2,"service":"wuno96b","max_attempts":2,"public":false}],"services":[{"name":"wuno96b","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"huka270","api_keys":["xd9dnn2ctnfzs989anu6"],"priority":1}]})");
+    store->put("op", "config",
+        R"({"version":7,"routes":[{"name":"r-tariff","host":"ficu95.example","path_prefix":"/puxa403/","kind":"safe","timeout_ms":3000,"goal_ms":300,"priority":2,"service":"wuno96b","max_attempts":2,"public":false}],"services":[{"name":"wuno96b","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"huka270","api_keys":["xd9dnn2ctnfzs989anu6"],"priority":1}]})");
     for (int i = 0; i < 5; ++i)
         add_host(directory, "front-" + zones[i % 3] + '-' + std::to_string(i / 3 + 1), zones[i % 3],
             store->server->address, zones);
@@ -112,8 +115,8 @@
     sleep_ms(4000);
     for (auto const& [name, count] : ends)
         rec("%s has ended by itself %d times", name.c_str(), count);
-    rec("before the final fault %d of %d requests were served; of those sent more than recover_s after it, %d of %d", served,
-        sent, served_late, sent_late);
+    rec("before the final fault %d of %d requests were served; of those sent more than recover_s after it, %d of %d",
+        served, sent, served_late, sent_late);
     if (4 * served < sent)
         return 2;
     return 4 * served_late < sent_late ? 1 : 0;
--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Runners of one zone crash together, three of them while they read prompts of a small tenant; the tenant is refused from
-// then on.
+// Runners of one zone crash together, three of them while they read prompts of a small tenant; the tenant is refused
+// from then on.
 #include "../standins-2/Lab.h"
 
 #include <algorithm>
@@ -30,8 +30,8 @@
     stream->write("POST /pufi791/2f HTTP/1.1\r\nHost: ficu95.example\r\nLilactiller-Attempt-Id: " + attempt
         + "\r\nLilactiller-Model: m\r\nLilactiller-Token-Usage: " + (tenant.name == "huka270" ? "5550" : "2550")
         + ",16\r\nLilactiller-Prompt-Prefix: 5c1e07a2:350," + attempt + (tenant.name == "huka270" ? ":5200" : ":2200")
-        + "\r\nLilactiller-Deadline-Ms: 6000\r\nApi-Key: " + tenant.key
-        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, 2900 - attempt.size()) + attempt);
+        + "\r\nLilactiller-Deadline-Ms: 6000\r\nApi-Key: " + tenant.key + "\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, 2900 - attempt.size()) + attempt);
     Message head;
     if (!stream->head(head)) {
         rec("client: %s of %s gets no answer", attempt.c_str(), tenant.name.c_str());
@@ -49,7 +49,8 @@
     }
     bool const is_whole = stream->chunks([](string const&) {});
     if (is_logged || !is_whole)
-        rec("client: the stream of %s of %s %s", attempt.c_str(), tenant.name.c_str(), is_whole ? "is whole" : "was cut off");
+        rec("client: the stream of %s of %s %s", attempt.c_str(), tenant.name.c_str(),
+            is_whole ? "is whole" : "was cut off");
     return is_whole;
 }
 
@@ -83,14 +84,16 @@
     auto* const store = new Store("127.0.0.1"); // until the process ends
     int ids = 1000;
     auto add_engine = [&](string const& zone) {
-        engines.push_back(std::make_unique<Engine>(*store, "127.0.0.1", "i-" + std::to_string(ids++), "huvo11a", zone, 1));
+        engines.push_back(
+            std::make_unique<Engine>(*store, "127.0.0.1", "i-" + std::to_string(ids++), "huvo11a", zone, 1));
         engines.back()->slots = 24;
         engines.back()->put_row();
         engines.back()->total_of = [](string const&) { return 4; };
     };
     for (int i = 0; i < 45; ++i)
         add_engine(zones[i % 3]);
-    store->put("op", "config", R"({"version":7,"routes":[{"name":"r-hvz3pfi","host":"ficu95.example","path_prefix":"/pufi791/","kind":"streaming","timeout_ms":6000,"goal_ms":1500,"priority":1,"service":"huvo11a","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":180}],"services":[{"name":"huvo11a","health_path":"/health","max_conns":672,"protocol":"h1","tls":false,"engine":{"slots":24,"kv_capacity":34545,"kv_token_bytes":18432,"link_mbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"huka270","api_keys":["key-huka270"],"priority":1},{"name":"large-1","api_keys":["key-large-1"],"priority":1},{"name":"large-2","api_keys":["key-large-2"],"priority":1}]})");
+    store->put("op", "config",
+        R"({"version":7,"routes":[{"name":"r-hvz3pfi","host":"ficu95.example","path_prefix":"/pufi791/","kind":"streaming","timeout_ms":6000,"goal_ms":1500,"priority":1,"service":"huvo11a","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":180}],"services":[{"name":"huvo11a","health_path":"/health","max_conns":672,"protocol":"h1","tls":false,"engine":{"slots":24,"kv_capacity":34545,"kv_token_bytes":18432,"link_mbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"huka270","api_keys":["key-huka270"],"priority":1},{"name":"large-1","api_keys":["key-large-1"],"priority":1},{"name":"large-2","api_keys":["key-large-2"],"priority":1}]})");
     for (int i = 0; i < 3; ++i)
         add_host(directory, "front-" + zones[i] + "-1", zones[i], store->server->address, zones);
     for (auto& host : hosts)
@@ -144,8 +147,7 @@
     int asked = 0;
     int served = 0;
     for (auto const& tenant : tenants) {
-        rec("tenant %s: %d of %d requests served", tenant.name.c_str(), tenant.served,
-            tenant.asked);
+        rec("tenant %s: %d of %d requests served", tenant.name.c_str(), tenant.served, tenant.asked);
         asked += tenant.asked;
         served += tenant.served;
     }
--- a/review/standins-2/Lab.h
+++ b/review/standins-2/Lab.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Stand-ins for the scripts of the second review: the platform's store, model runners, plain runners, clients, and the
-// start and stop of HostServer processes. Header only; needs Boost.JSON. A thread for each connection; one lock, which a
-// thread holds except while it waits.
+// start and stop of HostServer processes. Header only; needs Boost.JSON. A thread for each connection; one lock, which
+// a thread holds except while it waits.
 #pragma once
 
 #include <arpa/inet.h>
@@ -11,24 +11,24 @@
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
-#include <mutex>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <thread>
-#include <optional>
 #include <list>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <netinet/tcp.h>
+#include <optional>
+#include <poll.h>
 #include <random>
 #include <set>
 #include <string>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -40,7 +40,10 @@
 /// Held by every thread except while it waits.
 inline std::mutex everything;
 inline auto const began = std::chrono::steady_clock::now();
-inline double now() { return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count(); }
+inline double now()
+{
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+}
 inline FILE* record_file = nullptr;
 inline bool with_trouble = true;
 
@@ -205,9 +208,9 @@
     }
     bool body(Message& message)
     {
-        if (strcasecmp(message.get("Transfer-Encoding").c_str(), "chunked") == 0)
-{
-            std::function<void(string const&)> const append = [&message](string const& piece) { message.body += piece; };
+        if (strcasecmp(message.get("Transfer-Encoding").c_str(), "chunked") == 0) {
+            std::function<void(string const&)> const append
+                = [&message](string const& piece) { message.body += piece; };
             return chunks(append);
         }
         auto const length = std::strtoul(message.get("Content-Length").c_str(), nullptr, 10);
@@ -217,8 +220,8 @@
     {
         size_t done = 0;
         while (done < text.size()) {
-            auto const count = unlocked(
-                [&] { return ::send(socket, text.data() + done, text.size() - done, MSG_NOSIGNAL); });
+            auto const count
+                = unlocked([&] { return ::send(socket, text.data() + done, text.size() - done, MSG_NOSIGNAL); });
             if (count <= 0)
                 return false;
             done += static_cast<size_t>(count);
@@ -247,7 +250,8 @@
         { 409, "Conflict" }, { 410, "Gone" }, { 412, "Precondition Failed" }, { 421, "Misdirected Request" },
         { 500, "Internal Server Error" }, { 503, "Service Unavailable" } };
     auto const found = reasons.find(status);
-    string text = "HTTP/1.1 " + std::to_string(status) + ' ' + (found == reasons.end() ? "Status" : found->second) + "\r\n";
+    string text
+        = "HTTP/1.1 " + std::to_string(status) + ' ' + (found == reasons.end() ? "Status" : found->second) + "\r\n";
     for (auto const& [name, value] : fields)
         text += name + ": " + value + "\r\n";
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -417,8 +421,8 @@
     }
     json::object row_of(string const& table, std::pair<string, string> const& name, Row const& row) const
     {
-        json::object object { { "table", table }, { "part", name.first }, { "key", name.second }, { "value", row.value },
-            { "ver", row.ver } };
+        json::object object { { "table", table }, { "part", name.first }, { "key", name.second },
+            { "value", row.value }, { "ver", row.ver } };
         if (row.gone)
             object["gone"] = true;
         return object;
@@ -486,8 +490,8 @@
             if (auto const* puts = body.if_contains("put")) {
                 for (auto const& item : puts->as_array()) {
                     auto const& row = item.as_object();
-                    tables[string(row.at("table").as_string())][{ string(row.at("part").as_string()),
-                        string(row.at("key").as_string()) }]
+                    tables[string(row.at("table").as_string())]
+                          [{ string(row.at("part").as_string()), string(row.at("key").as_string()) }]
                         = { string(row.at("value").as_string()), ++version, false };
                 }
             }
@@ -495,7 +499,8 @@
                 for (auto const& item : removed->as_array()) {
                     auto const& row = item.as_object();
                     auto& rows = tables[string(row.at("table").as_string())];
-                    auto const found = rows.find({ string(row.at("part").as_string()), string(row.at("key").as_string()) });
+                    auto const found
+                        = rows.find({ string(row.at("part").as_string()), string(row.at("key").as_string()) });
                     if (found != rows.end())
                         found->second = { "", ++version, true };
                 }
@@ -546,7 +551,7 @@
     int handles { 0 };
     int drain_ms { 2000 };
     std::map<string, std::shared_ptr<Run>> runs;
-    std::map<string, int> copies; // by IP:PORT/HANDLE, the events made
+    std::map<string, int> copies;       // by IP:PORT/HANDLE, the events made
     std::map<string, string> handle_of; // by attempt
     std::mt19937 random;
     std::shared_ptr<Server> server;
@@ -573,8 +578,10 @@
     void put_row()
     {
         json::object const row { { "service", service }, { "addr", address() }, { "zone", zone }, { "version", "v1" },
-            { "slots", slots }, { "state", draining ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "stage", "both" },
-            { "models", json::array { json::object { { "name", "m" }, { "version", 1 }, { "adapters", json::array {} } } } },
+            { "slots", slots }, { "state", draining ? "draining" : "ready" }, { "cold_left_ms", 0 },
+            { "stage", "both" },
+            { "models",
+                json::array { json::object { { "name", "m" }, { "version", 1 }, { "adapters", json::array {} } } } },
             { "call_seq", orders } };
         store.put("servers", id, json::serialize(row));
     }
@@ -654,13 +661,15 @@
     }
     [[nodiscard]] json::object report() const
     {
-            json::object report { { "stage", "both" },
-                { "models", json::array { json::object { { "name", "m" }, { "version", 1 }, { "adapters", json::array {} } } } },
-                { "busy", false }, { "call_seq", orders }, { "waiting", 0 }, { "running", working() }, { "kv_used", tokens() },
-                { "kv_total", 34545 }, { "handles", handles }, { "state", draining ? "draining" : "ready" } };
-            if (draining)
-                report["leaves_ms"] = static_cast<int>(ends_at - now());
-            return report;
+        json::object report { { "stage", "both" },
+            { "models",
+                json::array { json::object { { "name", "m" }, { "version", 1 }, { "adapters", json::array {} } } } },
+            { "busy", false }, { "call_seq", orders }, { "waiting", 0 }, { "running", working() },
+            { "kv_used", tokens() }, { "kv_total", 34545 }, { "handles", handles },
+            { "state", draining ? "draining" : "ready" } };
+        if (draining)
+            report["leaves_ms"] = static_cast<int>(ends_at - now());
+        return report;
     }
     bool move(std::shared_ptr<Stream> stream, Message request)
     {
@@ -702,10 +711,7 @@
         rec("%s: 200, %d events made", what.c_str(), run->made);
         return stream->write(json_answer(copy_done(handle, run->made)));
     }
-    static json::object copy_done(string const& handle, int made)
-    {
-        return { { "handle", handle }, { "made", made } };
-    }
+    static json::object copy_done(string const& handle, int made) { return { { "handle", handle }, { "made", made } }; }
     static void watch(std::shared_ptr<Stream> stream, std::shared_ptr<Run> run)
     {
         while (stream->fill()) { }
@@ -732,7 +738,8 @@
             }
             copies.erase(from);
             run->made = std::atoi(request.get("Last-Event-Id").c_str());
-            rec("runner %s goes on with %s from copy %s after event %d", id.c_str(), attempt.c_str(), from.c_str(), run->made);
+            rec("runner %s goes on with %s from copy %s after event %d", id.c_str(), attempt.c_str(), from.c_str(),
+                run->made);
             if (on_continued)
                 on_continued(attempt, *this);
         } else {
@@ -807,8 +814,8 @@
                 return stream->write(misdirected(this->id, attempt));
             ++runs;
             sleep_ms(work_ms);
-            Fields const fields { { "Lilactiller-Attempt-Id", attempt }, { "Lilactiller-Response-Stamp", "stamp." + this->id },
-                { "Lilactiller-Server-Load", "1,0,6" } };
+            Fields const fields { { "Lilactiller-Attempt-Id", attempt },
+                { "Lilactiller-Response-Stamp", "stamp." + this->id }, { "Lilactiller-Server-Load", "1,0,6" } };
             return stream->write(response(200, fields, "answer to " + attempt));
         });
         server->start();
@@ -883,12 +890,13 @@
     std::vector<string> const& zones, string const& grace, string const& window)
 {
     string text = "host:\n  name: \"" + host.name + "\"\n  failure_domain: \"" + host.zone + "\"\n  callers_listen: \""
-        + host.callers + "\"\n  readiness_listen: \"" + host.readiness
-        + "\"\n  metrics_listen: \"" + free_address(host.ip) + "\"\n  peer_listen: \"" + peers + "\"\n  platform: \"" + store
+        + host.callers + "\"\n  readiness_listen: \"" + host.readiness + "\"\n  metrics_listen: \""
+        + free_address(host.ip) + "\"\n  peer_listen: \"" + peers + "\"\n  platform: \"" + store
         + "\"\n  cores: \"1\"\n  cpu_share: \"0.25\"\n  link_megabits: \"1000.0\"\n  memory_megabytes: \"110\"\n"
           "  stop_grace: \""
-        + grace + "s\"\nbackends:\n  drain_time: \"2000ms\"\n  list_recovery_time: 2s\nrollouts:\n  exposure_share: \"\"\n"
-                  "  exposure_slack: \"\"\nregions:\n";
+        + grace
+        + "s\"\nbackends:\n  drain_time: \"2000ms\"\n  list_recovery_time: 2s\nrollouts:\n  exposure_share: \"\"\n"
+          "  exposure_slack: \"\"\nregions:\n";
     for (auto const& zone : zones)
         text += "  \"" + zone + "\": \"sofia\"\n";
     return text + "\nretries:\n  ratio: \"0.2\"\n  allowance: \"56\"\n  window: \"" + window + "s\"\n";
