LibServing: Resume a moved generation only once its run is proved to be over

Cause: the order for the last copy stops a run. Any answer to it, and none, was taken for its effect as soon as there was a first copy: copy_refused(is_last) and fail() entered HandedOver. A stream that broke off between the copies resumed at once as well. Engines that do not drop a request whose connection closes then worked on. Ruled out: that the engine only stops late (an engine that never stops shows it too).

Change: RunEndProof has the grounds on which a run is over; a Continuation is made only with one. An order that proves nothing is given again, and the run goes on meanwhile; once the engine has terminated, the generation resumes from the first copy.

--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -613,11 +613,11 @@
             = end == Http::ExchangeEnd::Complete && this->response_is_framed && this->is_relayed_stream();
         if (is_complete)
             return false;
-        if (this->move->phase() == Phase::Copied)
-            this->continue_at_target();
+        this->move->source_stream_ended();
         return true;
     }
 
+    /// Resumes the generation at the target, since its run at the source is over.
     void continue_at_target()
     {
         if (this->continuing || this->is_over)
@@ -631,7 +631,12 @@
         auto held = this->claim->held_tokens();
         this->claim.emplace(target, held, 0, this->stream_length());
         this->context.use_changed();
-        this->continue_after_back_off(target, { this->move->copy_name(), this->order.last() });
+        this->continue_after_back_off(target, this->continuation());
+    }
+
+    [[nodiscard]] Continuation continuation() const
+    {
+        return this->move->continuation(*this->move->run_end(), this->order.last());
     }
 
     /// The generation can resume only at the engine that holds its copy, so this waits for the end of that engine's
@@ -661,6 +666,7 @@
             .with("from", this->move->source()->server.id)
             .with("to", this->backend->server.id)
             .with("events", this->order.count())
+            .with("run_end", to_string(this->move->run_end()->ground()))
             .with("paused_ms", now - this->last_event_at)
             .with("took_ms", now - this->move->started_at());
         this->move = nullptr;
@@ -674,7 +680,7 @@
         // The same run resumes, so this takes nothing from the retry budget.
         if (can_resume_later) {
             this->record_refusal_of(*this->backend);
-            return this->continue_after_back_off(this->backend, { this->move->copy_name(), this->order.last() });
+            return this->continue_after_back_off(this->backend, this->continuation());
         }
         this->fail_stream("the engine that holds the copy returned status " + std::to_string(this->response_status()));
     }
--- a/Libraries/LibServing/GenerationMove.h
+++ b/Libraries/LibServing/GenerationMove.h
@@ -9,22 +9,27 @@
 #include <AK/Timer.h>
 #include <LibServing/EngineClaim.h>
 #include <LibServing/RequestFlow.h>
+#include <LibServing/RunEnd.h>
 
 namespace Serving {
 
 /// Moves the memory of a running generation from a leaving engine to another one in two steps. The first copy is made
 /// while the run continues. The second copy, made with the run stopped shortly before the engine terminates, transfers
 /// only what is new since the first. The caller's stream pauses only for the second copy.
+///
+/// The generation may resume at the target only once its run at the source is proved to be over (RunEnd.h). If the
+/// source does not carry out the order to stop the run, the run continues there and the order is repeated. If the
+/// source has terminated without it, the generation resumes from the first copy.
 template<Dialect D>
 class GenerationMove : public std::enable_shared_from_this<GenerationMove<D>> {
 public:
     enum class Phase : u8 {
         Copying,
-        /// The first copy is done; the run continues.
+        /// The first copy is done; as far as is known, the run continues.
         Copied,
         /// The second copy has been requested, for which the source stops the run.
         HandingOver,
-        /// The run has stopped and can resume from the copy at the target.
+        /// The run is over and can resume from the copy at the target.
         HandedOver,
         Failed,
     };
@@ -54,6 +59,7 @@
     /// have most of their output still to come, while small ones may complete before their turn.
     void start()
     {
+        this->watch_source();
         this->uncopied.emplace(this->inputs.source, &EngineLoad::own_uncopied_tokens, this->inputs.held.value());
         this->context.use_changed();
         auto share = std::min(1.0, static_cast<double>(this->inputs.held.value()) / large_generation_tokens);
@@ -78,6 +84,7 @@
     void finish()
     {
         this->phase_changed = nullptr;
+        this->termination_watch = nullptr;
         this->timer.cancel();
         this->drop_reservation();
         this->drop_link_claims();
@@ -85,12 +92,30 @@
         this->is_finished = true;
     }
 
+    /// To be called when the stream of the source has ended before it was complete. The run may go on nevertheless.
+    void source_stream_ended()
+    {
+        this->stream = this->current == Phase::HandingOver ? SourceStream::BrokeOffAfterOrder : SourceStream::BrokeOff;
+        if (this->process_has_terminated && this->copy)
+            return this->run_is_over(*RunEndProof::from_process(ProcessState::Terminated, 0));
+        if (this->current == Phase::Copied)
+            return this->order_stop();
+        if (this->current == Phase::HandingOver)
+            this->limit_response_wait();
+    }
+
     [[nodiscard]] Phase phase() const { return this->current; }
     /// Null until a target has been chosen, and if none was found.
     [[nodiscard]] BackendPointer const& target() const { return this->chosen; }
     [[nodiscard]] BackendPointer const& source() const { return this->inputs.source; }
-    /// The name of the copy in a request that resumes the generation. Valid only after a copy has been made.
-    [[nodiscard]] std::string copy_name() const { return D::copy_name(*this->inputs.source, this->copy->handle); }
+    /// Why the run at the source is over. Present from Phase::HandedOver on.
+    [[nodiscard]] std::optional<RunEndProof> const& run_end() const { return this->proof; }
+    /// What a request that resumes the generation has to say, after the caller has received `last_event`. Only a run
+    /// that is over can resume.
+    [[nodiscard]] Continuation continuation(RunEndProof const&, std::optional<u64> last_event) const
+    {
+        return { D::copy_name(*this->inputs.source, this->copy->handle), last_event };
+    }
     [[nodiscard]] Instant started_at() const { return this->started; }
 
 private:
@@ -119,6 +144,11 @@
     static constexpr double bits_per_megabit = 1e6;
     /// Delay before a copy is requested again from a source that was busy or whose link was.
     static constexpr Duration busy_retry_delay = 60ms;
+    /// The delay between orders to stop the run doubles up to this.
+    static constexpr Duration max_order_delay = 480ms;
+    /// How long the response to the order is awaited once the stream has ended. Callers abandon a stream that has been
+    /// silent for two seconds.
+    static constexpr Duration max_response_wait = 1s;
 
     [[nodiscard]] ChoiceInputs choice_inputs() const
     {
@@ -155,7 +185,7 @@
         this->tried.push_back(this->chosen->server.id);
         this->reservation.emplace(this->chosen, &EngineLoad::expected_copy_tokens, this->inputs.held.value());
         if (this->inputs.length == StreamLength::Long)
-            this->stream.emplace(this->chosen, &EngineLoad::own_streams, 1);
+            this->stream_at_target.emplace(this->chosen, &EngineLoad::own_streams, 1);
         this->incoming.emplace(this->chosen, &EngineLoad::own_incoming_tokens, this->inputs.held.value());
         this->context.use_changed();
         this->request_copy(false);
@@ -180,7 +210,8 @@
             [self](std::string_view piece) { self->response_body += piece; },
             [self, is_last](Http::ExchangeEnd end, std::string const& reason) {
                 self->connection = nullptr;
-                self->copy_response_received(is_last, end, reason);
+                if (!self->is_finished)
+                    self->copy_response_received(is_last, end, reason);
             },
         };
         this->connection->exchange(D::copy_request(*this->inputs.source, *this->chosen, this->inputs.attempt, is_last),
@@ -189,24 +220,26 @@
 
     void copy_response_received(bool is_last, Http::ExchangeEnd end, std::string const& reason)
     {
+        if (is_last)
+            return this->stop_response_received(end, reason);
         if (end != Http::ExchangeEnd::Complete)
             return this->fail(Http::describe(end, reason));
         auto const status = static_cast<Http::Status>(this->response_status);
         if (status == Http::Status::not_found)
-            return this->run_has_ended();
+            return this->run_not_found();
         if (status == Http::Status::conflict)
-            return this->request_copy_later(is_last);
+            return this->request_copy_later();
         auto decoded = D::decode_copy(this->response_body);
         if (decoded)
             this->copy = decoded.value();
         if (status != Http::Status::ok)
-            return this->copy_refused(is_last, "status " + std::to_string(this->response_status) + " for a copy");
+            return this->copy_refused("status " + std::to_string(this->response_status) + " for a copy");
         if (!decoded)
-            return this->copy_refused(is_last, "invalid response to a copy request: " + decoded.error().message);
-        this->copy_made(is_last);
+            return this->copy_refused("invalid response to a copy request: " + decoded.error().message);
+        this->first_copy_made();
     }
 
-    void copy_made(bool is_last)
+    void log_copy(bool is_last)
     {
         this->context.log.event(Core::EventNumber::GenerationCopied, this->inputs.attempt)
             .with("from", this->inputs.source->server.id)
@@ -214,13 +247,133 @@
             .with("last", static_cast<int>(is_last))
             .with("tokens", this->inputs.held)
             .with("took_ms", this->context.now() - this->requested_at);
-        if (is_last)
-            return this->enter(Phase::HandedOver);
+    }
+
+    void first_copy_made()
+    {
+        this->log_copy(false);
         this->drop_link_claims();
         this->enter(Phase::Copied);
+        if (this->is_finished)
+            return;
+        if (this->stream != SourceStream::Open)
+            return this->order_stop();
         this->wait_for_handover();
     }
 
+    // --- the end of the run at the source
+
+    /// Orders the source to stop the run and to copy what is new.
+    void order_stop()
+    {
+        ++this->orders;
+        this->enter(Phase::HandingOver);
+        if (this->is_finished)
+            return;
+        this->request_copy(true);
+        if (this->stream != SourceStream::Open)
+            this->limit_response_wait();
+    }
+
+    void stop_response_received(Http::ExchangeEnd end, std::string const& reason)
+    {
+        this->timer.cancel();
+        if (end == Http::ExchangeEnd::Complete)
+            return this->stop_answered();
+        auto const text = Http::describe(end, reason);
+        bool const is_unreachable = Http::is_not_connected(end) && !is_own_delay(this->context, end);
+        this->failed_connects = is_unreachable ? this->failed_connects + 1 : 0;
+        if (is_unreachable && this->stream != SourceStream::Open)
+            return this->check_source(text);
+        this->order_failed(text);
+    }
+
+    void stop_answered()
+    {
+        this->failed_connects = 0;
+        auto const decoded = D::decode_copy(this->response_body);
+        StopResponse const response { static_cast<Http::Status>(this->response_status), decoded.has_value() };
+        auto const over = RunEndProof::from_response(response, this->stream);
+        if (!over)
+            return this->order_failed("status " + std::to_string(this->response_status) + " for the last copy");
+        if (response.status == Http::Status::ok) {
+            this->copy = decoded.value();
+            this->log_copy(true);
+        }
+        this->run_is_over(*over);
+    }
+
+    /// The stream has broken off, and the source accepts no connection.
+    void check_source(std::string const& reason)
+    {
+        auto on_state = [weak = this->weak_from_this(), reason](ProcessState state) {
+            auto self = weak.lock();
+            if (!self || self->is_finished)
+                return;
+            if (auto const over = RunEndProof::from_process(state, self->failed_connects))
+                return self->run_is_over(*over);
+            self->order_failed(reason);
+        };
+        check_termination(this->context, this->inputs.source, std::move(on_state));
+    }
+
+    /// The order has not shown that the run is over. As long as the stream is open, the run continues.
+    void order_failed(std::string const& reason)
+    {
+        if (this->is_finished || this->current == Phase::HandedOver)
+            return;
+        this->log_failure(reason);
+        if (auto const over = RunEndProof::from_stream(this->stream, this->orders))
+            return this->run_is_over(*over);
+        this->order_delay = std::clamp(this->order_delay * 2, busy_retry_delay, max_order_delay);
+        this->next_order_at = this->context.now() + this->order_delay;
+        this->current = Phase::Copied;
+        if (this->stream == SourceStream::Open)
+            return this->consider_handover_at(this->next_order_at);
+        this->timer.expires_at(this->next_order_at);
+        this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+            if (!error && !self->is_finished && self->current == Phase::Copied)
+                self->order_stop();
+        });
+    }
+
+    /// The stream has ended: an order that is not answered must not keep the caller waiting.
+    void limit_response_wait()
+    {
+        this->timer.expires_after(max_response_wait);
+        this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+            if (error || self->is_finished || self->current != Phase::HandingOver || !self->connection)
+                return;
+            self->drop_connection();
+            self->orders = std::max(self->orders, RunEndProof::min_orders_after_close);
+            self->order_failed("the order to stop the run was not answered in time");
+        });
+    }
+
+    void watch_source()
+    {
+        this->termination_watch = this->inputs.source->observe_termination([weak = this->weak_from_this()] {
+            if (auto self = weak.lock())
+                self->source_terminated();
+        });
+    }
+
+    /// If the stream is still open here, its end follows.
+    void source_terminated()
+    {
+        this->process_has_terminated = true;
+        if (this->stream != SourceStream::Open && this->copy && !this->is_finished)
+            this->run_is_over(*RunEndProof::from_process(ProcessState::Terminated, 0));
+    }
+
+    void run_is_over(RunEndProof const& over)
+    {
+        if (this->current == Phase::HandedOver)
+            return;
+        this->proof = over;
+        this->enter(Phase::HandedOver);
+    }
+
     /// Releases the claims on the links of source and target, which carry nothing more for this generation.
     void drop_link_claims()
     {
@@ -232,10 +385,10 @@
     void drop_reservation()
     {
         this->reservation.reset();
-        this->stream.reset();
+        this->stream_at_target.reset();
     }
 
-    void run_has_ended()
+    void run_not_found()
     {
         this->drop_link_claims();
         this->log_failure("the generation no longer runs at the source");
@@ -243,20 +396,19 @@
         this->enter(Phase::Failed);
     }
 
-    void copy_refused(bool is_last, std::string const& reason)
+    void copy_refused(std::string const& reason)
     {
         this->log_failure(reason);
-        if (is_last)
-            return this->enter(this->copy ? Phase::HandedOver : Phase::Failed);
+        this->copy.reset();
         this->copy_to_next_target();
     }
 
-    void request_copy_later(bool is_last)
+    void request_copy_later()
     {
         this->timer.expires_after(busy_retry_delay);
-        this->timer.async_wait([self = this->shared_from_this(), is_last](boost::system::error_code error) {
+        this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
             if (!error && !self->is_finished)
-                self->request_copy(is_last);
+                self->request_copy(false);
         });
     }
 
@@ -274,7 +426,7 @@
     {
         this->timer.expires_at(std::min(when, this->context.now() + end_check_period));
         this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-            if (!error && !self->is_finished)
+            if (!error && !self->is_finished && self->current == Phase::Copied)
                 self->consider_handover();
         });
     }
@@ -291,15 +443,15 @@
         auto ends_at = this->source_terminates_at();
         if (this->chosen->back_off_left(now) > 0s)
             return this->consider_back_off(ends_at);
+        if (now < this->next_order_at)
+            return this->consider_handover_at(this->next_order_at);
         if (now < ends_at - handover_margin)
             return this->consider_handover_at(ends_at - handover_margin);
         bool const is_overdue = now >= ends_at + overdue_margin;
         bool const links_are_free
             = this->inputs.source->engine.uncopied_tokens() == 0 && this->chosen->engine.incoming_tokens() == 0;
-        if (is_overdue || (links_are_free && now < ends_at - min_handover_time)) {
-            this->enter(Phase::HandingOver);
-            return this->request_copy(true);
-        }
+        if (is_overdue || (links_are_free && now < ends_at - min_handover_time))
+            return this->order_stop();
         bool const may_become_free = now + busy_retry_delay < ends_at - min_handover_time;
         this->consider_handover_at(may_become_free ? now + busy_retry_delay : ends_at + overdue_margin);
     }
@@ -336,9 +488,6 @@
     void fail(std::string const& reason)
     {
         this->log_failure(reason);
-        // The generation can resume from the first copy; the target reads again the few tokens that it lacks.
-        if (this->current == Phase::HandingOver && this->copy)
-            return this->enter(Phase::HandedOver);
         this->drop_reservation();
         this->drop_link_claims();
         this->enter(Phase::Failed);
@@ -390,11 +539,22 @@
     std::vector<EngineId> tried;
     std::optional<TokenClaim> reservation;
     /// The stream that will run at the target.
-    std::optional<TokenClaim> stream;
+    std::optional<TokenClaim> stream_at_target;
     std::shared_ptr<Http::BackendConnection> connection;
     unsigned response_status { 0 };
     std::string response_body;
     std::optional<MemoryCopy> copy;
+    /// What has been seen of the stream of the source.
+    SourceStream stream { SourceStream::Open };
+    std::shared_ptr<Backend::TerminationObserver> termination_watch;
+    bool process_has_terminated { false };
+    /// Orders to stop the run so far.
+    u32 orders { 0 };
+    /// Successive orders for which no connection could be made.
+    u32 failed_connects { 0 };
+    Duration order_delay { 0 };
+    Instant next_order_at {};
+    std::optional<RunEndProof> proof;
     bool is_finished { false };
 };
 
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -28,6 +28,13 @@
     echo "$others: let RunRecord::outcome decide whether a request has not run"
     exit 1
 fi
+# A generation may resume elsewhere only once its run is proved to be over (RunEnd.h), which GenerationMove::continuation asks for.
+movers='^(Libraries/LibServing/(Dialect|GenerationMove)\.h|platform/Dialect\.(cpp|h))$'
+others=$(grep -lE '\bcopy_name\(' "${files[@]}" | grep -E '^(Libraries|platform)/' | grep -vE "$movers" || true)
+if [[ -n $others ]]; then
+    echo "$others: let GenerationMove::continuation make what a generation resumes from"
+    exit 1
+fi
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep -E '^(AK|Libraries|platform|Services|StandIns|Utilities)/.*\.cpp$')
 # cppcheck's tokenizer fails on chrono literals such as 25h; only clang-tidy checks the files that contain them.
 cppcheck --quiet --error-exitcode=1 --enable=warning,performance,portability --inline-suppr --language=c++ --std=c++20 \
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -340,6 +340,16 @@
 }" "throw;
     }
 }"
+guard "second runs: a failed order proves nothing" TestPlatform \
+    "Scenario: an order for the last copy of a run is not carried out" \
+    Libraries/LibServing/RunEnd.cpp "    default:
+        return {};" "    default:
+        return RunEndProof(RunEndGround::Stopped);"
+guard "second runs: a cut stream proves nothing" TestPlatform \
+    "Scenario: a stream breaks off between the first copy and the last, and its run goes on" \
+    Libraries/LibServing/GenerationMove.h "if (this->current == Phase::Copied)
+            return this->order_stop();" "if (this->current == Phase::Copied)
+            return this->run_is_over(*RunEndProof::from_process(ProcessState::Terminated, 0));"
 
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
     "this->call.route->kind == CallKind::Repeatable
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -101,7 +101,7 @@
     if (request.target() == "/report")
         return this->send_report(*exchange);
     if (request.target() == "/kv-move")
-        return this->copy(*exchange);
+        return this->copy(exchange);
     if (request.target().starts_with("/kv-handle/"))
         return exchange->respond(Http::Response(Http::Status::ok, Http::http_1_1));
     this->record_request(request);
@@ -216,6 +216,8 @@
     auto response = this->signed_response(request, Http::Status::ok);
     response.set(Http::Name::content_type, "text/event-stream");
     exchange->on_caller_disconnected([this, attempt] {
+        if (this->keeps_running)
+            return;
         this->generations.erase(attempt);
         ++this->dropped;
     });
@@ -301,26 +303,82 @@
     Http::asio::post(this->loop, [this] { this->terminate(); });
 }
 
-void PlatformRunner::copy(Http::Exchange& exchange)
+void PlatformRunner::cut_stream(std::string const& attempt)
 {
-    auto const order = Json::parse(exchange.request().body()).as_object();
+    auto const found = this->generations.find(attempt);
+    if (found == this->generations.end())
+        return;
+    auto const exchange = found->second.exchange;
+    if (!this->keeps_running)
+        this->generations.erase(found);
+    exchange->abort();
+}
+
+void PlatformRunner::stop(std::string const& attempt)
+{
+    auto const stopped = this->generations.extract(attempt);
+    if (!stopped.empty())
+        stopped.mapped().exchange->abort();
+}
+
+void PlatformRunner::carry_out_order_fault(
+    OrderFault fault, std::shared_ptr<Http::Exchange> const& exchange, std::string const& attempt)
+{
+    auto respond = [&](Http::Status status) { exchange->respond(Http::Response(status, Http::http_1_1)); };
+    switch (fault) {
+    case OrderFault::Fail:
+        return respond(Http::Status::internal_server_error);
+    case OrderFault::FailAfterStop:
+        this->stop(attempt);
+        return respond(Http::Status::internal_server_error);
+    case OrderFault::Unavailable:
+        return respond(Http::Status::service_unavailable);
+    case OrderFault::Nonsense:
+        return respond(Http::Status::ok);
+    case OrderFault::Drop:
+        return exchange->abort();
+    case OrderFault::DropAfterStop:
+        this->stop(attempt);
+        return exchange->abort();
+    case OrderFault::Busy:
+        return respond(Http::Status::conflict);
+    case OrderFault::Hang:
+        this->hanging.push_back(exchange);
+        return;
+    case OrderFault::HangAfterStop:
+        this->stop(attempt);
+        this->hanging.push_back(exchange);
+        return;
+    case OrderFault::FailAndCutStream:
+        this->cut_stream(attempt);
+        return respond(Http::Status::internal_server_error);
+    }
+}
+
+void PlatformRunner::copy(std::shared_ptr<Http::Exchange> const& exchange)
+{
+    auto const order = Json::parse(exchange->request().body()).as_object();
     auto attempt = std::string(order.at("id").as_string());
+    bool const is_last = order.contains("last");
     this->ordered_copies.push_back(attempt);
+    this->ordered_last_copies += is_last ? 1 : 0;
+    if (is_last && !this->order_faults.empty()) {
+        auto const fault = this->order_faults.front();
+        this->order_faults.pop_front();
+        return this->carry_out_order_fault(fault, exchange, attempt);
+    }
     auto found = this->generations.find(attempt);
     if (found == this->generations.end())
-        return exchange.respond(Http::Response(Http::Status::not_found, Http::http_1_1));
+        return exchange->respond(Http::Response(Http::Status::not_found, Http::http_1_1));
     auto handle = "copy-of-" + attempt;
     auto made = found->second.events_made;
-    if (order.contains("last")) {
-        auto stopped = std::move(found->second);
-        this->generations.erase(found);
-        stopped.exchange->abort();
-    }
+    if (is_last)
+        this->stop(attempt);
     bool const is_accepted
         = !this->on_copy || this->on_copy(std::string(order.at("target_version").as_string()), handle, made);
     Http::Response response(is_accepted ? Http::Status::ok : Http::Status::service_unavailable, Http::http_1_1);
     response.body() = Json::serialize(Json::object { { "handle", handle }, { "made", made } });
-    exchange.respond(std::move(response));
+    exchange->respond(std::move(response));
 }
 
 void PlatformRunner::send_report(Http::Exchange& exchange)
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -44,6 +44,30 @@
         Hang,
     };
 
+    /// What an engine does with an order for the last copy of a run in place of carrying it out and responding.
+    enum class OrderFault : u8 {
+        /// Responds with 500 (Internal Server Error); the run goes on.
+        Fail,
+        /// Stops the run, and then responds with 500.
+        FailAfterStop,
+        /// Responds with 503 (Service Unavailable) without naming a copy; the run goes on.
+        Unavailable,
+        /// Responds with 200 (OK) and a body that is none; the run goes on.
+        Nonsense,
+        /// Closes the connection of the order without a response; the run goes on.
+        Drop,
+        /// Stops the run, and then closes the connection of the order without a response.
+        DropAfterStop,
+        /// Responds with 409 (Conflict); the run goes on.
+        Busy,
+        /// Never responds; the run goes on.
+        Hang,
+        /// Stops the run and never responds.
+        HangAfterStop,
+        /// Fails the order, and cuts the stream of the run, which goes on.
+        FailAndCutStream,
+    };
+
     /// A request as it was received.
     struct Received {
         std::string attempt;
@@ -55,6 +79,14 @@
     PlatformRunner(Http::asio::io_context&, Http::tcp::endpoint, std::string id);
 
     void add_fault(Fault fault) { this->faults.push_back(fault); }
+    /// Applied to one order for a last copy, after those added before.
+    void add_order_fault(OrderFault fault) { this->order_faults.push_back(fault); }
+    /// Whether generations go on although their connection was closed. Most engines drop them.
+    void keep_running_after_disconnect(bool enabled) { this->keeps_running = enabled; }
+    /// Closes the connection of a generation that runs here. It goes on if keep_running_after_disconnect() is set.
+    void cut_stream(std::string const& attempt);
+    /// Number of orders for a last copy.
+    [[nodiscard]] u32 last_copy_orders() const { return this->ordered_last_copies; }
     /// Produces the next event of every generation that runs here, and ends those that have reached `planned_events`.
     void make_events();
     /// Completes every generation that runs here.
@@ -143,7 +175,10 @@
     std::optional<u64> consume_copy(Http::Request const&);
     void begin_generation(std::shared_ptr<Http::Exchange> const&, u64 events_before);
     void terminate_during(std::shared_ptr<Http::Exchange> const&);
-    void copy(Http::Exchange&);
+    void copy(std::shared_ptr<Http::Exchange> const&);
+    /// Stops the run of a generation, as the order for its last copy demands.
+    void stop(std::string const& attempt);
+    void carry_out_order_fault(OrderFault, std::shared_ptr<Http::Exchange> const&, std::string const& attempt);
     void send_report(Http::Exchange&);
     void send_plain_response(std::shared_ptr<Http::Exchange> const&, Http::Response);
     Http::Response signed_response(Http::Request const&, Http::Status) const;
@@ -154,6 +189,9 @@
     std::string advertised_address;
     Duration work_time { 0 };
     std::deque<Fault> faults;
+    std::deque<OrderFault> order_faults;
+    bool keeps_running { false };
+    u32 ordered_last_copies { 0 };
     std::vector<Received> requests;
     std::map<std::string, u32> run_counts;
     std::map<std::string, Generation> generations;
