LibCore: Read durations with fractions

Cause: parse_duration took whole numbers only; the settings template puts numbers of the platform, which may be fractions, before a unit. Running processes rejected the file and said so in their log alone. Ruled out: state of hosts that had reloaded (a host that never ran refuses the file too).

Change: durations take any decimal notation, to the nearest nanosecond. A unit alone, which a template leaves whose value is not known, counts as not given. Numbers have to be finite, and memory is bounded. The gauge settings_rejected shows a rejected reload.

--- a/Libraries/LibCore/Settings.cpp
+++ b/Libraries/LibCore/Settings.cpp
@@ -6,6 +6,7 @@
 
 #include <LibCore/Settings.h>
 #include <charconv>
+#include <cmath>
 #include <sstream>
 
 namespace Core {
@@ -126,14 +127,29 @@
     return result;
 }
 
+/// Returns the length of a unit in seconds; 0 if it is unknown.
+static double seconds_of_unit(std::string_view unit)
+{
+    if (unit == "ms")
+        return 1e-3;
+    if (unit == "s")
+        return 1;
+    return unit == "m" ? 60 : 0;
+}
+
 Duration SettingsReader::duration_or(std::string const& key, Duration fallback)
 {
     auto node = this->find(key);
     if (!node.IsDefined())
         return fallback;
-    auto parsed = parse_duration(this->checked_scalar(node, key));
+    auto const text = this->checked_scalar(node, key);
+    // A template whose value is not known leaves the unit alone.
+    if (seconds_of_unit(text) > 0)
+        return fallback;
+    auto parsed = parse_duration(text);
     if (!parsed) {
-        this->add_error_at(node, key, "expected a duration with its unit, such as 250ms, 2s or 5m");
+        this->add_error_at(node, key,
+            "expected a duration with its unit, such as 250ms, 2.5s or 5m, of a year at most; it is '" + text + '\'');
         return fallback;
     }
     return *parsed;
@@ -220,22 +236,17 @@
 
 std::optional<Duration> parse_duration(std::string const& text)
 {
-    auto unit_start = text.find_first_not_of("0123456789");
-    if (unit_start == std::string::npos || unit_start == 0)
-        return std::nullopt;
-    auto number = parse_whole_number(text.substr(0, unit_start));
-    auto unit = text.substr(unit_start);
-    // A year in milliseconds. A longer duration stems from a wrong unit, and a much longer one would overflow.
-    constexpr i64 max_number = 31'536'000'000;
-    if (!number || *number > max_number)
+    double number = 0;
+    auto const [unit_start, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    auto const unit = seconds_of_unit(std::string_view(unit_start, text.data() + text.size()));
+    // A longer duration stems from a wrong unit, and a much longer one would overflow.
+    constexpr double seconds_in_a_year = 31'536'000;
+    bool const is_valid = error == std::errc() && unit > 0 && std::isfinite(number) && !std::signbit(number)
+        && number * unit <= seconds_in_a_year;
+    if (!is_valid)
         return std::nullopt;
-    if (unit == "ms")
-        return std::chrono::milliseconds(*number);
-    if (unit == "s" && *number <= max_number / 1000)
-        return std::chrono::seconds(*number);
-    if (unit == "m" && *number <= max_number / 60'000)
-        return std::chrono::minutes(*number);
-    return std::nullopt;
+    constexpr double nanoseconds_in_a_second = 1e9;
+    return std::chrono::nanoseconds(std::llround(number * unit * nanoseconds_in_a_second));
 }
 
 bool is_address(std::string const& text)
--- a/Libraries/LibCore/Settings.h
+++ b/Libraries/LibCore/Settings.h
@@ -31,7 +31,7 @@
     std::vector<std::string> text_list(std::string const& key);
     /// Reads a map of single values. A missing key is an empty map.
     std::map<std::string, std::string> text_map(std::string const& key);
-    /// Reads a number with a unit: "250ms", "2s" or "5m".
+    /// Reads a number with a unit: "250ms", "2.5s" or "5m". A unit alone counts as a missing key.
     Duration duration_or(std::string const& key, Duration fallback);
     i64 whole_number_or(std::string const& key, i64 fallback, i64 min, i64 max);
     bool flag_or(std::string const& key, bool fallback);
@@ -59,7 +59,8 @@
     std::vector<std::string> errors;
 };
 
-/// Parses "250ms", "2s" or "5m".
+/// Parses "250ms", "2.5s" or "5m", to the nearest nanosecond. The number is not negative, and may have a fraction and
+/// an exponent.
 std::optional<Duration> parse_duration(std::string const&);
 bool is_address(std::string const&);
 
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -547,6 +547,8 @@
     void reload_settings()
     {
         auto read = this->reload();
+        // With settings that are rejected now, this process would not start again.
+        this->context.metrics.set("settings_rejected", read ? 0 : 1);
         if (!read) {
             this->log.event(Core::EventNumber::SettingsRejected, this->settings.host.value())
                 .with("reason", read.error().message);
--- a/Libraries/LibServing/HostSettings.cpp
+++ b/Libraries/LibServing/HostSettings.cpp
@@ -13,6 +13,8 @@
 namespace Serving {
 
 static constexpr double bytes_per_megabyte = 1e6;
+/// More than any machine has; more would not fit into the numbers of bytes.
+static constexpr double max_memory_megabytes = 1e9;
 
 static double number_or(Core::SettingsReader& reader, std::string const& key, double fallback)
 {
@@ -21,9 +23,10 @@
         return fallback;
     double number = 0;
     auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec == std::errc {} && parsed.ptr == text.data() + text.size() && number >= 0)
+    bool const is_whole_text = parsed.ec == std::errc {} && parsed.ptr == text.data() + text.size();
+    if (is_whole_text && std::isfinite(number) && number >= 0)
         return number;
-    reader.add_error(key, "expected a number that is not negative, such as 0.2");
+    reader.add_error(key, "expected a number that is not negative, such as 0.2; it is '" + text + '\'');
     return fallback;
 }
 
@@ -58,7 +61,8 @@
     settings.platform = Address(reader.address("host.platform"));
     settings.cores = number_or(reader, "host.cores", settings.cores) * number_or(reader, "host.cpu_share", 1);
     settings.link_megabits_per_second = number_or(reader, "host.link_megabits", settings.link_megabits_per_second);
-    settings.memory_bytes = static_cast<u64>(number_or(reader, "host.memory_megabytes", 0) * bytes_per_megabyte);
+    auto const megabytes = std::min(number_or(reader, "host.memory_megabytes", 0), max_memory_megabytes);
+    settings.memory_bytes = static_cast<u64>(megabytes * bytes_per_megabyte);
     settings.stop_grace = reader.duration_or("host.stop_grace", settings.stop_grace);
     settings.drain_time = reader.duration_or("backends.drain_time", settings.drain_time);
     settings.list_recovery_time = reader.duration_or("backends.list_recovery_time", settings.list_recovery_time);
--- a/Tests/LibCore/TestSettings.cpp
+++ b/Tests/LibCore/TestSettings.cpp
@@ -58,6 +58,30 @@
     GIVEN("a file that is not there") { CHECK_FALSE(Core::SettingsReader::load("/nonexistent").has_value()); }
 }
 
+// Guards against processes that do not start with a bound that is given as a fraction.
+SCENARIO("durations are numbers in any notation, with a unit")
+{
+    CHECK(Core::parse_duration("8s") == 8s);
+    CHECK(Core::parse_duration("8.5s") == 8500ms);
+    CHECK(Core::parse_duration("8.0s") == 8s);
+    CHECK(Core::parse_duration("0.25ms") == 250us);
+    CHECK(Core::parse_duration("2000.5ms") == 2'000'500us);
+    CHECK(Core::parse_duration("1.5m") == 90s);
+    CHECK(Core::parse_duration("1e+03ms") == 1s);
+    CHECK(Core::parse_duration("5e-07s") == 500ns);
+    CHECK(Core::parse_duration("0s") == 0s);
+    CHECK(Core::parse_duration("525600m") == std::chrono::hours(8760));
+    for (auto const* text :
+        { "8.5", "-1s", "-0s", "nans", "infs", "1e9m", "525601m", "8.5.1s", "8,5s", "8 s", "8.5x", "", "." })
+        CHECK_FALSE(Core::parse_duration(text));
+    GIVEN("a template whose value is not known")
+    {
+        auto reader = read("window: s\n");
+        CHECK(reader.duration_or("window", 10s) == 10s);
+        CHECK(reader.finish().has_value());
+    }
+}
+
 TEST_CASE("no settings text terminates the process", "[property]")
 {
     rc::prop("any text is parsed or rejected", [](std::string const& text) {
@@ -72,6 +96,12 @@
     rc::prop("a formatted duration parses to the same value", [](u16 milliseconds) {
         RC_ASSERT(Core::parse_duration(std::to_string(milliseconds) + "ms") == std::chrono::milliseconds(milliseconds));
     });
+    rc::prop("a number with a fraction is that many seconds", [](u16 seconds, u16 part) {
+        auto const thousandths = part % 1000;
+        auto const digits = std::to_string(1000 + thousandths).substr(1);
+        auto const expected = std::chrono::seconds(seconds) + std::chrono::milliseconds(thousandths);
+        RC_ASSERT(Core::parse_duration(std::to_string(seconds) + '.' + digits + "s") == expected);
+    });
     rc::prop("any text is parsed as a duration or rejected",
         [](std::string const& text) { (void)Core::parse_duration(text); });
 }
--- a/Tests/Platform/TestSettingsReload.cpp
+++ b/Tests/Platform/TestSettingsReload.cpp
@@ -28,6 +28,7 @@
         fixture.until([&] { return call->is_over(); });
         CHECK(call->status == 200);
         CHECK(server.runs().at("c1") == 1);
+        CHECK(fixture.metrics_text().find("settings_rejected 1") != std::string::npos);
 
         SECTION("and takes the next good ones")
         {
@@ -35,6 +36,7 @@
             std::raise(SIGHUP);
             fixture.until([&] { return fixture.log_has("settings_reloaded"); });
             CHECK(fixture.is_ready());
+            CHECK(fixture.metrics_text().find("settings_rejected 0") != std::string::npos);
         }
     }
 
