LibServing: Count servers that crash together as one event, and try held parts again

Cause: three processes that terminated under a part held it back, also when they terminated within a millisecond by one cause. A held part runs nowhere, so nothing could clear it. Ruled out: lack of room or keys (the answers name the quarantine).

Change: processes that terminate within a second of each other under runs in progress together are one event; a run that began after a termination is independent of it, so what ends one server after another is stopped as before. A held part is tried after 10 s by one request of all hosts; its first event clears it everywhere, and each failed trial makes the pause four times as long. Retry-After is the time until then.

Tests: the existing ones of fatal requests and parts keep their bounds; each termination there says now when its run began.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -91,6 +91,7 @@
     { ForwardingEnded, "forwarding_ended", Information },
     { DispatchEnded, "dispatch_ended", Information },
     { ResponseSkipped, "response_skipped", Information },
+    { QuarantineTrial, "quarantine_trial", Information },
     { LeaseTaken, "lease_taken", Information },
     { LeaseLapsed, "lease_lapsed", Warning },
     { OrderSent, "order_sent", Information },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -91,6 +91,7 @@
     ForwardingEnded = 2411,
     DispatchEnded = 2412,
     ResponseSkipped = 2413,
+    QuarantineTrial = 2414,
     LeaseTaken = 2501,
     LeaseLapsed = 2502,
     OrderSent = 2503,
--- a/Libraries/LibServing/Generation.h
+++ b/Libraries/LibServing/Generation.h
@@ -143,6 +143,7 @@
         auto prompt = this->demand().prompt.value();
         this->claim.emplace(chosen, prompt, prompt, this->stream_length());
         this->context.use_changed();
+        this->begin_trial_if_held();
         this->dispatch_to(chosen, {});
     }
 
@@ -447,7 +448,7 @@
         } else {
             this->suspect(*this->backend, false, reason);
             this->record_answer(*this->backend, true, {});
-            this->check_for_termination(this->backend, text, this->order.count());
+            this->check_for_termination(this->backend, text, this->dispatched_at, this->order.count());
         }
         this->log_dispatch_end(*this->backend, text, proof, this->dispatched_at);
         if (this->exchange().is_streaming())
--- a/Libraries/LibServing/Quarantine.h
+++ b/Libraries/LibServing/Quarantine.h
@@ -23,6 +23,24 @@
     auto operator<=>(ServerProcess const&) const = default;
 };
 
+/// A run that ended with the process of its server.
+struct InterruptedRun {
+    /// When the request was sent to the server.
+    Instant began {};
+    /// When a host noticed the termination.
+    Instant ended {};
+
+    bool operator==(InterruptedRun const&) const = default;
+};
+
+/// Processes that terminated while they ran a request, with the run of the request there.
+using Terminations = std::map<ServerProcess, InterruptedRun>;
+
+/// Number of independent events in which these processes terminated. Processes that terminated almost at once, under
+/// runs that were in progress together, may have one common cause outside the request, such as a power failure. A run
+/// that began after an earlier termination is independent of it.
+[[nodiscard]] size_t count_events(Terminations const&);
+
 /// Tracks the requests during which backend servers terminated, and quarantines a request once several servers have:
 /// sending it again would terminate another server, with everything that runs there. A request is cleared once it has
 /// run to completion. A request that merely ran beside the quarantined one is cleared of the same terminations.
@@ -32,22 +50,35 @@
 /// its prompt are suspected of the same terminations, only the most specific of them is quarantined, so that requests
 /// that share the others are served.
 ///
+/// A quarantined part costs all requests that share it, and none of them can show that it is harmless. So a single
+/// request with the part is tried after a pause: its first event clears the part at all hosts, and if its server
+/// terminates too, the pause grows.
+///
 /// The state of several hosts is merged as sets of processes, so reports may be repeated, late or in any order.
 class Quarantine {
 public:
     /// A server may terminate for other reasons at any time, and at most one of the requests that ran there is the
-    /// cause. Several terminations are therefore required.
+    /// cause. Several independent terminations are therefore required.
     static constexpr size_t terminations_until_quarantine = 3;
+    /// Pause before the first request with a quarantined part is tried. Longer than callers take to give up and than
+    /// servers take to come back after a common failure.
+    static constexpr Duration first_trial_pause = 10s;
+    /// A wrong trial costs the runs of one server, so trials that fail become rare.
+    static constexpr int trial_pause_growth = 4;
     /// How long a request is quarantined, and how long a suspected one is remembered, from its last termination on. A
-    /// quarantined request cannot run, so it cannot show that it has become harmless. It is therefore allowed again
-    /// after this time.
+    /// whole request that is quarantined is not tried before: it has been tried several times, and only its own caller
+    /// misses it.
     static constexpr Duration retention_time = 1h;
 
     struct Entry {
         /// Processes that terminated while running the request.
-        std::set<ServerProcess> terminated_under;
+        Terminations terminated_under;
         /// Empty while the request is not quarantined.
         std::optional<Instant> held_until;
+        Instant held_since {};
+        /// Of a quarantined part: when the next request with it may be tried, and the pause before the one after it.
+        Instant next_trial_at {};
+        Duration trial_pause { 0 };
         Instant changed_at {};
     };
     using Entries = std::map<RequestFingerprint, Entry>;
@@ -60,17 +91,31 @@
         Held,
     };
 
-    /// Records that `process` terminated unexpectedly while it ran the request, as seen by this host.
-    Change record_termination(RequestFingerprint const&, ServerProcess const& process, Instant now);
+    /// How much later than others this host tries a request with a quarantined part, so that they do not try at once.
+    void set_trial_offset(Duration offset) { this->trial_offset = offset; }
+
+    /// Records that `process` terminated unexpectedly during this run of the request, as seen by this host.
+    Change record_termination(
+        RequestFingerprint const&, ServerProcess const& process, InterruptedRun const&, Instant now);
     /// Merges the state of another host: these processes terminated while they ran the request, which is quarantined
     /// for another `held_for`, or not quarantined if that is zero.
-    Change merge(RequestFingerprint const&, std::set<ServerProcess> const& terminated, Duration held_for, Instant now);
+    Change merge(RequestFingerprint const&, Terminations const& terminated, Duration held_for, Instant now);
+    /// Another host tries no request with the quarantined part before `pause` is over.
+    void postpone_trial(RequestFingerprint const& part, Duration pause, Instant now);
+    /// A request with this part is tried now, so that no other one is before the next pause is over. Returns false if
+    /// the part is not quarantined.
+    bool begin_trial(RequestFingerprint const& part, Instant now);
     /// Clears a request that has run to completion on any host, or a prompt part of a request that has received an
     /// event. Returns whether it was suspected or quarantined.
     bool clear(RequestFingerprint const&, Instant now);
     [[nodiscard]] bool is_recently_cleared(RequestFingerprint const&, Instant now) const;
     /// Returns the remaining time of the quarantine, or nothing if the request is not quarantined.
     [[nodiscard]] std::optional<Duration> held_for(RequestFingerprint const&, Instant now) const;
+    /// Returns how long no request with this fingerprint may be dispatched, or nothing if one may be. That is the rest
+    /// of the quarantine for a whole request, and the time until the next trial for a part.
+    [[nodiscard]] std::optional<Duration> refused_for(RequestFingerprint const&, Instant now) const;
+    /// Time until the next trial of a quarantined part, on any host; zero if one may begin, and for other fingerprints.
+    [[nodiscard]] Duration trial_in(RequestFingerprint const&, Instant now) const;
     /// Removes expired entries. Returns the requests among them that were quarantined.
     std::vector<RequestFingerprint> forget_expired(Instant now);
 
@@ -98,6 +143,7 @@
     [[nodiscard]] bool is_attributed(ServerProcess const&, RequestFingerprint const& suspect) const;
     [[nodiscard]] bool has_enough_terminations(RequestFingerprint const&, Entry const&) const;
     void record_cleared(RequestFingerprint const&, Instant now);
+    static void grow_trial_pause(Entry&, Terminations const& new_terminations, Instant now);
     void attribute_to(RequestFingerprint const& held);
     void evict_if_full(OrganisationId const&);
     void evict_oldest(std::optional<OrganisationId> const& of);
@@ -107,6 +153,7 @@
     std::map<RequestFingerprint, Instant> cleared_until;
     std::deque<std::pair<Instant, RequestFingerprint>> cleared_order;
     u64 evicted_total { 0 };
+    Duration trial_offset { 0 };
 };
 
 }
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -385,15 +385,18 @@
 
     /// To be called when the connection to `backend` broke during this request. Checks whether its process has
     /// terminated, and records the termination against the request's fingerprint unless the server was known to be
-    /// leaving. `events`: number of events that the request has received from it.
-    void check_for_termination(BackendPointer const& backend, std::string_view reason, u64 events = 0)
+    /// leaving. `dispatched_at`: when it was sent to `backend`. `events`: number of events that the request has
+    /// received from it.
+    void check_for_termination(
+        BackendPointer const& backend, std::string_view reason, Instant dispatched_at, u64 events = 0)
     {
+        InterruptedRun const run { dispatched_at, this->context.now() };
         bool const is_expected = backend->availability != Availability::Serving;
         // A part that terminates servers does so before the first event.
         std::vector<RequestFingerprint> suspects { this->call.fingerprint };
         if (events == 0)
             std::ranges::copy(this->call.part_fingerprints, std::back_inserter(suspects));
-        auto on_state = [&context = this->context, backend, is_expected, suspects, attempt = this->attempt(),
+        auto on_state = [&context = this->context, backend, is_expected, suspects, run, attempt = this->attempt(),
                             fingerprint = this->call.fingerprint, parts = this->call.part_fingerprints, events,
                             reason = std::string(reason)](ProcessState state) {
             context.log.event(Core::EventNumber::BackendServerDisconnected, backend->server.id.value())
@@ -405,7 +408,7 @@
                 .with("state", to_string(backend->availability))
                 .with("reason", reason);
             if (state == ProcessState::Terminated && !is_expected)
-                record_termination_under(context, suspects, *backend);
+                record_termination_under(context, suspects, *backend, run);
         };
         check_termination(this->context, backend, std::move(on_state));
     }
@@ -414,27 +417,41 @@
     /// request.
     void record_completed_run() { record_run_survived(this->context, this->call.fingerprint); }
 
-    /// Records that the request has received its first event, and so no part of its prompt terminates servers.
+    /// Records that no part of the prompt terminates servers, since the request has received its first event or its
+    /// whole response.
     void record_parts_survived() { record_run_survived(this->context, this->call.part_fingerprints); }
 
-    /// Remaining quarantine of this request, because servers terminate while running it or a part of its prompt; empty
-    /// if it may be dispatched.
+    /// How long this request may not be dispatched, because servers terminate while running it or a part of its prompt;
+    /// empty if it may be.
     [[nodiscard]] std::optional<Duration> quarantined_for() const
     {
+        // A trial that may have run is over.
+        if (this->is_trial && !this->runs.may_have_run())
+            return {};
         auto const& quarantine = this->context.quarantine;
-        auto left = quarantine.held_for(this->call.fingerprint, this->context.now());
+        auto left = quarantine.refused_for(this->call.fingerprint, this->context.now());
         for (auto const& part : this->call.part_fingerprints)
-            left = std::max(left, quarantine.held_for(part, this->context.now()));
+            left = std::max(left, quarantine.refused_for(part, this->context.now()));
         return left;
     }
 
+    /// To be called before a dispatch. If a part of the prompt is quarantined, this request tries it for all others.
+    void begin_trial_if_held()
+    {
+        if (!this->is_trial)
+            this->is_trial = begin_trial(this->context, this->call.part_fingerprints);
+    }
+
     /// Rejects a quarantined request.
     void respond_quarantined(Duration left)
     {
         this->context.metrics.add("requests_held_back_total");
+        bool const is_whole
+            = this->context.quarantine.refused_for(this->call.fingerprint, this->context.now()).has_value();
+        std::string const remedy = is_whole ? "do not send it again unchanged"
+                                            : "send it again later, when one of these requests has been tried";
         this->respond_with_error({ ErrorKind::RequestQuarantined,
-            "servers have ended under this request, or a part of its prompt, each time; do not send it again unchanged",
-            left });
+            "servers have ended under this request, or a part of its prompt, each time; " + remedy, left });
     }
 
     /// Records that `backend` reported this request as not run: it refused it, or another process has taken its
@@ -488,6 +505,8 @@
     /// Received part of a non-stream response; streams are not buffered here.
     CollectedBody response_body;
     bool is_over { false };
+    /// This request tries a quarantined part of its prompt.
+    bool is_trial { false };
     /// Present while the request is open, from watch_process_end() on.
     std::optional<OpenRequests::Entry> open_request;
 };
--- a/Libraries/LibServing/RequestTerminations.cpp
+++ b/Libraries/LibServing/RequestTerminations.cpp
@@ -39,8 +39,8 @@
         .with("reason", reason);
 }
 
-void record_termination_under(
-    ServingContext& context, std::span<RequestFingerprint const> fingerprints, Backend const& backend)
+void record_termination_under(ServingContext& context, std::span<RequestFingerprint const> fingerprints,
+    Backend const& backend, InterruptedRun const& run)
 {
     // The most specific one first, since it decides whether the others are quarantined too.
     std::vector<RequestFingerprint> suspects(fingerprints.begin(), fingerprints.end());
@@ -48,7 +48,7 @@
     std::vector<RequestFingerprint> changed;
     for (auto const& suspect : suspects) {
         ServerProcess const process { backend.server.id, backend.server.start };
-        auto const change = context.quarantine.record_termination(suspect, process, context.now());
+        auto const change = context.quarantine.record_termination(suspect, process, run, context.now());
         if (change == Quarantine::Change::Nothing)
             continue;
         handle_change(context, suspect, change);
@@ -58,6 +58,25 @@
         context.quarantine_changed(changed);
 }
 
+bool begin_trial(ServingContext& context, std::span<RequestFingerprint const> parts)
+{
+    auto const now = context.now();
+    std::vector<RequestFingerprint> tried;
+    for (auto const& part : parts) {
+        if (!context.quarantine.begin_trial(part, now))
+            continue;
+        tried.push_back(part);
+        context.log.event(Core::EventNumber::QuarantineTrial, to_text(part))
+            .with("organisation", part.organisation)
+            .with("next_trial_ms", context.quarantine.trial_in(part, now));
+    }
+    if (tried.empty())
+        return false;
+    context.metrics.add("quarantine_trials_total");
+    context.quarantine_changed(tried);
+    return true;
+}
+
 void record_run_survived(ServingContext& context, std::span<RequestFingerprint const> fingerprints)
 {
     std::vector<RequestFingerprint> cleared;
@@ -83,12 +102,19 @@
     }
 }
 
-static std::set<ServerProcess> processes_in(wire::EndingRequest const& entry)
+static Terminations terminations_in(wire::EndingRequest const& entry, Instant now)
 {
-    std::set<ServerProcess> processes;
-    for (auto const& process : entry.ended())
-        processes.insert({ EngineId(process.backend()), ServerStart(process.start()) });
-    return processes;
+    Terminations terminations;
+    for (int i = 0; i < entry.ended_size(); ++i) {
+        auto const& process = entry.ended(i);
+        InterruptedRun run { now, now };
+        if (i < entry.interrupted_size()) {
+            run.ended = now - std::chrono::milliseconds(entry.interrupted(i).ended_milliseconds_ago());
+            run.began = run.ended - std::chrono::milliseconds(entry.interrupted(i).lasted_milliseconds());
+        }
+        terminations.emplace(ServerProcess { EngineId(process.backend()), ServerStart(process.start()) }, run);
+    }
+    return terminations;
 }
 
 static RequestFingerprint fingerprint_in(wire::EndingRequest const& entry)
@@ -126,7 +152,9 @@
         if (!request.is_whole_request() && context.quarantine.is_recently_cleared(request, now))
             known_harmless.push_back(request);
         auto const held_for = std::chrono::milliseconds(entry->held_milliseconds());
-        handle_change(context, request, context.quarantine.merge(request, processes_in(*entry), held_for, now));
+        auto const terminations = terminations_in(*entry, now);
+        handle_change(context, request, context.quarantine.merge(request, terminations, held_for, now));
+        context.quarantine.postpone_trial(request, std::chrono::milliseconds(entry->trial_milliseconds()), now);
     }
     if (message.knows_quarantine())
         context.knows_quarantine = true;
@@ -146,6 +174,14 @@
 {
     auto const held_for = context.quarantine.held_for(request, context.now()).value_or(0s);
     entry.set_held_milliseconds(static_cast<u32>(AK::to_milliseconds(held_for)));
+    auto const trial_in = context.quarantine.trial_in(request, context.now());
+    entry.set_trial_milliseconds(static_cast<u32>(AK::to_milliseconds(trial_in)));
+}
+
+/// In milliseconds, up to `Quarantine::retention_time`.
+static u32 bounded_milliseconds(Duration duration)
+{
+    return static_cast<u32>(AK::to_milliseconds(std::clamp(duration, Duration(0), Quarantine::retention_time)));
 }
 
 void put_request_termination(wire::HostUse& message, ServingContext const& context, RequestFingerprint const& request)
@@ -155,10 +191,14 @@
     if (found == context.quarantine.all().end())
         return entry.set_is_cleared(true);
     set_hold(entry, context, request);
-    for (auto const& process : found->second.terminated_under) {
+    auto const now = context.now();
+    for (auto const& [process, run] : found->second.terminated_under) {
         auto& terminated = *entry.add_ended();
         terminated.set_backend(process.server.value());
         terminated.set_start(process.start.value());
+        auto& interrupted = *entry.add_interrupted();
+        interrupted.set_ended_milliseconds_ago(bounded_milliseconds(now - run.ended));
+        interrupted.set_lasted_milliseconds(bounded_milliseconds(run.ended - run.began));
     }
 }
 
--- a/Libraries/LibServing/RequestTerminations.h
+++ b/Libraries/LibServing/RequestTerminations.h
@@ -11,14 +11,20 @@
 
 namespace Serving {
 
-/// Records that the process of `backend` terminated unannounced while it ran a request with these fingerprints, and
-/// notifies the other hosts.
-void record_termination_under(ServingContext&, std::span<RequestFingerprint const>, Backend const& backend);
-inline void record_termination_under(ServingContext& context, RequestFingerprint const& request, Backend const& backend)
+/// Records that the process of `backend` terminated unannounced during this run of a request with these fingerprints,
+/// and notifies the other hosts.
+void record_termination_under(
+    ServingContext&, std::span<RequestFingerprint const>, Backend const& backend, InterruptedRun const&);
+inline void record_termination_under(
+    ServingContext& context, RequestFingerprint const& request, Backend const& backend, InterruptedRun const& run)
 {
-    record_termination_under(context, std::span(&request, 1), backend);
+    record_termination_under(context, std::span(&request, 1), backend, run);
 }
 
+/// Notifies the other hosts that a request with these parts is tried, of which some are quarantined. Returns whether
+/// any is.
+bool begin_trial(ServingContext&, std::span<RequestFingerprint const> parts);
+
 /// Records that the backend server is still running although a run of the request has ended, or although a request with
 /// these prompt parts has received an event.
 void record_run_survived(ServingContext&, std::span<RequestFingerprint const>);
--- a/Libraries/LibServing/ServiceCall.h
+++ b/Libraries/LibServing/ServiceCall.h
@@ -52,6 +52,7 @@
         this->choose_backend();
         if (!this->backend)
             return this->no_backend();
+        this->begin_trial_if_held();
         this->dispatched_at = this->context.now();
         this->connection = this->connection_to(*this->backend);
         this->tried.push_back(this->backend->server.id);
@@ -171,7 +172,7 @@
         } else {
             this->suspect(*used, is_rejected, reason);
             this->record_answer(*used, true, {});
-            this->check_for_termination(used, Http::describe(end, reason));
+            this->check_for_termination(used, Http::describe(end, reason), this->dispatched_at);
         }
         this->log_dispatch_end(*used, Http::describe(end, reason), proof, this->dispatched_at);
         this->try_again(Http::describe(end, reason), proof);
@@ -202,6 +203,7 @@
         }
         if (!this->is_server_error()) {
             record_success(used);
+            this->record_parts_survived();
             return this->relay_response();
         }
         auto reason = "status " + std::to_string(this->response_status());
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -60,6 +60,9 @@
         , random(settings.random_seed)
         , demands(loop, this->random, [this] { return this->now(); })
     {
+        constexpr u32 max_trial_offset_milliseconds = 1000;
+        this->quarantine.set_trial_offset(
+            std::chrono::milliseconds(settings.random_seed % max_trial_offset_milliseconds));
     }
 
     Http::asio::io_context& loop;
--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -350,6 +350,9 @@
     Libraries/LibServing/GenerationMove.h "if (this->current == Phase::Copied)
             return this->order_stop();" "if (this->current == Phase::Copied)
             return this->run_is_over(*RunEndProof::from_process(ProcessState::Terminated, 0));"
+guard "requests that end servers: one crash counts once" TestLibServing \
+    "Scenario: engines crash together under requests that share a part" \
+    Libraries/LibServing/Quarantine.cpp "run.began < *last_event_at;" "false;"
 
 soak_guard "once only" Libraries/LibServing/ServiceCall.h \
     "this->call.route->kind == CallKind::Repeatable
--- a/Tests/Fleet/TestFatalRequests.cpp
+++ b/Tests/Fleet/TestFatalRequests.cpp
@@ -120,7 +120,8 @@
     {
         for (auto const& termination : this->terminations) {
             if (termination.detected_at <= this->now)
-                record_termination_under(*termination.host->context, this->request, termination.server);
+                record_termination_under(*termination.host->context, this->request, termination.server,
+                    { termination.sent_at, termination.detected_at });
         }
         std::erase_if(
             this->terminations, [&](Termination const& termination) { return termination.detected_at <= this->now; });
--- a/Tests/LibServing/TestPromptParts.cpp
+++ b/Tests/LibServing/TestPromptParts.cpp
@@ -37,7 +37,32 @@
         backend.server = server;
         auto suspects = prompt(parts);
         suspects.push_back({ OrganisationId("plaza"), this->terminations });
-        record_termination_under(*this->hosts[host], suspects, backend);
+        // Each run begins after the terminations before it.
+        record_termination_under(*this->hosts[host], suspects, backend, { this->now, this->now });
+    }
+    /// Engines terminate almost at once, each under a request of its own without events.
+    void terminate_together(std::vector<size_t> const& at_hosts, std::vector<std::string> const& parts)
+    {
+        auto const began = this->now - 300ms;
+        for (auto const host : at_hosts) {
+            Backend backend;
+            backend.server.id = EngineId("engine-" + std::to_string(++this->terminations));
+            backend.server.start = ServerStart(1);
+            auto suspects = prompt(parts);
+            suspects.push_back({ OrganisationId("plaza"), this->terminations });
+            this->now += 5ms;
+            record_termination_under(*this->hosts[host], suspects, backend, { began, this->now });
+        }
+    }
+    /// Whether a request at this host may be sent to a server.
+    [[nodiscard]] bool may_dispatch(size_t host, std::vector<std::string> const& parts) const
+    {
+        return std::ranges::none_of(prompt(parts),
+            [&](auto const& part) { return this->hosts[host]->quarantine.refused_for(part, this->now).has_value(); });
+    }
+    void begin_trial(size_t host, std::vector<std::string> const& parts)
+    {
+        CHECK(Serving::begin_trial(*this->hosts[host], prompt(parts)));
     }
     /// A request at this host receives its first event.
     void begin_stream(size_t host, std::vector<std::string> const& parts)
@@ -148,9 +173,9 @@
         Quarantine quarantine;
         for (int i = 0; i < 3; ++i) {
             ServerProcess const process { EngineId("e" + std::to_string(i)), ServerStart(1) };
-            quarantine.record_termination(request, process, hosts.now);
+            quarantine.record_termination(request, process, { hosts.now, hosts.now }, hosts.now);
             for (auto const& part : PartHosts::prompt({ "common", "other" }))
-                quarantine.record_termination(part, process, hosts.now);
+                quarantine.record_termination(part, process, { hosts.now, hosts.now }, hosts.now);
         }
         THEN("only the request is held back")
         {
@@ -161,6 +186,63 @@
     }
 }
 
+// Guards against an organisation that is refused for an hour after the engines of one domain have crashed together.
+SCENARIO("engines crash together under requests that share a part")
+{
+    PartHosts hosts(3);
+    GIVEN("three requests at one host, or at several")
+    {
+        auto const at_hosts = GENERATE(std::vector<size_t> { 0, 0, 0 }, std::vector<size_t> { 0, 1, 2 },
+            std::vector<size_t> { 0, 0, 1, 1, 2, 2, 0 });
+        hosts.terminate_together(at_hosts, { "shared" });
+        THEN("no host holds the part back") { CHECK_FALSE(hosts.is_held_anywhere({ "shared" })); }
+        AND_WHEN("two more engines terminate under later requests with the part")
+        {
+            hosts.now += 2s;
+            hosts.terminate(0, { "shared" });
+            hosts.now += 2s;
+            hosts.terminate(1, { "shared" });
+            THEN("all hosts hold it back") { CHECK(hosts.is_held(2, { "shared" })); }
+        }
+    }
+}
+
+SCENARIO("a part that is held back is tried by one request of all hosts")
+{
+    PartHosts hosts(3);
+    for (size_t i = 0; i < 3; ++i)
+        hosts.terminate(i, { "common" });
+    for (size_t host = 0; host < 3; ++host)
+        CHECK_FALSE(hosts.may_dispatch(host, { "common" }));
+    hosts.now += Quarantine::first_trial_pause + 1s;
+    CHECK(hosts.may_dispatch(1, { "common" }));
+    hosts.begin_trial(1, { "common" });
+    THEN("the others do not try it at the same time")
+    {
+        for (size_t host = 0; host < 3; ++host)
+            CHECK_FALSE(hosts.may_dispatch(host, { "common" }));
+    }
+    WHEN("it receives its first event")
+    {
+        hosts.begin_stream(1, { "common" });
+        THEN("all hosts serve requests with the part")
+        {
+            for (size_t host = 0; host < 3; ++host)
+                CHECK(hosts.may_dispatch(host, { "common" }));
+        }
+    }
+    WHEN("its engine terminates")
+    {
+        hosts.terminate(1, { "common" });
+        hosts.now += Quarantine::first_trial_pause + 1s;
+        THEN("no host tries it as soon again")
+        {
+            for (size_t host = 0; host < 3; ++host)
+                CHECK_FALSE(hosts.may_dispatch(host, { "common" }));
+        }
+    }
+}
+
 // Guards against parts of sound requests that are suspected because they ran where engines ended.
 SCENARIO("a request with a part receives its first event")
 {
--- a/Tests/LibServing/TestQuarantine.cpp
+++ b/Tests/LibServing/TestQuarantine.cpp
@@ -22,18 +22,30 @@
     return { EngineId("e" + std::to_string(number)), ServerStart(start) };
 }
 
+/// A run that began after all terminations before `now`, as the next try of a caller does.
+static InterruptedRun next_run(Instant now) { return { now, now }; }
+
+/// The same for several processes.
+static Terminations terminations(std::initializer_list<ServerProcess> processes, Instant now)
+{
+    Terminations result;
+    for (auto const& one : processes)
+        result.emplace(one, next_run(now));
+    return result;
+}
+
 SCENARIO("a request is quarantined after three servers terminated while running it")
 {
     Quarantine quarantine;
     Instant now { 100s };
     auto const cause = request(1);
-    CHECK(quarantine.record_termination(cause, process(1), now) == Change::Suspected);
-    CHECK(quarantine.record_termination(cause, process(1), now) == Change::Nothing);
-    CHECK(quarantine.record_termination(cause, process(1, 2), now) == Change::Suspected);
+    CHECK(quarantine.record_termination(cause, process(1), next_run(now), now) == Change::Suspected);
+    CHECK(quarantine.record_termination(cause, process(1), next_run(now), now) == Change::Nothing);
+    CHECK(quarantine.record_termination(cause, process(1, 2), next_run(now), now) == Change::Suspected);
 
     WHEN("a third process terminates")
     {
-        CHECK(quarantine.record_termination(cause, process(2), now) == Change::Held);
+        CHECK(quarantine.record_termination(cause, process(2), next_run(now), now) == Change::Held);
         THEN("it is quarantined for an hour, and no other request is")
         {
             CHECK(quarantine.held_for(cause, now) == Quarantine::retention_time);
@@ -56,7 +68,8 @@
             THEN("the quarantine ends") { CHECK(!quarantine.held_for(cause, now)); }
             THEN("a late report does not restore it")
             {
-                CHECK(quarantine.merge(cause, { process(1), process(2), process(3) }, 1h, now) == Change::Nothing);
+                CHECK(quarantine.merge(cause, terminations({ process(1), process(2), process(3) }, now), 1h, now)
+                    == Change::Nothing);
             }
         }
     }
@@ -93,22 +106,22 @@
     auto const bystander = request(2);
     GIVEN("three servers that terminate under both, with the bystander recorded first")
     {
-        quarantine.record_termination(bystander, process(1), now);
-        quarantine.record_termination(cause, process(1), now);
-        quarantine.record_termination(bystander, process(2), now);
-        quarantine.record_termination(cause, process(2), now);
-        quarantine.record_termination(cause, process(3), now);
+        quarantine.record_termination(bystander, process(1), next_run(now), now);
+        quarantine.record_termination(cause, process(1), next_run(now), now);
+        quarantine.record_termination(bystander, process(2), next_run(now), now);
+        quarantine.record_termination(cause, process(2), next_run(now), now);
+        quarantine.record_termination(cause, process(3), next_run(now), now);
         CHECK(quarantine.held_for(cause, now));
         THEN("the bystander is cleared")
         {
             CHECK(!quarantine.all().contains(bystander));
-            CHECK(quarantine.record_termination(bystander, process(3), now) == Change::Nothing);
+            CHECK(quarantine.record_termination(bystander, process(3), next_run(now), now) == Change::Nothing);
         }
         WHEN("a run of the cause that had already started terminates a fourth server")
         {
-            quarantine.record_termination(bystander, process(4), now);
+            quarantine.record_termination(bystander, process(4), next_run(now), now);
             CHECK(quarantine.all().contains(bystander));
-            quarantine.record_termination(cause, process(4), now);
+            quarantine.record_termination(cause, process(4), next_run(now), now);
             THEN("that one is not attributed to the bystander either") { CHECK(!quarantine.all().contains(bystander)); }
         }
     }
@@ -120,10 +133,10 @@
     Instant now { 100s };
     auto const cause = request(1, "market");
     for (int i = 0; i < 3; ++i)
-        quarantine.record_termination(cause, process(i), now);
+        quarantine.record_termination(cause, process(i), next_run(now), now);
     for (u64 i = 0; i < 10'000; ++i) {
         now += 1ms;
-        quarantine.record_termination(request(i), process(static_cast<int>(10 + i)), now);
+        quarantine.record_termination(request(i), process(static_cast<int>(10 + i)), next_run(now), now);
     }
     CHECK(quarantine.held_for(cause, now));
     CHECK(quarantine.all().size() < 100);
@@ -138,11 +151,20 @@
         auto const causes = *rc::gen::container<std::vector<u8>>(12, rc::gen::inRange<u8>(0, 4));
         auto const reports = *rc::gen::container<std::vector<size_t>>(30, rc::gen::inRange<size_t>(0, causes.size()));
         Instant const now { 100s };
+        // Some runs overlap, and some terminations come together.
+        auto const ends = *rc::gen::container<std::vector<u8>>(12, rc::gen::inRange<u8>(0, 40));
+        auto const spans = *rc::gen::container<std::vector<u8>>(12, rc::gen::inRange<u8>(0, 20));
+        auto run_of = [&](int number) {
+            auto const ended = Instant(60s) + ends[static_cast<size_t>(number)] * 250ms;
+            return InterruptedRun { ended - spans[static_cast<size_t>(number)] * 100ms, ended };
+        };
         auto apply = [&](std::vector<size_t> const& order) {
             Quarantine quarantine;
-            for (auto report : order)
-                quarantine.merge(request(causes[report]), { process(static_cast<int>(report)) }, 0s, now);
-            std::map<RequestFingerprint, std::pair<std::set<ServerProcess>, bool>> known;
+            for (auto report : order) {
+                auto const number = static_cast<int>(report);
+                quarantine.merge(request(causes[report]), { { process(number), run_of(number) } }, 0s, now);
+            }
+            std::map<RequestFingerprint, std::pair<Terminations, bool>> known;
             for (auto const& [fingerprint, entry] : quarantine.all())
                 known[fingerprint] = { entry.terminated_under, entry.held_until.has_value() };
             return known;
@@ -156,6 +178,129 @@
     });
 }
 
+// Guards against one event that is counted once for each server that it hits.
+SCENARIO("terminations that come together under runs in progress are one event")
+{
+    Instant const at { 100s };
+    auto run = [&](Duration began, Duration ended) { return InterruptedRun { at + began, at + ended }; };
+    GIVEN("servers that terminate almost at once")
+    {
+        CHECK(count_events({ { process(1), run(-300ms, 0s) }, { process(2), run(-200ms, 1ms) },
+                  { process(3), run(-10ms, 400ms) } })
+            == 1);
+    }
+    GIVEN("a run that began after the first termination")
+    {
+        CHECK(count_events({ { process(1), run(-300ms, 0s) }, { process(2), run(1ms, 200ms) } }) == 2);
+    }
+    GIVEN("runs in progress together whose servers terminate one after another")
+    {
+        CHECK(count_events(
+                  { { process(1), run(-5s, 0s) }, { process(2), run(-5s, 1500ms) }, { process(3), run(-5s, 3s) } })
+            == 3);
+    }
+    GIVEN("a chain of overlapping runs, each of which terminates its server")
+    {
+        Terminations chain;
+        for (int i = 0; i < 20; ++i)
+            chain.emplace(process(i), run(i * 100ms, i * 100ms + 250ms));
+        THEN("each event ends with the first run that began after it") { CHECK(count_events(chain) == 7); }
+    }
+    GIVEN("no termination") { CHECK(count_events({}) == 0); }
+}
+
+// Guards against requests of an organisation that are all refused because some servers crashed together once.
+SCENARIO("servers that crash together under several requests hold back neither these nor what they share")
+{
+    Quarantine quarantine;
+    Instant const now { 100s };
+    RequestFingerprint const shared { OrganisationId("plaza"), 900, 1 };
+    for (int i = 0; i < 9; ++i) {
+        InterruptedRun const run { now - 300ms + i * 10ms, now + i * 5ms };
+        quarantine.record_termination(request(static_cast<u64>(i)), process(i), run, now + i * 5ms);
+        CHECK(quarantine.record_termination(shared, process(i), run, now + i * 5ms) != Change::Held);
+    }
+    CHECK_FALSE(quarantine.refused_for(shared, now + 1s));
+    WHEN("further requests with that part terminate one server after another")
+    {
+        for (int i = 10; i < 12; ++i)
+            quarantine.record_termination(shared, process(i), next_run(now + i * 1s), now + i * 1s);
+        THEN("it is quarantined") { CHECK(quarantine.refused_for(shared, now + 11s)); }
+    }
+}
+
+SCENARIO("a quarantined part is tried again by single requests")
+{
+    Quarantine quarantine;
+    Instant now { 100s };
+    RequestFingerprint const part { OrganisationId("plaza"), 900, 2 };
+    for (int i = 0; i < 3; ++i)
+        quarantine.record_termination(part, process(i), next_run(now), now);
+    CHECK(quarantine.refused_for(part, now) == Quarantine::first_trial_pause);
+    now += Quarantine::first_trial_pause;
+    CHECK_FALSE(quarantine.refused_for(part, now));
+
+    WHEN("one request tries it")
+    {
+        CHECK(quarantine.begin_trial(part, now));
+        THEN("no other one does meanwhile")
+        {
+            CHECK(quarantine.refused_for(part, now + 1s) == Quarantine::first_trial_pause - 1s);
+        }
+        AND_WHEN("its server terminates too")
+        {
+            auto const began = now;
+            now += 300ms;
+            quarantine.record_termination(part, process(9), { began, now }, now);
+            THEN("the next trial comes later")
+            {
+                CHECK(quarantine.refused_for(part, now)
+                    == Quarantine::first_trial_pause * Quarantine::trial_pause_growth);
+            }
+        }
+        AND_WHEN("it receives its first event")
+        {
+            quarantine.clear(part, now);
+            THEN("all requests with the part are served") { CHECK_FALSE(quarantine.refused_for(part, now)); }
+        }
+    }
+    WHEN("another host has begun a trial")
+    {
+        quarantine.postpone_trial(part, 10s, now);
+        THEN("this host waits for the next one") { CHECK(quarantine.refused_for(part, now) == Duration(10s)); }
+    }
+    WHEN("trials fail again and again")
+    {
+        std::vector<Duration> pauses;
+        for (int i = 20; i < 25; ++i) {
+            CHECK(quarantine.begin_trial(part, now));
+            quarantine.record_termination(part, process(i), { now, now + 1ms }, now + 1ms);
+            now += 1ms;
+            pauses.push_back(quarantine.refused_for(part, now).value());
+            now += pauses.back();
+        }
+        THEN("they become rare, up to one an hour")
+        {
+            CHECK(pauses == std::vector<Duration> { 40s, 160s, 640s, 2560s, 1h });
+        }
+    }
+    WHEN("a host tries later than others")
+    {
+        quarantine.set_trial_offset(500ms);
+        CHECK(quarantine.refused_for(part, now) == Duration(500ms));
+    }
+    GIVEN("a whole request")
+    {
+        for (int i = 0; i < 3; ++i)
+            quarantine.record_termination(request(1), process(30 + i), next_run(now), now);
+        THEN("it is not tried before its quarantine is over")
+        {
+            CHECK(quarantine.refused_for(request(1), now + 30min) == Duration(30min));
+            CHECK_FALSE(quarantine.begin_trial(request(1), now));
+        }
+    }
+}
+
 SCENARIO("random crashes of servers quarantine hardly any request")
 {
     // Far more crashes than in practice: one run out of twenty is interrupted by a crash, and each caller retries until
@@ -172,7 +317,7 @@
         now += 50ms;
         auto const harmless = request(static_cast<u64>(i));
         while (is_interrupted(random) && !quarantine.held_for(harmless, now))
-            quarantine.record_termination(harmless, process(++crashes), now);
+            quarantine.record_termination(harmless, process(++crashes), next_run(now), now);
         held += quarantine.held_for(harmless, now) ? 1 : 0;
         quarantine.clear(harmless, now);
     }
--- a/Tests/LibServing/TestQuarantineTable.cpp
+++ b/Tests/LibServing/TestQuarantineTable.cpp
@@ -70,7 +70,7 @@
         for (int i = 0; i < 3; ++i) {
             Backend server;
             server.server.id = EngineId("e" + std::to_string(i));
-            record_termination_under(this->context, request, server);
+            record_termination_under(this->context, request, server, { this->now, this->now });
         }
     }
 
