LibHttp: Serve requests with fields that the parser's own container cannot hold

Cause: Boost.Beast's fields hold 65,533 bytes of a name or value and throw std::length_error beyond; the limit in force went to the parser as it was, and the exception left the event loop. Ruled out: the length of the head alone.

Change: RequestParser keeps such fields apart (LongFields); a request is sent on with them, and the parts of a prompt are read from there. Fields that concern the connection or that callers may not set get 400 at that length.

--- a/Libraries/LibHttp/BackendConnection.cpp
+++ b/Libraries/LibHttp/BackendConnection.cpp
@@ -6,9 +6,12 @@
 
 #include <AK/Error.h>
 #include <LibHttp/BackendConnection.h>
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <sstream>
 
 namespace Http {
 
@@ -134,6 +137,8 @@
 {
     auto number = this->exchange_number;
     ++this->requests_sent;
+    if (this->request->long_fields)
+        return this->send_with_long_fields();
     this->serializer.emplace(this->request->message);
     beast::http::async_write(
         this->socket, *this->serializer, [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
@@ -143,6 +148,31 @@
     this->read_head();
 }
 
+/// The head of a message in text, with further fields before the empty line that ends it.
+static std::string head_text_of(RequestHead const& head, LongFields const& long_fields)
+{
+    constexpr std::string_view line_end = "\r\n";
+    std::ostringstream text;
+    text << head;
+    auto result = std::move(text).str();
+    result.resize(result.size() - line_end.size());
+    for (auto const& [name, value] : long_fields)
+        result.append(name).append(": ").append(value).append(line_end);
+    return result.append(line_end);
+}
+
+void BackendConnection::send_with_long_fields()
+{
+    auto number = this->exchange_number;
+    this->head_text = head_text_of(this->request->message, *this->request->long_fields);
+    std::array<asio::const_buffer, 2> const parts { asio::buffer(this->head_text), asio::buffer(*this->request->body) };
+    asio::async_write(this->socket, parts, [self = shared_from_this(), number](beast::error_code error, size_t bytes) {
+        self->traffic->record_sent(bytes);
+        self->handle_written(error, number);
+    });
+    this->read_head();
+}
+
 void BackendConnection::handle_written(beast::error_code error, u64 number)
 {
     // A failed write also makes the read fail, unless the peer sent a response before.
@@ -152,6 +182,7 @@
     if (!is_current && this->in_exchange)
         return;
     this->serializer.reset();
+    this->head_text = {};
     this->request.reset();
 }
 
--- a/Libraries/LibHttp/BackendConnection.h
+++ b/Libraries/LibHttp/BackendConnection.h
@@ -62,6 +62,8 @@
     /// Its body refers to `body`.
     beast::http::request<beast::http::span_body<char const>> message;
     std::shared_ptr<std::string const> body;
+    /// Fields that do not fit into the message; null for none. They are sent after its own.
+    std::shared_ptr<LongFields const> long_fields;
 };
 
 /// Callbacks for the parts of a response as they arrive. None is called after `ended` or after cancel().
@@ -124,6 +126,8 @@
 
     void connect(Duration timeout, Duration silence_limit);
     void send();
+    /// Sends a request whose head holds fields that the message cannot hold.
+    void send_with_long_fields();
     void handle_written(beast::error_code, u64 number);
     void read_head();
     void handle_head(beast::error_code);
@@ -148,6 +152,8 @@
     /// The request that is being sent; given back once it has been written.
     std::optional<OutgoingRequest> request;
     std::optional<beast::http::serializer<true, beast::http::span_body<char const>>> serializer;
+    /// The head of a request with long fields, while it is being sent.
+    std::string head_text;
     std::optional<Parser> parser;
     /// Shared, so that the observer outlives its own call when that call cancels the exchange.
     std::shared_ptr<ExchangeObserver> observer;
--- a/Libraries/LibHttp/CallerConnection.cpp
+++ b/Libraries/LibHttp/CallerConnection.cpp
@@ -388,12 +388,13 @@
     ++this->context->traffic->requests_read;
     this->keep_alive = this->parser->get().keep_alive();
     auto received = AK::BootClock::now();
+    auto long_fields = this->parser->release_long_fields();
     auto request = this->parser->release();
     Overload::RequestCharge request_charge(this->context->request_budget);
     request_charge.set(this->head_bytes + request.body().size());
     this->release_request();
-    auto accepted = std::make_shared<Exchange>(
-        shared_from_this(), std::move(request), std::move(request_charge), received, this->origin);
+    auto accepted = std::make_shared<Exchange>(shared_from_this(), std::move(request), std::move(long_fields),
+        std::move(request_charge), received, this->origin);
     this->exchange = accepted;
     this->watch_socket();
     this->context->on_request(std::move(accepted));
--- a/Libraries/LibHttp/CallerConnection.h
+++ b/Libraries/LibHttp/CallerConnection.h
@@ -9,12 +9,12 @@
 #include <AK/Timer.h>
 #include <LibHttp/ConnectionPhase.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/RequestParser.h>
 #include <LibHttp/Traffic.h>
 #include <LibOverload/OutputBudget.h>
 #include <LibOverload/ReceiveProgress.h>
 #include <LibOverload/RequestBudget.h>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <deque>
 
 namespace Http {
@@ -90,8 +90,6 @@
 
 private:
     friend class Exchange;
-    using Parser = beast::http::request_parser<beast::http::string_body>;
-
     void await_request();
     void watch_socket();
     void handle_readable();
@@ -162,7 +160,7 @@
     Duration advertised_idle_timeout;
     /// Received bytes that the parser has not consumed: at most a head, a chunk header, or the trailers of a body.
     beast::flat_buffer buffer;
-    std::optional<Parser> parser;
+    std::optional<RequestParser> parser;
     /// Memory of the buffer and of the request that is being received.
     Overload::RequestCharge charge;
     Overload::ReceiveProgress progress;
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -9,10 +9,11 @@
 
 namespace Http {
 
-Exchange::Exchange(std::shared_ptr<CallerConnection> connection, Request request, Overload::RequestCharge charge,
-    Instant received, RequestOrigin origin)
+Exchange::Exchange(std::shared_ptr<CallerConnection> connection, Request request, LongFields long_fields,
+    Overload::RequestCharge charge, Instant received, RequestOrigin origin)
     : connection(std::move(connection))
     , received_request(std::move(request))
+    , received_long_fields(std::move(long_fields))
     , charge(std::move(charge))
     , received(received)
     , sent_by(origin)
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -31,10 +31,12 @@
 class Exchange {
 public:
     /// `charge`: for the memory of the request, which the exchange holds.
-    Exchange(std::shared_ptr<CallerConnection> connection, Request request, Overload::RequestCharge charge,
-        Instant received, RequestOrigin);
+    Exchange(std::shared_ptr<CallerConnection> connection, Request request, LongFields long_fields,
+        Overload::RequestCharge charge, Instant received, RequestOrigin);
 
     [[nodiscard]] Request const& request() const { return this->received_request; }
+    /// The fields of the request that do not fit into its `Fields`.
+    [[nodiscard]] LongFields const& long_fields() const { return this->received_long_fields; }
     [[nodiscard]] RequestOrigin origin() const { return this->sent_by; }
     [[nodiscard]] Instant received_at() const { return this->received; }
     /// Whether the caller is still waiting for the response or the rest of it.
@@ -66,6 +68,7 @@
 
     std::shared_ptr<CallerConnection> connection;
     Request received_request;
+    LongFields received_long_fields;
     Overload::RequestCharge charge;
     Instant received;
     RequestOrigin sent_by;
--- a/Libraries/LibHttp/Types.cpp
+++ b/Libraries/LibHttp/Types.cpp
@@ -5,6 +5,8 @@
  */
 
 #include <LibHttp/Types.h>
+#include <algorithm>
+#include <array>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
@@ -36,6 +38,9 @@
     return tcp::endpoint(ip, port);
 }
 
+static constexpr std::array connection_fields { Name::connection, Name::keep_alive, Name::proxy_connection, Name::te,
+    Name::trailer, Name::transfer_encoding, Name::upgrade, Name::content_length, Name::expect };
+
 void remove_connection_fields(Fields& fields)
 {
     std::vector<std::string> named;
@@ -43,11 +48,20 @@
         named.emplace_back(token);
     for (auto const& name : named)
         fields.erase(name);
-    for (auto name : { Name::connection, Name::keep_alive, Name::proxy_connection, Name::te, Name::trailer,
-             Name::transfer_encoding, Name::upgrade, Name::content_length, Name::expect })
+    for (auto name : connection_fields)
         fields.erase(name);
 }
 
+bool is_connection_field(RequestHead const& head, std::string_view name)
+{
+    auto const known = beast::http::string_to_field({ name.data(), name.size() });
+    if (std::ranges::find(connection_fields, known) != connection_fields.end())
+        return true;
+    auto const named = beast::http::token_list(head[Name::connection]);
+    return std::any_of(named.begin(), named.end(),
+        [&](auto const& token) { return beast::iequals(token, beast::string_view(name.data(), name.size())); });
+}
+
 /// Ignores failures: with the system's default, a dead peer is only detected later.
 static void set_option(tcp::socket& socket, int level, int name, int value)
 {
--- a/Libraries/LibHttp/Types.h
+++ b/Libraries/LibHttp/Types.h
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// HTTP/1.1 client and server on the event loop of a process. Boost.Beast parses and serialises messages;
 /// docs/PLATFORM.md explains why it is used here instead of POCO's server.
@@ -31,6 +32,19 @@
 using Verb = beast::http::verb;
 using Name = beast::http::field;
 
+/// Maximum size of a name and of a value in `Fields`.
+inline constexpr size_t max_field_bytes = 65'533;
+
+/// A field of a message whose name or value does not fit into `Fields`.
+struct LongField {
+    std::string name;
+    std::string value;
+};
+using LongFields = std::vector<LongField>;
+
+/// Whether the field concerns a single connection or frames the body, and so is not passed on.
+[[nodiscard]] bool is_connection_field(RequestHead const&, std::string_view name);
+
 /// HTTP/1.1 as Beast represents versions.
 inline constexpr unsigned http_1_1 = 11;
 
--- a/Libraries/LibServing/Dialect.h
+++ b/Libraries/LibServing/Dialect.h
@@ -84,11 +84,15 @@
 /// The protocol of callers, backend servers and engines. Encodes and decodes messages and makes no decisions.
 template<typename T>
 concept Dialect = requires(Http::RequestHead const& request, Http::ResponseHead const& response, Http::Fields& fields,
-    DispatchHead const& dispatch, Backend const& backend, std::string const& text, bool flag)
+    DispatchHead const& dispatch, Backend const& backend, std::string const& text, bool flag, CallHead& call,
+    std::string_view view)
 {
     {
         T::decode_call(request)
         } -> std::same_as<CallHead>;
+    {
+        T::decode_long_field(call, view, view)
+        } -> std::same_as<bool>;
     T::prepare_dispatch(fields, dispatch);
     T::remove_server_notice(fields);
     T::set_time_left(fields, Duration());
--- a/Libraries/LibServing/RequestFlow.h
+++ b/Libraries/LibServing/RequestFlow.h
@@ -213,6 +213,8 @@
         auto const& received = exchange->request();
         Http::OutgoingRequest request(received.base(), std::shared_ptr<std::string const>(exchange, &received.body()));
         Http::remove_connection_fields(request.message);
+        if (!exchange->long_fields().empty())
+            request.long_fields = std::shared_ptr<Http::LongFields const>(exchange, &exchange->long_fields());
         request.message.version(Http::http_1_1);
         request.message.keep_alive(true);
         return request;
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -48,6 +48,8 @@
 private:
     /// Retry-After while this host has no configuration yet. It is read within a few hundred milliseconds.
     static constexpr Duration not_ready_retry_after = 300ms;
+    /// Characters of a field's name in an error message.
+    static constexpr size_t max_reported_name = 64;
 
     static std::string_view path_of(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -70,6 +72,7 @@
             return Error { ErrorKind::NotReady, "this host has no configuration yet; send the request again",
                 not_ready_retry_after };
         call.head = D::decode_call(request);
+        TRYV(decode_long_fields(*exchange, call.head));
         std::string_view const target(request.target().data(), request.target().size());
         call.route = call.routing->find_route(host_of(request), path_of(target));
         if (!call.route)
@@ -92,6 +95,20 @@
         return call;
     }
 
+    /// Fields that concern the connection or that only this system may set are not passed on, and none of them has a
+    /// meaning at this size.
+    static Result<void> decode_long_fields(Http::Exchange const& exchange, CallHead& head)
+    {
+        for (auto const& [name, value] : exchange.long_fields()) {
+            bool const is_name_short = name.size() <= Http::max_field_bytes;
+            if (!is_name_short || Http::is_connection_field(exchange.request(), name)
+                || !D::decode_long_field(head, name, value))
+                return Error { ErrorKind::InvalidRequest,
+                    "the field '" + name.substr(0, max_reported_name) + "' is too long; shorten it", {} };
+        }
+        return success();
+    }
+
     /// Whether this process runs for long enough to give the request its response. How long a generation takes is not
     /// known.
     [[nodiscard]] bool can_be_finished(AdmittedCall const& call) const
--- a/StandIns/PlatformRunner/PlatformRunner.cpp
+++ b/StandIns/PlatformRunner/PlatformRunner.cpp
@@ -32,6 +32,8 @@
 {
     auto context = std::make_shared<Http::CallerContext>();
     context->on_request = [this](std::shared_ptr<Http::Exchange> const& exchange) { this->handle_request(exchange); };
+    // More than any host is configured to accept.
+    context->limits.header_bytes = 1 << 18;
     this->server.emplace(loop, endpoint, context);
 }
 
@@ -87,11 +89,14 @@
     return response;
 }
 
-void PlatformRunner::record_request(Http::Request const& request)
+void PlatformRunner::record_request(Http::Exchange const& exchange)
 {
+    auto const& request = exchange.request();
     Received received { std::string(request[attempt_header]), std::string(request.target()), request.body(), {} };
     for (auto const& field : request)
         received.headers[std::string(field.name_string())] = std::string(field.value());
+    for (auto const& field : exchange.long_fields())
+        received.headers[field.name] = field.value;
     this->requests.push_back(std::move(received));
 }
 
@@ -104,7 +109,7 @@
         return this->copy(exchange);
     if (request.target().starts_with("/kv-handle/"))
         return exchange->respond(Http::Response(Http::Status::ok, Http::http_1_1));
-    this->record_request(request);
+    this->record_request(*exchange);
     if (request[target_header] != this->name) {
         auto response = unsigned_response(request, Http::Status::misdirected_request);
         response.set(instance_header, this->name);
--- a/StandIns/PlatformRunner/PlatformRunner.h
+++ b/StandIns/PlatformRunner/PlatformRunner.h
@@ -162,7 +162,7 @@
     };
 
     void handle_request(std::shared_ptr<Http::Exchange> const&);
-    void record_request(Http::Request const&);
+    void record_request(Http::Exchange const&);
     void count_run(Http::Request const&);
     bool carry_out_fault(std::shared_ptr<Http::Exchange> const&);
     [[nodiscard]] Http::Response refusal(Http::Request const&) const;
--- /dev/null
+++ b/Tests/Platform/TestLongFields.cpp
@@ -0,0 +1,89 @@
+/*
+ * Copyright (c) 2026, the lilactiller developers
+ *
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Tests/LibHttp/PersistentCaller.h>
+#include <Tests/Platform/HostFixture.h>
+
+using Http::Test::PersistentCaller;
+using Test::HostFixture;
+
+/// The parts of a prompt that take this many bytes or a few more.
+static std::string prompt_parts(size_t bytes)
+{
+    std::string parts = "5c1e07a2:800";
+    for (size_t i = 0; parts.size() < bytes; ++i)
+        parts += ",part" + std::to_string(i) + ":1";
+    return parts;
+}
+
+static std::string call_with(std::string const& attempt, std::string const& field)
+{
+    return "GET /lookup/2 HTTP/1.1\r\nHost: tolls.example\r\nLilactiller-Attempt-Id: " + attempt
+        + "\r\nApi-Key: plaza-key\r\nLilactiller-Deadline-Ms: 3000\r\n" + field + "\r\n\r\n";
+}
+
+// Guards against a request within the limits in force that ends the process which reads it: the parser's own fields
+// hold 65,533 bytes.
+SCENARIO("a field that the parser's own fields cannot hold is passed on if the limits allow it")
+{
+    HostFixture fixture;
+    fixture.max_header_bytes = 131'072;
+    auto& server = fixture.add_runner("lanes-1", "lanes");
+    fixture.start_ready_host();
+    PersistentCaller caller(fixture.loop, fixture.callers_endpoint);
+
+    GIVEN("a long list of prompt parts")
+    {
+        auto const bytes = GENERATE(65'530U, 65'533U, 65'534U, 65'540U, 78'643U, 120'000U);
+        INFO(bytes << " bytes");
+        auto const parts = prompt_parts(bytes);
+        caller.send(call_with("c1", "Lilactiller-Prompt-Prefix: " + parts));
+        fixture.until([&] { return caller.responses() == 1; });
+        THEN("its server gets all of them, and the connection carries the next request")
+        {
+            REQUIRE(server.received().size() == 1);
+            CHECK(server.received()[0].headers.at("Lilactiller-Prompt-Prefix") == parts);
+            caller.send(call_with("c2", "X-Lane: 4"));
+            fixture.until([&] { return caller.responses() == 2; });
+            CHECK(server.received()[1].headers.count("Lilactiller-Prompt-Prefix") == 0);
+        }
+    }
+    GIVEN("a long field that no one here knows")
+    {
+        caller.send(call_with("c1", "X-Note: " + std::string(70'000, 'n')));
+        fixture.until([&] { return caller.responses() == 1; });
+        CHECK(server.received()[0].headers.at("X-Note").size() == 70'000);
+    }
+    GIVEN("a long field that concerns the connection, or that callers may not set, or a long name")
+    {
+        auto const* name = GENERATE("Kv-From", "Lilactiller-Tenant", "Connection", "Priority", "Host",
+            "Lilactiller-Attempt-Id", "X-Mine", "api-key");
+        std::string const field = name == std::string_view("X-Mine")
+            ? "Connection: keep-alive, x-mine\r\nX-Mine: " + std::string(70'000, 'v')
+            : name + (": " + std::string(70'000, 'v'));
+        INFO(name);
+        caller.send(call_with("c1", field));
+        fixture.until([&] { return !caller.bytes().empty(); });
+        THEN("the request is refused, and no server gets it")
+        {
+            CHECK(caller.bytes().starts_with("HTTP/1.1 400 "));
+            CHECK(server.received().empty());
+        }
+    }
+    GIVEN("a name of 70 KB")
+    {
+        caller.send(call_with("c1", std::string(70'000, 'n') + ": v"));
+        fixture.until([&] { return !caller.bytes().empty(); });
+        CHECK(caller.bytes().starts_with("HTTP/1.1 400 "));
+    }
+    GIVEN("a field beyond the limit in force")
+    {
+        caller.send(call_with("c1", "X-Note: " + std::string(140'000, 'n')));
+        fixture.until([&] { return !caller.bytes().empty(); });
+        CHECK(caller.bytes().starts_with("HTTP/1.1 431 "));
+    }
+    THEN("the host serves on") { CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "c9"))->status == 200); }
+}
