LibServing: Let an exception end one request, not the process

Change: RequestHandler::handle answers 500 to a request whose handling throws, and logs it (E1010); Host::run goes on with the next event after an exception in any other handler. Both count in handler_exceptions_total. It is a net and no excuse: tests of whole hosts (HostFixture) and the soak fail on the event.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -24,6 +24,7 @@
     { SettingsRejected, "settings_rejected", Warning },
     { LoopStalled, "loop_stalled", Warning },
     { HostLoadReported, "host_load", Information },
+    { HandlerFailed, "handler_failed", Error },
     { MemberJoined, "member_joined", Information },
     { MemberLeaving, "member_leaving", Information },
     { MemberLost, "member_lost", Warning },
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -24,6 +24,7 @@
     SettingsRejected = 1007,
     LoopStalled = 1008,
     HostLoadReported = 1009,
+    HandlerFailed = 1010,
     MemberJoined = 1101,
     MemberLeaving = 1102,
     MemberLost = 1103,
--- a/Libraries/LibServing/Host.h
+++ b/Libraries/LibServing/Host.h
@@ -153,6 +153,18 @@
         return backend ? backend->engine : EngineLoad {};
     }
 
+    /// Runs the event loop until the host has stopped. An exception ends the handling of one event.
+    void run()
+    {
+        while (!this->loop.stopped()) {
+            try {
+                this->loop.run();
+            } catch (std::exception const& exception) {
+                this->context.record_exception(exception, "none");
+            }
+        }
+    }
+
 private:
     static constexpr Duration tick_period = 50ms;
     /// A fifth of the shortest latency goal of a plain call (100 ms).
--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -21,7 +21,19 @@
     {
     }
 
-    void handle(std::shared_ptr<Http::Exchange> exchange)
+    /// An exception ends only this request. It shows a fault of this program, so tests and the soak look for its event.
+    void handle(std::shared_ptr<Http::Exchange> const& exchange)
+    {
+        try {
+            this->handle_request(exchange);
+        } catch (std::exception const& exception) {
+            this->context.record_exception(exception, D::decode_call(exchange->request()).attempt);
+            this->answer_after_exception(*exchange);
+        }
+    }
+
+private:
+    void handle_request(std::shared_ptr<Http::Exchange> const& exchange)
     {
         auto call = this->admit(exchange);
         if (!call)
@@ -45,7 +57,18 @@
             std::make_shared<ServiceCall<D>>(this->context, std::move(call.value()))->start();
     }
 
-private:
+    /// The request may have been dispatched before the exception.
+    static void answer_after_exception(Http::Exchange& exchange)
+    {
+        if (exchange.is_streaming())
+            return exchange.abort();
+        Http::Response response(Http::Status::internal_server_error, Http::http_1_1);
+        response.set(Http::Name::content_type, "application/json");
+        response.body() = R"({"error":{"type":"internal","message":"this host failed to handle the request; report )"
+                          R"(its id to the operator","may_have_run":true}})";
+        exchange.respond(std::move(response));
+    }
+
     /// Retry-After while this host has no configuration yet. It is read within a few hundred milliseconds.
     static constexpr Duration not_ready_retry_after = 300ms;
     /// Characters of a field's name in an error message.
--- a/Libraries/LibServing/ServingContext.h
+++ b/Libraries/LibServing/ServingContext.h
@@ -154,6 +154,14 @@
     std::function<void(RequestFingerprint const&, bool is_held)> hold_changed { [](RequestFingerprint const&, bool) {
     } };
 
+    /// Records an exception that ended the handling of an event. `request`: its attempt, or "none" if it is not known.
+    void record_exception(std::exception const& exception, std::string const& request)
+    {
+        this->metrics.add("handler_exceptions_total");
+        this->log.event(Core::EventNumber::HandlerFailed, request.empty() ? "none" : request)
+            .with("reason", exception.what());
+    }
+
     /// The clock that all decisions use. Tests replace it.
     std::function<Instant()> clock { [] { return AK::BootClock::now(); } };
     [[nodiscard]] Instant now() const { return this->clock(); }
--- a/Tests/Platform/HostFixture.h
+++ b/Tests/Platform/HostFixture.h
@@ -50,6 +50,13 @@
     {
     }
 
+    /// No test of a whole host may pass by the net for exceptions.
+    ~HostFixture()
+    {
+        if (this->log)
+            CHECK_FALSE(this->log_has("event=E1010 handler_failed"));
+    }
+
     Serving::HostSettings settings() const
     {
         Serving::HostSettings settings;
--- a/Tests/Platform/TestLongFields.cpp
+++ b/Tests/Platform/TestLongFields.cpp
@@ -87,3 +87,63 @@
     }
     THEN("the host serves on") { CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "c9"))->status == 200); }
 }
+
+namespace {
+
+/// Throws while it prepares the dispatch of one certain call.
+struct ThrowingDialect : Adapter::Dialect {
+    static void prepare_dispatch(Http::Fields& fields, Serving::DispatchHead const& dispatch)
+    {
+        if (fields["Lilactiller-Attempt-Id"] == "bad")
+            throw std::length_error("too long for a container");
+        Adapter::Dialect::prepare_dispatch(fields, dispatch);
+    }
+};
+
+struct ThrowingPlatform : Adapter::UsersPlatform {
+    using Dialect = ThrowingDialect;
+};
+
+}
+
+SCENARIO("an exception ends its own request")
+{
+    HostFixture fixture;
+    fixture.add_runner("lanes-1", "lanes");
+    fixture.put_configuration(7);
+    std::string log_text;
+    Core::StructuredLog log([&](std::string_view text) {
+        log_text += text;
+        return text.size();
+    });
+    Serving::Host<ThrowingPlatform> host(fixture.loop, fixture.settings(), log, [&] { return fixture.settings(); });
+    host.start();
+    fixture.until([&] { return fixture.is_ready(); });
+    auto log_has = [&](std::string const& text) {
+        log.flush();
+        return log_text.find(text) != std::string::npos;
+    };
+
+    WHEN("the dispatch of a request throws")
+    {
+        CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "bad"))->status == 500);
+        THEN("the log names it, and others are served")
+        {
+            CHECK(log_has("event=E1010 handler_failed subject=bad"));
+            CHECK(fixture.metrics_text().find("handler_exceptions_total 1") != std::string::npos);
+            CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "good"))->status == 200);
+        }
+    }
+    WHEN("another handler of the event loop throws")
+    {
+        fixture.loop.restart();
+        Http::asio::post(fixture.loop, [] { throw std::out_of_range("no such entry"); });
+        Http::asio::post(fixture.loop, [&] { fixture.loop.stop(); });
+        host.run();
+        THEN("the loop goes on")
+        {
+            CHECK(log_has("event=E1010 handler_failed subject=none"));
+            CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "good"))->status == 200);
+        }
+    }
+}
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -182,12 +182,15 @@
         std::cout << std::endl;
     }
 
-    /// A host that defers the removal of a server has to name what it waits for.
+    /// No exception may end the handling of an event. A host that defers the removal of a server has to name what it
+    /// waits for.
     void check_logs()
     {
         for (auto const& host : this->deployment.hosts) {
             std::ifstream log(host->daemon->log_file());
             for (std::string line; std::getline(log, line);) {
+                if (line.find("event=E1010 ") != std::string::npos)
+                    this->checker.violation(host->name + " ended the handling of an event: " + line);
                 bool const is_deferral = line.find("event=E2321 ") != std::string::npos;
                 if (is_deferral && line.find(" reason=none ") != std::string::npos)
                     this->checker.violation(host->name + " deferred a removal for no reason: " + line);
