--- a/Libraries/LibServing/RequestHandler.h
+++ b/Libraries/LibServing/RequestHandler.h
@@ -96,6 +96,8 @@
                 not_ready_retry_after };
         call.head = D::decode_call(request);
         TRYV(decode_long_fields(*exchange, call.head));
+        if (request.method() == Http::Verb::trace && !request.body().empty())
+            return Error { ErrorKind::InvalidRequest, "a TRACE request has no body; send it without one", {} };
         std::string_view const target(request.target().data(), request.target().size());
         call.route = call.routing->find_route(host_of(request), path_of(target));
         if (!call.route)
--- a/Tests/Platform/TestLongFields.cpp
+++ b/Tests/Platform/TestLongFields.cpp
@@ -88,6 +88,41 @@
     THEN("the host serves on") { CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "c9"))->status == 200); }
 }
 
+// Guards against requests that end the process which passes them on.
+SCENARIO("requests that a library's message cannot hold are refused")
+{
+    HostFixture fixture;
+    auto& server = fixture.add_runner("lanes-1", "lanes");
+    fixture.add_runner("engine-1", "models");
+    fixture.start_ready_host();
+    PersistentCaller caller(fixture.loop, fixture.callers_endpoint);
+
+    GIVEN("TRACE with a body")
+    {
+        caller.send("TRACE /lookup/2 HTTP/1.1\r\nHost: tolls.example\r\nLilactiller-Attempt-Id: t1\r\n"
+                    "Api-Key: plaza-key\r\nContent-Length: 1\r\n\r\nx");
+        fixture.until([&] { return !caller.bytes().empty(); });
+        CHECK(caller.bytes().starts_with("HTTP/1.1 400 "));
+        CHECK(server.received().empty());
+    }
+    GIVEN("a deadline that overflows")
+    {
+        auto const* deadline = GENERATE("9223372036854775807", "9300000000000000", "31536000000");
+        auto request = HostFixture::request("/lookup/1", "d1");
+        request.set("Lilactiller-Deadline-Ms", deadline);
+        CHECK(fixture.finished_call(std::move(request))->status == 200);
+    }
+    GIVEN("numbers of tokens that overflow")
+    {
+        auto request = HostFixture::generation("g1");
+        request.set("Lilactiller-Token-Usage", "9223372036854775807,9223372036854775807");
+        request.set("Length-Hint", "-9223372036854775808");
+        auto const call = fixture.finished_call(std::move(request));
+        CHECK(call->status == 400);
+    }
+    THEN("the host serves on") { CHECK(fixture.finished_call(HostFixture::request("/lookup/1", "c9"))->status == 200); }
+}
+
 namespace {
 
 /// Throws while it prepares the dispatch of one certain call.
