--- a/Tests/MisbehavingCallers/HostProcess.h
+++ b/Tests/MisbehavingCallers/HostProcess.h
@@ -156,6 +156,13 @@
         return static_cast<size_t>(std::distance(begin(descriptors), end(descriptors)));
     }
 
+    [[nodiscard]] bool log_has(std::string const& text) const
+    {
+        std::ifstream log(this->daemon.log_file());
+        std::string const lines((std::istreambuf_iterator<char>(log)), {});
+        return lines.find(text) != std::string::npos;
+    }
+
     /// Where the host listens for others than callers.
     [[nodiscard]] std::vector<Http::tcp::endpoint> other_endpoints() const
     {
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -158,3 +158,53 @@
         }
     }
 }
+
+// Guards against requests that a stopping host takes late in its grace period, passes on, and cuts when its process
+// ends: each of them is answered truly, in calm, on whatever connection it comes.
+SCENARIO("requests that come at any time of a planned stop are answered truly")
+{
+    HostFixture fixture;
+    fixture.stop_grace = 3300ms;
+    auto& server = fixture.add_runner("lane-1", "lanes");
+    fixture.start_ready_host();
+    auto const work_time = GENERATE(Duration(0ms), Duration(60ms), Duration(400ms), Duration(1200ms));
+    INFO("a call works for " << AK::to_milliseconds(work_time) << " ms");
+    server.set_work_time(work_time);
+    auto reached_server = [&](std::string const& attempt) {
+        return std::ranges::any_of(server.received(), [&](auto const& request) { return request.attempt == attempt; });
+    };
+    auto has_ended = [&] { return fixture.log_has("E1004 process_stopped"); };
+    constexpr Duration arrival_period = 50ms;
+    constexpr auto deadline_ms = "1000";
+
+    std::vector<std::pair<std::string, std::shared_ptr<Test::Call>>> calls;
+    auto send = [&](std::string const& route, std::string const& attempt) {
+        auto request = HostFixture::request("/" + route + "/1", attempt);
+        request.set("Lilactiller-Deadline-Ms", deadline_ms);
+        calls.emplace_back(attempt, fixture.call(std::move(request)));
+    };
+    ::raise(SIGTERM);
+    fixture.until([&] { return fixture.log_has("E1003 process_leaving"); });
+    auto next_arrival = AK::BootClock::now();
+    fixture.until([&] {
+        if (AK::BootClock::now() >= next_arrival) {
+            next_arrival += arrival_period;
+            send("lookup", "once-" + std::to_string(calls.size()));
+            send("tariff", "safe-" + std::to_string(calls.size()));
+        }
+        return has_ended();
+    });
+    fixture.loop.poll();
+    size_t served = 0;
+    for (auto const& [attempt, call] : calls) {
+        INFO(attempt << " got status " << call->status);
+        bool const is_answered = call->end == Http::ExchangeEnd::Complete;
+        served += is_answered && call->status == 200 ? 1 : 0;
+        CHECK((is_answered || !reached_server(attempt)));
+        CHECK((call->status != 503 || !reached_server(attempt)));
+        // A call that may be repeated may come again; one that may not is never cut off after it has run.
+        if (is_answered && attempt.starts_with("once-") && reached_server(attempt) && work_time < 1s)
+            CHECK(call->status == 200);
+    }
+    THEN("those that came early are served") { CHECK((served > 0 || work_time > 1s)); }
+}
