--- a/Meta/prove-guards.sh
+++ b/Meta/prove-guards.sh
@@ -263,12 +263,12 @@
         context.quarantine_changed(changed);
 }
 
-void record_run_survived" "}
+bool begin_trial" "}
 
-void record_run_survived"
+bool begin_trial"
 guard "prompt parts: the most specific is held back" TestLibServing \
     "Scenario: a part of prompts ends the engines of several hosts" \
-    Libraries/LibServing/Quarantine.cpp "return unexplained.size() >= min_unexplained_terminations;" "return true;"
+    Libraries/LibServing/Quarantine.cpp "return count_events(unexplained) >= min_unexplained_terminations;" "return true;"
 guard "prompt parts: clearances are told" TestLibServing \
     "Scenario: crashes that no request has caused hold back no part" \
     Libraries/LibServing/RequestTerminations.cpp "if (entry.replies_to_suspicion())" "if (false)"
